--- /dev/null
+++ b/simhost/src/instance.rs
@@ -0,0 +1,274 @@
+//! One instance: what the wire calls things on one side, the module's handles and indices on the other.
+
+use std::collections::HashMap;
+
+use anyhow::{Context, Result, bail, ensure};
+use frostthread::host::{Call, Ending, Host, Listed, Server, State};
+use frostthread::{Handle, Proxy};
+
+use crate::terms::{self, ReportOrder};
+use crate::wire::{Address, Fields, Reply};
+
+/// A line of a list as it travels.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    server: Address,
+    state: State,
+    pool: u16,
+    started: Option<f64>,
+}
+
+impl Entry {
+    pub const BYTES: usize = 25;
+
+    pub fn read(fields: &mut Fields) -> Result<Self> {
+        fields.f32("heft")?;
+        let server = fields.address("server")?;
+        fields.u16("generation_hw")?;
+        fields.u16("site")?;
+        let state = match fields.u8("readiness")? {
+            0 => State::Gone,
+            1 => State::Running,
+            2 => State::Draining,
+            other => bail!("inventory: field readiness has no use for {other}"),
+        };
+        let pool = fields.u16("point_code")?;
+        let launched = fields.millis("launched")?;
+        Ok(Self { server, state, pool, started: Some(launched).filter(|&at| at != 0.0) })
+    }
+}
+
+/// The names of one instance: conversations by handle, central servers by index.
+#[derive(Default)]
+struct Names {
+    handles: HashMap<u64, Handle>,
+    conversations: Vec<u64>,
+    servers: HashMap<Address, Server>,
+    addresses: Vec<Address>,
+}
+
+impl Names {
+    fn server(&mut self, address: Address) -> Server {
+        *self.servers.entry(address).or_insert_with(|| {
+            self.addresses.push(address);
+            Server(self.addresses.len() as u32 - 1)
+        })
+    }
+
+    fn taken(&mut self, req: u64, handle: Handle) {
+        let slot = handle.0 as usize;
+        if self.conversations.len() <= slot {
+            self.conversations.resize(slot + 1, 0);
+        }
+        self.conversations[slot] = req;
+        self.handles.insert(req, handle);
+    }
+}
+
+/// Writes the module's answers straight into the reply.
+struct Answers<'a> {
+    who: u32,
+    names: &'a mut Names,
+    reply: &'a mut Reply,
+}
+
+impl Answers<'_> {
+    fn req(&self, handle: Handle) -> [u8; 8] {
+        self.names.conversations[handle.0 as usize].to_le_bytes()
+    }
+
+    fn forget(&mut self, handle: Handle) {
+        let req = self.names.conversations[handle.0 as usize];
+        self.names.handles.remove(&req);
+    }
+
+    fn put(&mut self, code: u8, fields: &[&[u8]]) {
+        self.reply.record(self.who, code, fields);
+    }
+}
+
+fn seconds(millis: f64) -> [u8; 8] {
+    (millis / 1000.0).to_le_bytes()
+}
+
+impl Host for Answers<'_> {
+    fn shoot(&mut self, handle: Handle, server: Server, time_out: f64) {
+        let address = self.names.addresses[server.0 as usize];
+        self.put(5, &[&self.req(handle), &address, &seconds(time_out)]);
+    }
+
+    fn refuse(&mut self, handle: Handle, come_back: Option<f64>) {
+        self.put(11, &[&self.req(handle), &seconds(come_back.unwrap_or(0.0))]);
+        self.forget(handle);
+    }
+
+    fn fail(&mut self, handle: Handle) {
+        self.put(12, &[&self.req(handle)]);
+        self.forget(handle);
+    }
+
+    fn cancel(&mut self, handle: Handle, shot: u16) {
+        self.put(13, &[&self.req(handle), &shot.to_le_bytes()]);
+    }
+
+    fn wake(&mut self, at: f64) {
+        self.put(8, &[&0u64.to_le_bytes(), &seconds(at)]);
+    }
+
+    fn probe(&mut self, server: Server) {
+        let address = self.names.addresses[server.0 as usize];
+        self.put(6, &[&address]);
+    }
+
+    fn tell(&mut self, message: &[u8]) {
+        self.put(2, &[&u16::MAX.to_le_bytes(), &(message.len() as u16).to_le_bytes(), message]);
+    }
+
+    fn note(&mut self, line: &str) {
+        let line = &line.as_bytes()[..line.len().min(usize::from(u16::MAX))];
+        self.put(3, &[&(line.len() as u16).to_le_bytes(), line]);
+    }
+}
+
+/// One border proxy of the simulator.
+pub struct Instance {
+    who: u32,
+    proxy: Proxy,
+    names: Names,
+    order: ReportOrder,
+    grades: usize,
+    tenants: usize,
+}
+
+impl Instance {
+    pub fn launch(who: u32, now: f64, fields: &mut Fields) -> Result<Self> {
+        let seed = fields.u64("salt")?;
+        let length = fields.u32("setup")? as usize;
+        let (terms, order) = terms::read(fields.bytes("setup", length)?)?;
+        let (grades, tenants) = (terms.grades.len(), terms.tenants.len());
+        Ok(Self { who, proxy: Proxy::new(terms, seed, now), names: Names::default(), order, grades, tenants })
+    }
+
+    /// The list changed; `entries` is `None` where the news only tells that the list could not be had.
+    pub fn membership(&mut self, now: f64, entries: &[Entry], whole: bool, reply: &mut Reply) {
+        let line = |e: &Entry| Listed {
+            server: self.names.server(e.server),
+            state: e.state,
+            pool: e.pool,
+            started: e.started,
+        };
+        let lines: Vec<Listed> = entries.iter().map(line).collect();
+        self.with(now, reply, |proxy, host| proxy.listed(&lines, whole, host));
+    }
+
+    pub fn woken(&mut self, now: f64, reply: &mut Reply) {
+        self.with(now, reply, |proxy, host| proxy.woken(host));
+    }
+
+    pub fn datagram(&mut self, now: f64, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
+        let from = fields.u32("who")?;
+        let length = fields.u16("contents")?;
+        let message = fields.bytes("contents", length.into())?;
+        self.with(now, reply, |proxy, host| proxy.heard(from, message, host));
+        Ok(())
+    }
+
+    pub fn job_in(&mut self, now: f64, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
+        let req = fields.u64("req")?;
+        let opts = fields.u8("opts")?;
+        fields.u64("name_key")?;
+        let remaining = fields.millis("remaining")?;
+        let tenant = fields.u32("project")? as usize;
+        let grade = usize::from(fields.u8("category")?);
+        ensure!(grade < self.grades, "job_in: field category is {grade} of {} grades", self.grades);
+        fields.bytes("weight_hint", 8)?;
+        fields.f32("hop")?;
+        let first = fields.f32("far_end")? as u16;
+        fields.f32("width")?;
+        let tenant = Some(tenant).filter(|&t| t < self.tenants);
+        let call = Call { grade, tenant, first, remaining, redial: opts & 2 != 0 };
+        self.proxy.at(now);
+        let handle = self.proxy.take(&call);
+        self.names.taken(req, handle);
+        self.with(now, reply, |proxy, host| handle.place(proxy, host));
+        Ok(())
+    }
+
+    pub fn accepted(&mut self, now: f64, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
+        let req = fields.u64("req")?;
+        fields.u16("send_no")?;
+        fields.address("server")?;
+        fields.millis("time_taken")?;
+        if let Some(&handle) = self.names.handles.get(&req) {
+            self.with(now, reply, |proxy, host| handle.stood(proxy, host));
+        }
+        Ok(())
+    }
+
+    pub fn reply(&mut self, now: f64, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
+        let req = fields.u64("req")?;
+        fields.u32("clear_code")?;
+        let ending = ending("reply", fields.u8("rc")?)?;
+        fields.millis("time_taken")?;
+        let finished = fields.u8("finished")? != 0;
+        let server = self.names.server(fields.address("server")?);
+        fields.u16("send_no")?;
+        let report = self.order.read(&fields.values("report")?);
+        self.proxy.at(now);
+        self.proxy.reported(server, report);
+        if let Some(&handle) = self.names.handles.get(&req) {
+            self.with(now, reply, |proxy, host| handle.ended(proxy, ending, finished, host));
+            self.drop_if_done(req, handle);
+        }
+        Ok(())
+    }
+
+    pub fn withdrawn(&mut self, now: f64, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
+        let req = fields.u64("req")?;
+        if let Some(&handle) = self.names.handles.get(&req) {
+            self.with(now, reply, |proxy, host| handle.left(proxy, host));
+            self.drop_if_done(req, handle);
+        }
+        Ok(())
+    }
+
+    pub fn ping_result(&mut self, now: f64, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
+        let server = self.names.server(fields.address("server")?);
+        let delay = fields.millis("time_taken")?;
+        let ending = ending("ping_result", fields.u8("rc")?)?;
+        let report = self.order.read(&fields.values("report")?);
+        // One that comes unasked tells only of free lines, and took no time.
+        if delay > 0.0 || ending != Ending::Ok {
+            self.with(now, reply, |proxy, host| {
+                proxy.reported(server, report);
+                proxy.probed(server, delay, ending, host);
+            });
+        }
+        Ok(())
+    }
+
+    fn drop_if_done(&mut self, req: u64, handle: Handle) {
+        if !self.proxy.holds(handle) {
+            self.names.handles.remove(&req);
+        }
+    }
+
+    fn with(&mut self, now: f64, reply: &mut Reply, call: impl FnOnce(&mut Proxy, &mut Answers)) {
+        self.proxy.at(now);
+        call(&mut self.proxy, &mut Answers { who: self.who, names: &mut self.names, reply });
+    }
+}
+
+fn ending(record: &str, rc: u8) -> Result<Ending> {
+    Ok(match rc {
+        1 => Ending::Ok,
+        2 => Ending::Error,
+        3 => Ending::Nacked,
+        4 => Ending::TimedOut,
+        5 => Ending::NoConnection,
+        6 => Ending::Reset,
+        7 => Ending::Cancelled,
+        8 => Ending::Moot,
+        other => return Err(anyhow::anyhow!("{other} is no outcome")).context(format!("{record}: field rc")),
+    })
+}
--- /dev/null
+++ b/simhost/src/wire.rs
@@ -0,0 +1,149 @@
+//! Frames of the simulator's wire: a bounded reader of batches and a writer of replies.
+
+use std::io::{self, ErrorKind, Read};
+
+use anyhow::{Context, Result, bail, ensure};
+use bytes::{Buf, BufMut};
+
+/// A frame longer than this is taken for a corrupt length.
+const LONGEST_FRAME: usize = 1 << 30;
+
+/// One batch as it was read: the clock in seconds, how many records, and their bytes.
+pub struct Batch {
+    pub clock: f64,
+    pub records: u32,
+    pub body: Vec<u8>,
+}
+
+/// Reads the next batch; `None` at a clean end of input.
+pub fn read_batch(input: &mut impl Read) -> Result<Option<Batch>> {
+    let mut header = [0; 16];
+    let mut got = 0;
+    while got < header.len() {
+        match input.read(&mut header[got..]) {
+            Ok(0) if got == 0 => return Ok(None),
+            Ok(0) => bail!("batch header: input ends after {got} of {} bytes", header.len()),
+            Ok(n) => got += n,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) => return Err(e).context("batch header"),
+        }
+    }
+    let mut fields = &header[..];
+    let (records, length, clock) = (fields.get_u32_le(), fields.get_u32_le() as usize, fields.get_f64_le());
+    ensure!(clock.is_finite(), "batch header: field clock is not a number");
+    ensure!(length <= LONGEST_FRAME, "batch header: field length is {length}, over {LONGEST_FRAME}");
+    // Grows with what really arrives, so that a corrupt length costs no memory.
+    let mut body = Vec::new();
+    let read = input.take(length as u64).read_to_end(&mut body).context("batch body")?;
+    ensure!(read == length, "batch body: input ends after {read} of {length} bytes");
+    Ok(Some(Batch { clock, records, body }))
+}
+
+/// The address of a central server as the wire spells it.
+pub type Address = [u8; 6];
+
+/// Reads the fields of one record, by name, so that a misfit can be told plainly.
+pub struct Fields<'a> {
+    record: &'static str,
+    rest: &'a [u8],
+}
+
+impl<'a> Fields<'a> {
+    pub fn new(record: &'static str, rest: &'a [u8]) -> Self {
+        Self { record, rest }
+    }
+
+    pub fn bytes(&mut self, field: &str, length: usize) -> Result<&'a [u8]> {
+        let record = self.record;
+        let Some((taken, rest)) = self.rest.split_at_checked(length) else {
+            bail!("{record}: field {field} wants {length} bytes, {} are left", self.rest.len());
+        };
+        self.rest = rest;
+        Ok(taken)
+    }
+
+    pub fn u8(&mut self, field: &str) -> Result<u8> {
+        Ok(self.bytes(field, 1)?.get_u8())
+    }
+
+    pub fn u16(&mut self, field: &str) -> Result<u16> {
+        Ok(self.bytes(field, 2)?.get_u16_le())
+    }
+
+    pub fn u32(&mut self, field: &str) -> Result<u32> {
+        Ok(self.bytes(field, 4)?.get_u32_le())
+    }
+
+    pub fn u64(&mut self, field: &str) -> Result<u64> {
+        Ok(self.bytes(field, 8)?.get_u64_le())
+    }
+
+    pub fn f32(&mut self, field: &str) -> Result<f32> {
+        Ok(self.bytes(field, 4)?.get_f32_le())
+    }
+
+    /// A time, in seconds on the wire, as milliseconds.
+    pub fn millis(&mut self, field: &str) -> Result<f64> {
+        let seconds = self.bytes(field, 8)?.get_f64_le();
+        ensure!(seconds.is_finite(), "{}: field {field} is not a number", self.record);
+        Ok(seconds * 1000.0)
+    }
+
+    pub fn address(&mut self, field: &str) -> Result<Address> {
+        Ok(self.bytes(field, 6)?.try_into()?)
+    }
+
+    /// A report: its values in the order of the settings.
+    pub fn values(&mut self, field: &str) -> Result<Vec<f32>> {
+        let count = self.u8(field)?;
+        (0..count).map(|_| self.f32(field)).collect()
+    }
+
+    pub fn end(&self) -> Result<()> {
+        ensure!(self.rest.is_empty(), "{}: {} bytes are left over", self.record, self.rest.len());
+        Ok(())
+    }
+}
+
+/// Splits a batch's body into records: code and fields.
+pub fn records(batch: &Batch) -> Result<Vec<(u8, &[u8])>> {
+    let mut frame = Fields::new("batch", &batch.body);
+    let mut found = Vec::new();
+    for n in 0..batch.records {
+        let code = frame.u8("code").with_context(|| format!("record {n}"))?;
+        let length = frame.u32("length").with_context(|| format!("record {n}"))?;
+        found.push((code, frame.bytes("fields", length as usize).with_context(|| format!("record {n}"))?));
+    }
+    frame.end()?;
+    Ok(found)
+}
+
+/// The reply to one batch.
+#[derive(Default)]
+pub struct Reply {
+    body: Vec<u8>,
+    named: Option<u32>,
+}
+
+impl Reply {
+    /// Starts a record of `who`, naming the instance where it was not the last one named.
+    pub fn record(&mut self, who: u32, code: u8, fields: &[&[u8]]) {
+        if self.named != Some(who) {
+            self.named = Some(who);
+            self.put(1, &[&who.to_le_bytes()]);
+        }
+        self.put(code, fields);
+    }
+
+    fn put(&mut self, code: u8, fields: &[&[u8]]) {
+        self.body.put_u8(code);
+        self.body.put_u32_le(fields.iter().map(|f| f.len()).sum::<usize>() as u32);
+        fields.iter().for_each(|field| self.body.put_slice(field));
+    }
+
+    pub fn send(&self, output: &mut impl io::Write) -> io::Result<()> {
+        output.write_all(&(self.body.len() as u32).to_le_bytes())?;
+        output.write_all(&self.body)?;
+        output.flush()
+    }
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,598 @@
+//! The decisions: which central server a conversation is shot at, and when it is held or given up.
+//!
+//! How to call it: make one [`Proxy`] for each border proxy and hand it the list with [`Proxy::listed`].
+//! [`Proxy::take`] gives a [`Handle`] for a conversation; everything later is a call on that handle:
+//! [`Handle::place`] once, then [`Handle::stood`], [`Handle::ended`], [`Handle::left`]. What the decisions
+//! ask for in return is the trait [`Host`] in `host.rs`. `docs/design.md` says why each step is taken.
+
+use std::collections::VecDeque;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use slab::Slab;
+
+use crate::host::{Call, Ending, GradeTerms, Host, Listed, Report, Server, State, Terms};
+
+/// Bins of a central server's histogram of set-up delay / time limit.
+const BINS: usize = 50;
+/// The histogram's window, in longest time limits.
+const WINDOW_LIMITS: f64 = 10.0 / 9.0;
+/// Violation probability of a grade with mean earnings; a grade's own goes by its earnings.
+const VIOLATION: f64 = 0.05;
+/// With fewer samples than this a central server passes the quantile test.
+const FLOOR: usize = 20;
+/// Delay that a line may have, as a share of the span after which a waiting set-up is sent again.
+const STANDING: f64 = 0.8;
+/// The same where set-ups are not sent again: a share of the shortest quoted time.
+const STANDING_QUOTED: f64 = 0.5;
+/// A line's allowance after a restart, its bounds, and the most of a cut that one bad answer makes.
+const FIRST_ALLOWANCE: f64 = 2.0;
+const LEAST_ALLOWANCE: f64 = 0.1;
+const MOST_ALLOWANCE: f64 = 16.0;
+const DEEPEST_CUT: f64 = 0.5;
+/// How fast an allowance grows: shots for each window's worth of good answers.
+const GROWTH: f64 = 0.5;
+
+/// A conversation that this proxy has taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Handle(pub u32);
+
+/// What the module reads of a service grade.
+struct Grade {
+    quoted: f64,
+    limit: f64,
+    earnings: f64,
+    late: f64,
+    violation: f64,
+    repeatable: bool,
+    pools: Vec<u16>,
+}
+
+struct Shot {
+    server: usize,
+    at: f64,
+}
+
+struct Conversation {
+    grade: usize,
+    first: u16,
+    taken: f64,
+    /// When the caller gives up.
+    until: f64,
+    worth: f64,
+    shots: u32,
+    shot: Option<Shot>,
+    stands: bool,
+    /// Answered for good; kept only until its shot's end is told.
+    over: bool,
+    /// Not sent again before this.
+    rest_until: f64,
+}
+
+/// All that is known of one central server.
+struct Central {
+    state: State,
+    /// When the proxy was told of that state.
+    told: f64,
+    pool: u16,
+    started: f64,
+    samples: VecDeque<(f64, usize)>,
+    bins: [u32; BINS],
+    /// When set-ups were sent, over the window.
+    sent: VecDeque<f64>,
+    /// When each of the shots still out was sent.
+    out: Vec<(Handle, f64)>,
+    /// How many shots may be out at once; under one, the share of the time that one may.
+    allowance: f64,
+    /// Spreads the part of an allowance over whole shots.
+    dither: f64,
+    cut_at: f64,
+    not_before: f64,
+    /// Its standing in the draw, and when that was last moved.
+    weight: f64,
+    weighed: f64,
+    /// The delay that its answers have lately had.
+    delay: f64,
+    report: Report,
+    reported: f64,
+}
+
+/// The decisions of one border proxy.
+pub struct Proxy {
+    terms: Terms,
+    grades: Vec<Grade>,
+    rng: Pcg64Mcg,
+    now: f64,
+    window: f64,
+    standing: f64,
+    centrals: Vec<Option<Central>>,
+    conversations: Slab<Conversation>,
+    held: Vec<Handle>,
+    wake_at: f64,
+    /// When conversations were last taken, by tenant.
+    tenants: Vec<VecDeque<f64>>,
+}
+
+impl Central {
+    fn new(line: &Listed, now: f64, weight: f64) -> Self {
+        Self {
+            state: line.state,
+            told: now,
+            pool: line.pool,
+            started: line.started.unwrap_or(f64::NEG_INFINITY),
+            samples: VecDeque::new(),
+            bins: [0; BINS],
+            sent: VecDeque::new(),
+            out: Vec::new(),
+            allowance: FIRST_ALLOWANCE,
+            dither: 0.5,
+            cut_at: f64::NEG_INFINITY,
+            not_before: f64::NEG_INFINITY,
+            weight,
+            weighed: now,
+            delay: 0.0,
+            report: Report::default(),
+            reported: f64::NEG_INFINITY,
+        }
+    }
+
+    fn forget_before(&mut self, then: f64) {
+        while self.samples.front().is_some_and(|s| s.0 < then) {
+            let (_, bin) = self.samples.pop_front().expect("just seen");
+            self.bins[bin] -= 1;
+        }
+        while self.sent.front().is_some_and(|&at| at < then) {
+            self.sent.pop_front();
+        }
+    }
+
+    fn sample(&mut self, now: f64, ratio: f64) {
+        let bin = bin_of(ratio);
+        self.samples.push_back((now, bin));
+        self.bins[bin] += 1;
+    }
+
+    /// The histogram with each shot still out counted at its age: it will take at least that long.
+    fn censored(&self, now: f64, limit: f64, over: f64) -> ([f64; BINS], usize) {
+        let mut bins = self.bins.map(f64::from);
+        let mut count = self.samples.len();
+        for age in self.out.iter().map(|shot| now - shot.1).filter(|&age| age > over) {
+            bins[bin_of(age / limit)] += 1.0;
+            count += 1;
+        }
+        (bins, count)
+    }
+}
+
+fn bin_of(ratio: f64) -> usize {
+    ((ratio.clamp(0.0, 1.0) * BINS as f64) as usize).min(BINS - 1)
+}
+
+/// The upper edge of the bin that holds the quantile, as a ratio; `extra` samples are spread over all bins.
+fn quantile(bins: &[f64; BINS], extra: f64, p: f64) -> f64 {
+    let share = extra / BINS as f64;
+    let total: f64 = bins.iter().sum::<f64>() + extra;
+    let mut seen = 0.0;
+    let at = bins.iter().position(|n| {
+        seen += n + share;
+        seen >= p * total - 1e-9
+    });
+    (at.unwrap_or(BINS - 1) + 1) as f64 / BINS as f64
+}
+
+fn mean_ratio(bins: &[f64; BINS]) -> f64 {
+    let total: f64 = bins.iter().sum();
+    let sum: f64 = bins.iter().enumerate().map(|(i, n)| (i as f64 + 0.5) * n).sum();
+    if total > 0.0 { sum / total / BINS as f64 } else { 0.5 / BINS as f64 }
+}
+
+impl Proxy {
+    pub fn new(terms: Terms, seed: u64, now: f64) -> Self {
+        let mean = terms.grades.iter().map(|g| g.earnings).sum::<f64>() / terms.grades.len().max(1) as f64;
+        let row = |g: &GradeTerms| Grade {
+            quoted: g.quoted,
+            limit: g.limit,
+            earnings: g.earnings,
+            late: g.late,
+            violation: (VIOLATION * g.earnings / mean).clamp(VIOLATION / 10.0, 0.5),
+            repeatable: g.repeatable,
+            pools: g.pools.clone(),
+        };
+        let grades: Vec<Grade> = terms.grades.iter().map(row).collect();
+        let limit = grades.iter().map(|g| g.limit).fold(0.0, f64::max);
+        let quoted = grades.iter().map(|g| g.quoted).fold(f64::INFINITY, f64::min);
+        let mut standing = STANDING_QUOTED * quoted;
+        if terms.repeat > 0.0 {
+            standing = standing.min(STANDING * terms.repeat);
+        }
+        Self {
+            tenants: terms.tenants.iter().map(|_| VecDeque::new()).collect(),
+            terms,
+            grades,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now,
+            window: WINDOW_LIMITS * limit,
+            standing,
+            centrals: Vec::new(),
+            conversations: Slab::new(),
+            held: Vec::new(),
+            wake_at: f64::INFINITY,
+        }
+    }
+
+    /// The time of what follows.
+    pub fn at(&mut self, now: f64) {
+        self.now = now;
+    }
+
+    /// News of the list. A whole list replaces the old one.
+    pub fn listed(&mut self, lines: &[Listed], whole: bool, host: &mut impl Host) {
+        if whole {
+            let named = |i: usize| lines.iter().any(|line| line.server.0 as usize == i);
+            for (i, central) in self.centrals.iter_mut().enumerate() {
+                if let Some(central) = central.as_mut().filter(|c| c.state != State::Gone && !named(i)) {
+                    central.state = State::Gone;
+                    central.told = self.now;
+                }
+            }
+        }
+        for line in lines {
+            let index = line.server.0 as usize;
+            if self.centrals.len() <= index {
+                self.centrals.resize_with(index + 1, || None);
+            }
+            let weight = self.lowest_weight();
+            let started = line.started.unwrap_or(f64::NEG_INFINITY);
+            match &mut self.centrals[index] {
+                Some(central) => {
+                    if central.state != line.state {
+                        (central.state, central.told) = (line.state, self.now);
+                        host.note(&format!("central server {index} is {:?}", line.state));
+                    }
+                    if started > central.started {
+                        // A new processor: what the old one took so long for says nothing of it.
+                        let out = std::mem::take(&mut central.out);
+                        *central = Central::new(line, self.now, weight);
+                        central.out = out;
+                        host.note(&format!("central server {index} has started anew"));
+                    }
+                    central.pool = line.pool;
+                }
+                slot => *slot = Some(Central::new(line, self.now, weight)),
+            }
+        }
+        self.serve(host);
+    }
+
+    fn lowest_weight(&self) -> f64 {
+        let weights = self.centrals.iter().flatten().map(|c| c.weight);
+        weights.fold(f64::INFINITY, f64::min).min(BINS as f64)
+    }
+
+    /// A central server's report of its processor.
+    pub fn reported(&mut self, server: Server, report: Report) {
+        let now = self.now;
+        if let Some(central) = self.centrals.get_mut(server.0 as usize).and_then(Option::as_mut) {
+            (central.report, central.reported) = (report, now);
+        }
+    }
+
+    /// What a probe brought.
+    pub fn probed(&mut self, _server: Server, _delay: f64, _ending: Ending, _host: &mut impl Host) {}
+
+    /// Another proxy's message.
+    pub fn heard(&mut self, _from: u32, _message: &[u8], _host: &mut impl Host) {}
+
+    /// The time that was asked for with [`Host::wake`] has come.
+    pub fn woken(&mut self, host: &mut impl Host) {
+        // The host's clock may round a time to just below the one asked for.
+        if self.now + 1.0 >= self.wake_at {
+            self.wake_at = f64::INFINITY;
+        }
+        self.serve(host);
+    }
+
+    /// Whether the handle is still of use.
+    pub fn holds(&self, handle: Handle) -> bool {
+        self.conversations.contains(handle.0 as usize)
+    }
+
+    /// Takes a conversation; it is placed with [`Handle::place`].
+    pub fn take(&mut self, call: &Call) -> Handle {
+        let in_share = call.tenant.map_or(1.0, |tenant| self.in_share(tenant));
+        let grade = &self.grades[call.grade];
+        let mut worth = grade.earnings * in_share;
+        if call.redial {
+            worth *= grade.late.max(0.1);
+        }
+        let conversation = Conversation {
+            grade: call.grade,
+            first: call.first,
+            taken: self.now,
+            until: self.now + call.remaining,
+            worth,
+            shots: 0,
+            shot: None,
+            stands: false,
+            over: false,
+            rest_until: f64::NEG_INFINITY,
+        };
+        Handle(self.conversations.insert(conversation) as u32)
+    }
+
+    /// The part of its earnings that the tenant's next conversation may expect to keep, taking this
+    /// proxy's traffic for a fair sample of everyone's.
+    fn in_share(&mut self, tenant: usize) -> f64 {
+        let (now, window) = (self.now, self.window);
+        let recent = &mut self.tenants[tenant];
+        recent.push_back(now);
+        while recent.front().is_some_and(|&at| at < now - window) {
+            recent.pop_front();
+        }
+        let rate = recent.len() as f64 / window * 1000.0 * f64::from(self.terms.proxies);
+        let inside = (self.terms.tenants[tenant].quota / rate).min(1.0);
+        inside + (1.0 - inside) * self.terms.over_share
+    }
+
+    /// What a cold central server may get from this proxy alone: the start share of what a warm one
+    /// carries from it, times the multiple, over any span. Where all do the same, the sum stays under.
+    fn too_cold(&self, index: usize) -> bool {
+        let central = self.centrals[index].as_ref().expect("listed");
+        let age = self.now - central.started;
+        if age >= self.terms.cold {
+            return false;
+        }
+        let warm = |c: &&Central| c.state == State::Running && self.now - c.started >= self.terms.cold;
+        let carried = self.centrals.iter().flatten().filter(warm).map(|c| c.sent.len()).max().unwrap_or(0);
+        let span = self.terms.fall_span;
+        let share = self.terms.cold_from + (1.0 - self.terms.cold_from) * (age / self.terms.cold) * 0.5;
+        let carried = carried as f64 * span / self.window;
+        let part = (0.6 * self.terms.fall_multiple * share * carried).max(0.5);
+        let recent = |over: f64| central.sent.iter().rev().take_while(|&&at| at > self.now - over).count();
+        if part < 1.0 { recent(span / part) >= 1 } else { recent(span) as f64 >= part.floor() }
+    }
+
+    /// The design's test: would the set-up's delay, with this call's own share added, stay inside the
+    /// quoted time at all but the grade's violation probability?
+    fn passes_quantile(&self, central: &Central, grade: &Grade) -> bool {
+        let (bins, count) = central.censored(self.now, grade.limit, central.delay);
+        if count < FLOOR {
+            return true;
+        }
+        let p = 1.0 - grade.violation;
+        let old = quantile(&bins, 0.0, p);
+        let extra = if (count as f64) < 1.0 / grade.violation { 0.0 } else { 1.0 };
+        let uniform = quantile(&bins, extra, p);
+        let alpha = 1.0 / (1.0 + central.sent.len() as f64);
+        (alpha * uniform + (1.0 - alpha) * old) * grade.limit <= grade.quoted
+    }
+
+    /// Departure: the line to a central server takes only as many shots as it answers well within the
+    /// span after which waiting set-ups breed work. Shots out fill it, so that a hung, slow or silent one
+    /// stops taking work by itself.
+    fn has_room(&self, central: &Central) -> bool {
+        if central.allowance < 1.0 {
+            central.out.is_empty() && self.now >= central.not_before
+        } else {
+            central.out.len() as f64 + 1.0 <= central.allowance + central.dither
+        }
+    }
+
+    fn passes(&self, index: usize, grade: usize) -> bool {
+        let Some(central) = &self.centrals[index] else { return false };
+        let grade = &self.grades[grade];
+        central.state == State::Running
+            && grade.pools.contains(&central.pool)
+            && self.has_room(central)
+            && self.passes_quantile(central, grade)
+            && !self.too_cold(index)
+    }
+
+    /// First choice while it passes; else a draw among the others that pass.
+    fn choose(&mut self, grade: usize, first: u16) -> Option<usize> {
+        let passing: Vec<usize> = (0..self.centrals.len()).filter(|&i| self.passes(i, grade)).collect();
+        let pool = |i: usize| self.centrals[i].as_ref().expect("passes").pool;
+        if let Some(&first) = passing.iter().find(|&&i| pool(i) == first) {
+            return Some(first);
+        }
+        let weights: Vec<f64> =
+            passing.iter().map(|&i| self.centrals[i].as_ref().expect("passes").weight).collect();
+        let mut draw = self.rng.random::<f64>() * weights.iter().sum::<f64>();
+        let at = weights.iter().position(|w| {
+            draw -= w;
+            draw <= 0.0
+        });
+        at.or(passing.len().checked_sub(1)).map(|at| passing[at])
+    }
+
+    fn shoot(&mut self, handle: Handle, index: usize, host: &mut impl Host) {
+        let now = self.now;
+        let conversation = &mut self.conversations[handle.0 as usize];
+        let grade = &self.grades[conversation.grade];
+        let left = conversation.until - now;
+        // Leaves room to wait out the release and be answered elsewhere within the quoted time.
+        let early = conversation.taken + grade.quoted - now - self.terms.release - self.standing;
+        let alone = self.centrals.iter().flatten().filter(|c| c.state == State::Running).count() < 2;
+        let last = conversation.shots + 1 >= self.terms.max_shots || alone || !grade.repeatable;
+        let time_out = if last || early < self.standing { left } else { early.min(left) };
+        conversation.shots += 1;
+        conversation.shot = Some(Shot { server: index, at: now });
+        let central = self.centrals[index].as_mut().expect("listed");
+        central.out.push((handle, now));
+        central.sent.push_back(now);
+        central.dither = self.rng.random();
+        host.shoot(handle, Server(index as u32), time_out);
+    }
+
+    /// The latest moment at which a shot can still be answered within the quoted time.
+    fn latest(&self, conversation: &Conversation) -> f64 {
+        let quickest = self.centrals.iter().flatten().filter(|c| c.state == State::Running);
+        let quickest = quickest.map(|c| c.delay).fold(f64::INFINITY, f64::min).min(self.standing);
+        let quoted = conversation.taken + self.grades[conversation.grade].quoted - 1.2 * quickest;
+        quoted.min(conversation.until - 2.0 * quickest)
+    }
+
+    /// Shoots what can be shot, best earners first, and gives up at once what can no longer stand in time.
+    fn serve(&mut self, host: &mut impl Host) {
+        let then = self.now - self.window;
+        for central in self.centrals.iter_mut().flatten() {
+            central.forget_before(then);
+        }
+        self.weigh();
+        let order = |c: &Conversation| (-c.worth, c.taken);
+        let mut held = std::mem::take(&mut self.held);
+        held.sort_by(|a, b| {
+            let (a, b) = (&self.conversations[a.0 as usize], &self.conversations[b.0 as usize]);
+            order(a).partial_cmp(&order(b)).expect("finite")
+        });
+        let room = self.hold_room();
+        let mut due = f64::INFINITY;
+        for handle in held {
+            let conversation = &self.conversations[handle.0 as usize];
+            let (grade, first, rest) = (conversation.grade, conversation.first, conversation.rest_until);
+            let latest = self.latest(conversation);
+            let rested = rest <= self.now;
+            let choice = if rested { self.choose(grade, first) } else { None };
+            if let Some(index) = choice {
+                self.shoot(handle, index, host);
+            } else if latest < self.now || self.held.len() >= room {
+                self.give_up(handle, host);
+            } else {
+                self.held.push(handle);
+                due = due.min(latest + 1.0).min(if rested { f64::INFINITY } else { rest });
+            }
+        }
+        if !self.held.is_empty() {
+            due = due.min(self.now + 0.25 * self.standing);
+            if due < self.wake_at {
+                self.wake_at = due;
+                host.wake(due);
+            }
+        }
+    }
+
+    /// How many conversations are worth holding: what the lines have lately taken in half a quoted time.
+    fn hold_room(&self) -> usize {
+        let sent: usize = self.centrals.iter().flatten().map(|c| c.sent.len()).sum();
+        let quoted = self.grades.iter().map(|g| g.quoted).fold(f64::INFINITY, f64::min);
+        2 + (sent as f64 * 0.5 * quoted / self.window) as usize
+    }
+
+    fn give_up(&mut self, handle: Handle, host: &mut impl Host) {
+        let conversation = self.conversations.remove(handle.0 as usize);
+        if !self.grades[conversation.grade].repeatable && conversation.shots > 0 {
+            host.fail(handle);
+            return;
+        }
+        let advice = self.terms.longest_advice.map(|most| most * (0.5 + 0.5 * self.rng.random::<f64>()));
+        host.refuse(handle, advice);
+    }
+
+    /// Moves the standings in the draw: down at once with the mean ratio, up again over a window.
+    fn weigh(&mut self) {
+        let limit = self.grades.iter().map(|g| g.limit).fold(0.0, f64::max);
+        for central in self.centrals.iter_mut().flatten() {
+            let (bins, _) = central.censored(self.now, limit, central.delay);
+            let deserved = 1.0 / mean_ratio(&bins);
+            let step = ((self.now - central.weighed) / self.window).min(1.0);
+            central.weight = deserved.min(central.weight + step * deserved);
+            central.weighed = self.now;
+        }
+    }
+
+    /// Takes a shot off its line and counts its delay; an answer moves the line's allowance.
+    fn answered(&mut self, index: usize, handle: Handle, delay: Option<f64>, ratio: f64) {
+        let (now, standing) = (self.now, self.standing);
+        let Some(central) = &mut self.centrals[index] else { return };
+        let full = central.out.len() as f64 + 1.0 > central.allowance;
+        let sent = central.out.iter().find(|shot| shot.0 == handle).map_or(now, |shot| shot.1);
+        central.out.retain(|shot| shot.0 != handle);
+        central.sample(now, ratio);
+        let took = delay.unwrap_or(f64::INFINITY);
+        if took > standing {
+            if sent >= central.cut_at {
+                let cut = (standing / took).max(DEEPEST_CUT);
+                central.allowance = (central.allowance * cut).max(LEAST_ALLOWANCE);
+                central.cut_at = now;
+            }
+        } else if full {
+            let room = 1.0 - took / standing;
+            central.allowance += GROWTH * (room + 0.2) / central.allowance.max(0.5);
+            central.allowance = central.allowance.min(MOST_ALLOWANCE);
+        }
+        if let Some(took) = delay {
+            central.delay += 0.25 * (took - central.delay);
+        }
+        let span = took.min(2.0 * standing);
+        central.not_before = now + span * (1.0 / central.allowance.min(1.0) - 1.0);
+    }
+}
+
+impl Handle {
+    /// Finds the conversation its first way, or holds it, or gives it up.
+    pub fn place(self, proxy: &mut Proxy, host: &mut impl Host) {
+        proxy.held.push(self);
+        proxy.serve(host);
+    }
+
+    /// The conversation stands.
+    pub fn stood(self, proxy: &mut Proxy, host: &mut impl Host) {
+        let Some(conversation) = proxy.conversations.get_mut(self.0 as usize) else { return };
+        conversation.stands = true;
+        let Some(shot) = &conversation.shot else { return };
+        let (index, delay) = (shot.server, proxy.now - shot.at);
+        let ratio = delay / proxy.grades[conversation.grade].limit;
+        proxy.answered(index, self, Some(delay), ratio);
+        proxy.serve(host);
+    }
+
+    /// The shot, or the conversation that stood by it, has ended; `finished` when no answer is owed.
+    pub fn ended(self, proxy: &mut Proxy, ending: Ending, finished: bool, host: &mut impl Host) {
+        let now = proxy.now;
+        let Some(conversation) = proxy.conversations.get_mut(self.0 as usize) else { return };
+        let shot = conversation.shot.take();
+        let limit = proxy.grades[conversation.grade].limit;
+        let (stands, over) = (conversation.stands, conversation.over || finished);
+        if matches!(ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
+            conversation.rest_until = now + proxy.terms.release + 1.0;
+        }
+        let ran = !matches!(ending, Ending::Nacked | Ending::NoConnection | Ending::Moot);
+        let again = !over
+            && conversation.shots < proxy.terms.max_shots
+            && conversation.until > now
+            && (!ran || proxy.grades[conversation.grade].repeatable);
+        if let Some(shot) = shot.filter(|_| !stands) {
+            let age = now - shot.at;
+            match ending {
+                Ending::Ok | Ending::Error => proxy.answered(shot.server, self, Some(age), age / limit),
+                Ending::Cancelled => proxy.answered(shot.server, self, Some(age), age / limit),
+                Ending::Moot => {
+                    if let Some(central) = &mut proxy.centrals[shot.server] {
+                        central.out.retain(|out| out.0 != self);
+                    }
+                }
+                _ => proxy.answered(shot.server, self, None, 1.0),
+            }
+        }
+        if over {
+            proxy.conversations.remove(self.0 as usize);
+        } else if again {
+            proxy.held.push(self);
+        } else {
+            proxy.conversations.remove(self.0 as usize);
+            host.fail(self);
+        }
+        proxy.serve(host);
+    }
+
+    /// The caller has gone.
+    pub fn left(self, proxy: &mut Proxy, host: &mut impl Host) {
+        let Some(conversation) = proxy.conversations.get_mut(self.0 as usize) else { return };
+        conversation.over = true;
+        if conversation.shot.is_none() {
+            proxy.held.retain(|&held| held != self);
+            proxy.conversations.remove(self.0 as usize);
+        }
+        proxy.serve(host);
+    }
+}
--- /dev/null
+++ b/src/host.rs
@@ -0,0 +1,126 @@
+//! The interface between the decisions and the program around them: plain types and [`Host`].
+//! Times are milliseconds on the host's clock, which only goes forward.
+
+use crate::choice::Handle;
+
+/// A central server: a small index that the host gives out and keeps for as long as the proxy lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Server(pub u32);
+
+/// What is agreed for one deployment.
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    /// This proxy's number and how many there are.
+    pub rank: u32,
+    pub proxies: u32,
+    pub grades: Vec<GradeTerms>,
+    pub tenants: Vec<TenantTerms>,
+    /// The part of its earnings that a conversation over its tenant's share keeps.
+    pub over_share: f64,
+    pub max_shots: u32,
+    /// The longest wait that a refused caller can be told, where advice is allowed at all.
+    pub longest_advice: Option<f64>,
+    pub may_probe: bool,
+    pub may_tell: bool,
+    /// After a time-out, reset or cancel the conversation rests for this long.
+    pub release: f64,
+    /// A set-up that waits at a processor is sent again after this; 0 for never.
+    pub repeat: f64,
+    /// No sends to a draining or gone central server after this.
+    pub drain_grace: f64,
+    /// A central server is warm this long after its start, and starts at `cold_from` of its capacity.
+    pub cold: f64,
+    pub cold_from: f64,
+    /// A cold one falls over at this multiple of its present capacity, kept up for `fall_span`.
+    pub fall_multiple: f64,
+    pub fall_span: f64,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct GradeTerms {
+    pub quoted: f64,
+    pub limit: f64,
+    pub earnings: f64,
+    /// The part of the earnings that is left after the quoted time.
+    pub late: f64,
+    /// Whether a shot that may have run can be followed by another.
+    pub repeatable: bool,
+    pub pools: Vec<u16>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct TenantTerms {
+    /// Conversations a second, over all proxies, within the tenant's share.
+    pub quota: f64,
+}
+
+/// A conversation as its caller hands it over.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub grade: usize,
+    pub tenant: Option<usize>,
+    /// The pool of first choice.
+    pub first: u16,
+    /// How long the caller still waits.
+    pub remaining: f64,
+    pub redial: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Running,
+    Draining,
+    Gone,
+}
+
+/// A line of the list of central servers.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub server: Server,
+    pub state: State,
+    pub pool: u16,
+    /// When it last started, if that is known.
+    pub started: Option<f64>,
+}
+
+/// What a central server says of its processor; late and not exact.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Set-ups waiting.
+    pub waiting: Option<f64>,
+    /// How long a set-up waits.
+    pub wait: Option<f64>,
+    /// New set-ups a second that it can take from all senders.
+    pub rate: Option<f64>,
+}
+
+/// How a shot, or the conversation that it set up, came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Ok,
+    Error,
+    Nacked,
+    TimedOut,
+    NoConnection,
+    Reset,
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+/// What the decisions ask of the program around them.
+pub trait Host {
+    /// Send the conversation's set-up, to be given up after `time_out`.
+    fn shoot(&mut self, handle: Handle, server: Server, time_out: f64);
+    /// Refuse the conversation, with advice when to come back.
+    fn refuse(&mut self, handle: Handle, come_back: Option<f64>);
+    fn fail(&mut self, handle: Handle);
+    fn cancel(&mut self, handle: Handle, shot: u16);
+    /// Call [`crate::Proxy::woken`] at this time.
+    fn wake(&mut self, at: f64);
+    fn probe(&mut self, server: Server);
+    /// Send a short message to every other proxy.
+    fn tell(&mut self, message: &[u8]);
+    /// Write a line to the log.
+    fn note(&mut self, line: &str);
+}
