Shorten the histogram's window to five ninths of the time limit

Cause: one burst of late answers kept central servers failing the quantile test for 10 s after they had recovered, so room was refused.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,7 +16,7 @@
 /// Bins of a central server's histogram of set-up delay / time limit.
 const BINS: usize = 50;
 /// The histogram's window, in longest time limits.
-const WINDOW_LIMITS: f64 = 10.0 / 9.0;
+const WINDOW_LIMITS: f64 = 5.0 / 9.0;
 /// Violation probability of a grade with mean earnings; a grade's own goes by its earnings.
 const VIOLATION: f64 = 0.05;
 /// With fewer samples than this a central server passes the quantile test.
