Enter a central server again by single shots once its latest answer was quick

Cause: the window's old answers kept all central servers out after a jam, so nothing new was learnt until they fell out. Guards against any stale evidence; may hurt where answers alternate between quick and very late.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -93,6 +93,8 @@
     weighed: f64,
     /// The delay that its answers have lately had.
     delay: f64,
+    /// The delay of its latest answer.
+    latest: f64,
     report: Report,
     reported: f64,
 }
@@ -131,6 +133,7 @@
             weight,
             weighed: now,
             delay: 0.0,
+            latest: 0.0,
             report: Report::default(),
             reported: f64::NEG_INFINITY,
         }
@@ -378,13 +381,19 @@
         }
     }
 
+    /// Departure: old answers alone keep no central server out. One that fails the test by its window, but
+    /// whose latest answer came quickly, is entered again by one shot at a time.
+    fn recovers(&self, central: &Central) -> bool {
+        central.out.is_empty() && central.latest <= self.standing
+    }
+
     fn passes(&self, index: usize, grade: usize) -> bool {
         let Some(central) = &self.centrals[index] else { return false };
         let grade = &self.grades[grade];
         central.state == State::Running
             && grade.pools.contains(&central.pool)
             && self.has_room(central)
-            && self.passes_quantile(central, grade)
+            && (self.passes_quantile(central, grade) || self.recovers(central))
             && !self.too_cold(index)
     }
 
@@ -509,6 +518,7 @@
         central.out.retain(|shot| shot.0 != handle);
         central.sample(now, ratio);
         let took = delay.unwrap_or(f64::INFINITY);
+        central.latest = took;
         if took > standing {
             if sent >= central.cut_at {
                 let cut = (standing / took).max(DEEPEST_CUT);
