--- a/src/choice.rs
+++ b/src/choice.rs
@@ -345,6 +345,10 @@
         if age >= self.terms.cold {
             return false;
         }
+        // One that has just answered quickly has no line; a shot at a time builds none.
+        if central.out.is_empty() && !central.samples.is_empty() && central.latest <= 0.5 * self.standing {
+            return false;
+        }
         let warm = |c: &&Central| c.state == State::Running && self.now - c.started >= self.terms.cold;
         let carried = self.centrals.iter().flatten().filter(warm).map(|c| c.sent.len()).max().unwrap_or(0);
         let span = self.terms.fall_span;
