--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,8 @@
 const LEAST_ALLOWANCE: f64 = 0.1;
 const MOST_ALLOWANCE: f64 = 16.0;
 const DEEPEST_CUT: f64 = 0.5;
+/// An answer of a cold central server is quick under this share of the work that would push it over.
+const COLD_QUICK: f64 = 0.16;
 /// How fast an allowance grows: shots for each window's worth of good answers.
 const GROWTH: f64 = 0.5;
 
@@ -346,7 +348,8 @@
             return false;
         }
         // One that has just answered quickly has no line; a shot at a time builds none.
-        if central.out.is_empty() && !central.samples.is_empty() && central.latest <= 0.5 * self.standing {
+        let quick = COLD_QUICK * (self.terms.fall_multiple - 1.0) * self.terms.fall_span;
+        if central.out.is_empty() && !central.samples.is_empty() && central.latest <= quick {
             return false;
         }
         let warm = |c: &&Central| c.state == State::Running && self.now - c.started >= self.terms.cold;
