Keep lines open under resets, and re-enter by single shots only where none passes

Resets count as 1 in the histogram, so all failed the quantile test and every reset also halved the line; 49% were refused though answers were quick. Told from a jam by the median of 50 ms and by resets, not time-outs. May hurt where one server resets everything and all others fail too.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -388,29 +388,33 @@
         }
     }
 
-    /// Departure: old answers alone keep no central server out. One that fails the test by its window, but
-    /// whose latest answer came quickly, is entered again by one shot at a time.
+    /// Departure, where none passes: old answers alone keep no central server out. One that fails the test
+    /// by its window, but whose latest shot ended quickly, is entered again by one shot at a time.
     fn recovers(&self, central: &Central) -> bool {
         central.out.is_empty() && central.latest <= self.standing
     }
 
-    fn passes(&self, index: usize, grade: usize) -> bool {
+    fn passes(&self, index: usize, grade: usize, again: bool) -> bool {
         let Some(central) = &self.centrals[index] else { return false };
         let grade = &self.grades[grade];
         central.state == State::Running
             && grade.pools.contains(&central.pool)
             && self.has_room(central)
-            && (self.passes_quantile(central, grade) || self.recovers(central))
+            && if again { self.recovers(central) } else { self.passes_quantile(central, grade) }
             && !self.too_cold(index)
     }
 
     /// First choice while it passes; else a draw among the others that pass.
     fn choose(&mut self, grade: usize, first: u16) -> Option<usize> {
-        let passing: Vec<usize> = (0..self.centrals.len()).filter(|&i| self.passes(i, grade)).collect();
+        let all = 0..self.centrals.len();
+        let mut passing: Vec<usize> = all.clone().filter(|&i| self.passes(i, grade, false)).collect();
         let pool = |i: usize| self.centrals[i].as_ref().expect("passes").pool;
         if let Some(&first) = passing.iter().find(|&&i| pool(i) == first) {
             return Some(first);
         }
+        if passing.is_empty() {
+            passing = all.filter(|&i| self.passes(i, grade, true)).collect();
+        }
         let weights: Vec<f64> =
             passing.iter().map(|&i| self.centrals[i].as_ref().expect("passes").weight).collect();
         let mut draw = self.rng.random::<f64>() * weights.iter().sum::<f64>();
@@ -588,6 +592,8 @@
                         central.out.retain(|out| out.0 != self);
                     }
                 }
+                // A cut says nothing of the line but its age, though it counts as 1 in the histogram.
+                Ending::Reset => proxy.answered(shot.server, self, Some(age), 1.0),
                 _ => proxy.answered(shot.server, self, None, 1.0),
             }
         }
