--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,6 +32,8 @@
 const DEEPEST_CUT: f64 = 0.5;
 /// An answer of a cold central server is quick under this share of the work that would push it over.
 const COLD_QUICK: f64 = 0.16;
+/// Set-ups that any central server is taken to do in the span of a fall, however cold.
+const COLD_SETUPS: f64 = 2.0;
 /// How fast an allowance grows: shots for each window's worth of good answers.
 const GROWTH: f64 = 0.5;
 
@@ -78,6 +80,8 @@
     told: f64,
     pool: u16,
     started: f64,
+    /// No shot before this while it is cold.
+    entry: f64,
     samples: VecDeque<(f64, usize)>,
     bins: [u32; BINS],
     /// When set-ups were sent, over the window.
@@ -118,12 +122,13 @@
 }
 
 impl Central {
-    fn new(line: &Listed, now: f64, weight: f64) -> Self {
+    fn new(line: &Listed, now: f64, weight: f64, entry: f64) -> Self {
         Self {
             state: line.state,
             told: now,
             pool: line.pool,
             started: line.started.unwrap_or(f64::NEG_INFINITY),
+            entry,
             samples: VecDeque::new(),
             bins: [0; BINS],
             sent: VecDeque::new(),
@@ -247,6 +252,7 @@
                 self.centrals.resize_with(index + 1, || None);
             }
             let weight = self.lowest_weight();
+            let entry = self.now + self.rng.random::<f64>() * self.cold_gap();
             let started = line.started.unwrap_or(f64::NEG_INFINITY);
             match &mut self.centrals[index] {
                 Some(central) => {
@@ -257,13 +263,13 @@
                     if started > central.started {
                         // A new processor: what the old one took so long for says nothing of it.
                         let out = std::mem::take(&mut central.out);
-                        *central = Central::new(line, self.now, weight);
+                        *central = Central::new(line, self.now, weight, entry);
                         central.out = out;
                         host.note(&format!("central server {index} has started anew"));
                     }
                     central.pool = line.pool;
                 }
-                slot => *slot = Some(Central::new(line, self.now, weight)),
+                slot => *slot = Some(Central::new(line, self.now, weight, entry)),
             }
         }
         self.serve(host);
@@ -339,27 +345,23 @@
         inside + (1.0 - inside) * self.terms.over_share
     }
 
-    /// What a cold central server may get from this proxy alone: the start share of what a warm one
-    /// carries from it, times the multiple, over any span. Where all do the same, the sum stays under.
-    fn too_cold(&self, index: usize) -> bool {
-        let central = self.centrals[index].as_ref().expect("listed");
-        let age = self.now - central.started;
-        if age >= self.terms.cold {
+    /// Guards a central server that has just started, by this proxy alone: it gets this proxy's part of
+    /// what one doing `COLD_SETUPS` a span could bear, entered at a time drawn by chance, and beyond that
+    /// single shots while it answers quickly. What others carry tells nothing: their speeds differ widely.
+    fn too_cold(&self, central: &Central) -> bool {
+        if self.now - central.started >= self.terms.cold {
             return false;
         }
-        // One that has just answered quickly has no line; a shot at a time builds none.
         let quick = COLD_QUICK * (self.terms.fall_multiple - 1.0) * self.terms.fall_span;
         if central.out.is_empty() && !central.samples.is_empty() && central.latest <= quick {
             return false;
         }
-        let warm = |c: &&Central| c.state == State::Running && self.now - c.started >= self.terms.cold;
-        let carried = self.centrals.iter().flatten().filter(warm).map(|c| c.sent.len()).max().unwrap_or(0);
-        let span = self.terms.fall_span;
-        let share = self.terms.cold_from + (1.0 - self.terms.cold_from) * (age / self.terms.cold) * 0.5;
-        let carried = carried as f64 * span / self.window;
-        let part = (0.6 * self.terms.fall_multiple * share * carried).max(0.5);
-        let recent = |over: f64| central.sent.iter().rev().take_while(|&&at| at > self.now - over).count();
-        if part < 1.0 { recent(span / part) >= 1 } else { recent(span) as f64 >= part.floor() }
+        let last = central.sent.back().map_or(f64::NEG_INFINITY, |&at| at + self.cold_gap());
+        self.now < last.max(central.entry)
+    }
+
+    fn cold_gap(&self) -> f64 {
+        self.terms.fall_span * f64::from(self.terms.proxies) / (self.terms.fall_multiple * COLD_SETUPS)
     }
 
     /// The design's test: would the set-up's delay, with this call's own share added, stay inside the
@@ -401,7 +403,7 @@
             && grade.pools.contains(&central.pool)
             && self.has_room(central)
             && if again { self.recovers(central) } else { self.passes_quantile(central, grade) }
-            && !self.too_cold(index)
+            && !self.too_cold(central)
     }
 
     /// First choice while it passes; else a draw among the others that pass.
