--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,7 +31,7 @@
 const MOST_ALLOWANCE: f64 = 16.0;
 const DEEPEST_CUT: f64 = 0.5;
 /// An answer of a cold central server is quick under this share of the work that would push it over.
-const COLD_QUICK: f64 = 0.16;
+const COLD_QUICK: f64 = 0.25;
 /// Set-ups that any central server is taken to do in the span of a fall, however cold.
 const COLD_SETUPS: f64 = 2.0;
 /// How fast an allowance grows: shots for each window's worth of good answers.
