Count a faulty answer as 1 in the histogram, like a reset

It also holds against any central server that fails everything quickly; may hurt where faults are the callers' own (all lines busy).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -587,15 +587,15 @@
         if let Some(shot) = shot.filter(|_| !stands) {
             let age = now - shot.at;
             match ending {
-                Ending::Ok | Ending::Error => proxy.answered(shot.server, self, Some(age), age / limit),
-                Ending::Cancelled => proxy.answered(shot.server, self, Some(age), age / limit),
+                Ending::Ok | Ending::Cancelled => proxy.answered(shot.server, self, Some(age), age / limit),
                 Ending::Moot => {
                     if let Some(central) = &mut proxy.centrals[shot.server] {
                         central.out.retain(|out| out.0 != self);
                     }
                 }
-                // A cut says nothing of the line but its age, though it counts as 1 in the histogram.
-                Ending::Reset => proxy.answered(shot.server, self, Some(age), 1.0),
+                // A cut or fault says nothing of the line but its age, though it counts as 1 in the
+                // histogram: else one that fails everything quickly would look best and draw all traffic.
+                Ending::Reset | Ending::Error => proxy.answered(shot.server, self, Some(age), 1.0),
                 _ => proxy.answered(shot.server, self, None, 1.0),
             }
         }
