--- a/src/choice.rs
+++ b/src/choice.rs
@@ -436,7 +436,7 @@
         let early = conversation.taken + grade.quoted - now - self.terms.release - self.standing;
         let alone = self.centrals.iter().flatten().filter(|c| c.state == State::Running).count() < 2;
         let last = conversation.shots + 1 >= self.terms.max_shots || alone || !grade.repeatable;
-        let time_out = if last || early < self.standing { left } else { early.min(left) };
+        let time_out = if last || early < 2.0 * self.standing { left } else { early.min(left) };
         conversation.shots += 1;
         conversation.shot = Some(Shot { server: index, at: now });
         let central = self.centrals[index].as_mut().expect("listed");
