--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,7 +35,7 @@
 /// Set-ups that any central server is taken to do in the span of a fall, however cold.
 const COLD_SETUPS: f64 = 2.0;
 /// How fast an allowance grows: shots for each window's worth of good answers.
-const GROWTH: f64 = 0.5;
+const GROWTH: f64 = 0.25;
 
 /// A conversation that this proxy has taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
