Stories of the module and of the wire, with the fake host

An ending told of a conversation without a shot is passed over; a story found that it was held twice.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -82,8 +82,8 @@
     started: f64,
     /// No shot before this while it is cold.
     entry: f64,
-    samples: VecDeque<(f64, usize)>,
-    bins: [u32; BINS],
+    samples: VecDeque<(f64, f64)>,
+    histogram: Histogram,
     /// When set-ups were sent, over the window.
     sent: VecDeque<f64>,
     /// When each of the shots still out was sent.
@@ -130,7 +130,7 @@
             started: line.started.unwrap_or(f64::NEG_INFINITY),
             entry,
             samples: VecDeque::new(),
-            bins: [0; BINS],
+            histogram: Histogram::default(),
             sent: VecDeque::new(),
             out: Vec::new(),
             allowance: FIRST_ALLOWANCE,
@@ -148,8 +148,8 @@
 
     fn forget_before(&mut self, then: f64) {
         while self.samples.front().is_some_and(|s| s.0 < then) {
-            let (_, bin) = self.samples.pop_front().expect("just seen");
-            self.bins[bin] -= 1;
+            let (_, ratio) = self.samples.pop_front().expect("just seen");
+            self.histogram.discount(ratio);
         }
         while self.sent.front().is_some_and(|&at| at < then) {
             self.sent.pop_front();
@@ -157,43 +157,73 @@
     }
 
     fn sample(&mut self, now: f64, ratio: f64) {
-        let bin = bin_of(ratio);
-        self.samples.push_back((now, bin));
-        self.bins[bin] += 1;
-    }
-
-    /// The histogram with each shot still out counted at its age: it will take at least that long.
-    fn censored(&self, now: f64, limit: f64, over: f64) -> ([f64; BINS], usize) {
-        let mut bins = self.bins.map(f64::from);
-        let mut count = self.samples.len();
-        for age in self.out.iter().map(|shot| now - shot.1).filter(|&age| age > over) {
-            bins[bin_of(age / limit)] += 1.0;
-            count += 1;
-        }
-        (bins, count)
+        self.samples.push_back((now, ratio));
+        self.histogram.count(ratio);
+    }
+
+    /// Departure: the histogram with each shot that is out for longer than answers usually take counted
+    /// at its age, since it will take at least that long.
+    fn censored(&self, now: f64, limit: f64) -> Histogram {
+        let mut histogram = self.histogram.clone();
+        let ages = self.out.iter().map(|shot| now - shot.1);
+        ages.filter(|&age| age > self.delay).for_each(|age| histogram.count(age / limit));
+        histogram
     }
 }
 
-fn bin_of(ratio: f64) -> usize {
-    ((ratio.clamp(0.0, 1.0) * BINS as f64) as usize).min(BINS - 1)
+/// How often each ratio of set-up delay to time limit was met.
+#[derive(Clone, Default)]
+pub struct Histogram {
+    bins: Vec<u32>,
+    samples: usize,
 }
 
-/// The upper edge of the bin that holds the quantile, as a ratio; `extra` samples are spread over all bins.
-fn quantile(bins: &[f64; BINS], extra: f64, p: f64) -> f64 {
-    let share = extra / BINS as f64;
-    let total: f64 = bins.iter().sum::<f64>() + extra;
-    let mut seen = 0.0;
-    let at = bins.iter().position(|n| {
-        seen += n + share;
-        seen >= p * total - 1e-9
-    });
-    (at.unwrap_or(BINS - 1) + 1) as f64 / BINS as f64
+impl Histogram {
+    fn bin(ratio: f64) -> usize {
+        ((ratio.clamp(0.0, 1.0) * BINS as f64) as usize).min(BINS - 1)
+    }
+
+    pub fn count(&mut self, ratio: f64) {
+        self.bins.resize(BINS, 0);
+        self.bins[Self::bin(ratio)] += 1;
+        self.samples += 1;
+    }
+
+    fn discount(&mut self, ratio: f64) {
+        self.bins[Self::bin(ratio)] -= 1;
+        self.samples -= 1;
+    }
+
+    pub fn samples(&self) -> usize {
+        self.samples
+    }
+
+    /// The upper edge of the bin that holds the quantile; `extra` samples are spread over all bins.
+    fn quantile(&self, extra: f64, p: f64) -> f64 {
+        let wanted = p * (self.samples as f64 + extra) - 1e-9;
+        let mut seen = 0.0;
+        let at = self.bins.iter().position(|&n| {
+            seen += f64::from(n) + extra / BINS as f64;
+            seen >= wanted
+        });
+        (at.unwrap_or(BINS - 1) + 1) as f64 / BINS as f64
+    }
+
+    /// The mean ratio, taking each bin's middle; half a bin where there are no samples.
+    fn mean(&self) -> f64 {
+        let sum: f64 = self.bins.iter().enumerate().map(|(i, &n)| (i as f64 + 0.5) * f64::from(n)).sum();
+        if self.samples > 0 { sum / (self.samples * BINS) as f64 } else { 0.5 / BINS as f64 }
+    }
 }
 
-fn mean_ratio(bins: &[f64; BINS]) -> f64 {
-    let total: f64 = bins.iter().sum();
-    let sum: f64 = bins.iter().enumerate().map(|(i, n)| (i as f64 + 0.5) * n).sum();
-    if total > 0.0 { sum / total / BINS as f64 } else { 0.5 / BINS as f64 }
+/// Equation (4): the quantile at 1 - `violation` that is to be expected with one more set-up, whose share
+/// of those sent there is `alpha`. Below 1 / `violation` samples no uniform share is mixed in.
+pub fn quantile_after(histogram: &Histogram, violation: f64, alpha: f64) -> f64 {
+    let old = histogram.quantile(0.0, 1.0 - violation);
+    if (histogram.samples as f64) < 1.0 / violation {
+        return old;
+    }
+    alpha * histogram.quantile(1.0, 1.0 - violation) + (1.0 - alpha) * old
 }
 
 impl Proxy {
@@ -367,16 +397,12 @@
     /// The design's test: would the set-up's delay, with this call's own share added, stay inside the
     /// quoted time at all but the grade's violation probability?
     fn passes_quantile(&self, central: &Central, grade: &Grade) -> bool {
-        let (bins, count) = central.censored(self.now, grade.limit, central.delay);
-        if count < FLOOR {
+        let histogram = central.censored(self.now, grade.limit);
+        if histogram.samples() < FLOOR {
             return true;
         }
-        let p = 1.0 - grade.violation;
-        let old = quantile(&bins, 0.0, p);
-        let extra = if (count as f64) < 1.0 / grade.violation { 0.0 } else { 1.0 };
-        let uniform = quantile(&bins, extra, p);
         let alpha = 1.0 / (1.0 + central.sent.len() as f64);
-        (alpha * uniform + (1.0 - alpha) * old) * grade.limit <= grade.quoted
+        quantile_after(&histogram, grade.violation, alpha) * grade.limit <= grade.quoted
     }
 
     /// Departure: the line to a central server takes only as many shots as it answers well within the
@@ -514,8 +540,7 @@
     fn weigh(&mut self) {
         let limit = self.grades.iter().map(|g| g.limit).fold(0.0, f64::max);
         for central in self.centrals.iter_mut().flatten() {
-            let (bins, _) = central.censored(self.now, limit, central.delay);
-            let deserved = 1.0 / mean_ratio(&bins);
+            let deserved = 1.0 / central.censored(self.now, limit).mean();
             let step = ((self.now - central.weighed) / self.window).min(1.0);
             central.weight = deserved.min(central.weight + step * deserved);
             central.weighed = self.now;
@@ -574,6 +599,9 @@
         let now = proxy.now;
         let Some(conversation) = proxy.conversations.get_mut(self.0 as usize) else { return };
         let shot = conversation.shot.take();
+        if shot.is_none() && !finished {
+            return;
+        }
         let limit = proxy.grades[conversation.grade].limit;
         let (stands, over) = (conversation.stands, conversation.over || finished);
         if matches!(ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
--- /dev/null
+++ b/tests/fake/mod.rs
@@ -0,0 +1,150 @@
+//! The one fake host of all stories: it writes down what the decisions ask for.
+
+use std::collections::HashMap;
+
+use frostthread::host::{Call, Ending, GradeTerms, Host, Listed, Server, State, TenantTerms, Terms};
+use frostthread::{Handle, Proxy};
+
+#[derive(Debug, Default)]
+pub struct Fake {
+    pub shots: Vec<(Handle, u32, f64)>,
+    pub refused: Vec<(Handle, Option<f64>)>,
+    pub failed: Vec<Handle>,
+    pub wakes: Vec<f64>,
+    pub notes: Vec<String>,
+}
+
+impl Host for Fake {
+    fn shoot(&mut self, handle: Handle, server: Server, time_out: f64) {
+        self.shots.push((handle, server.0, time_out));
+    }
+    fn refuse(&mut self, handle: Handle, come_back: Option<f64>) {
+        self.refused.push((handle, come_back));
+    }
+    fn fail(&mut self, handle: Handle) {
+        self.failed.push(handle);
+    }
+    fn cancel(&mut self, _: Handle, _: u16) {}
+    fn wake(&mut self, at: f64) {
+        self.wakes.push(at);
+    }
+    fn probe(&mut self, _: Server) {}
+    fn tell(&mut self, _: &[u8]) {}
+    fn note(&mut self, line: &str) {
+        self.notes.push(line.to_owned());
+    }
+}
+
+/// A border proxy on its own clock, with the fake host beside it.
+pub struct Story {
+    pub proxy: Proxy,
+    pub host: Fake,
+    pub now: f64,
+    /// How many shots there were when the handle was given out; handles come again.
+    began: HashMap<Handle, usize>,
+}
+
+pub fn terms() -> Terms {
+    let grade = |quoted, earnings| GradeTerms {
+        quoted,
+        limit: 9000.0,
+        earnings,
+        late: 0.25,
+        repeatable: true,
+        pools: vec![0, 1, 2],
+    };
+    Terms {
+        rank: 0,
+        proxies: 5,
+        grades: vec![grade(2000.0, 1.0), grade(2000.0, 3.0)],
+        tenants: vec![TenantTerms { quota: 1000.0 }, TenantTerms { quota: 0.1 }],
+        over_share: 0.2,
+        max_shots: 4,
+        longest_advice: Some(2000.0),
+        may_probe: false,
+        may_tell: false,
+        release: 300.0,
+        repeat: 500.0,
+        drain_grace: 500.0,
+        cold: 14_000.0,
+        cold_from: 0.28,
+        fall_multiple: 2.0,
+        fall_span: 1000.0,
+    }
+}
+
+pub fn line(server: u32, state: State, started: Option<f64>) -> Listed {
+    Listed { server: Server(server), state, pool: server as u16, started }
+}
+
+impl Story {
+    /// A proxy that knows so many running central servers, warm since long ago.
+    pub fn with(servers: u32) -> Self {
+        let lines: Vec<Listed> = (0..servers).map(|s| line(s, State::Running, None)).collect();
+        let proxy = Proxy::new(terms(), 7, 0.0);
+        let mut story = Self { proxy, host: Fake::default(), now: 0.0, began: HashMap::new() };
+        story.list(&lines);
+        story
+    }
+
+    pub fn list(&mut self, lines: &[Listed]) {
+        self.proxy.listed(lines, false, &mut self.host);
+    }
+
+    /// Time goes on; the wakes that fall due are called.
+    pub fn pass(&mut self, span: f64) {
+        let end = self.now + span;
+        while let Some(at) = self.host.wakes.iter().copied().filter(|&at| at <= end).reduce(f64::min) {
+            self.host.wakes.retain(|&w| w != at);
+            self.now = self.now.max(at);
+            self.proxy.at(self.now);
+            self.proxy.woken(&mut self.host);
+        }
+        self.now = end;
+        self.proxy.at(end);
+    }
+
+    pub fn call(&mut self, grade: usize, first: u16) -> Handle {
+        self.call_of(grade, first, 0)
+    }
+
+    pub fn call_of(&mut self, grade: usize, first: u16, tenant: usize) -> Handle {
+        let call = Call { grade, tenant: Some(tenant), first, remaining: 3000.0, redial: false };
+        let handle = self.proxy.take(&call);
+        self.began.insert(handle, self.host.shots.len());
+        handle.place(&mut self.proxy, &mut self.host);
+        handle
+    }
+
+    pub fn stood(&mut self, handle: Handle) {
+        handle.stood(&mut self.proxy, &mut self.host);
+    }
+
+    pub fn ended(&mut self, handle: Handle, ending: Ending) {
+        handle.ended(&mut self.proxy, ending, ending == Ending::Ok, &mut self.host);
+    }
+
+    /// One conversation, answered `delay` after its shot, unless it is given up before it has one.
+    pub fn answer(&mut self, first: u16, delay: f64) {
+        let handle = self.call(0, first);
+        while self.went(handle).is_empty() && self.proxy.holds(handle) {
+            self.pass(10.0);
+        }
+        if self.proxy.holds(handle) {
+            self.pass(delay);
+            self.stood(handle);
+            self.ended(handle, Ending::Ok);
+        }
+    }
+
+    /// Where the conversation's shots went.
+    pub fn went(&self, handle: Handle) -> Vec<u32> {
+        let shots = &self.host.shots[self.began[&handle]..];
+        shots.iter().filter(|shot| shot.0 == handle).map(|shot| shot.1).collect()
+    }
+
+    /// How many shots the central server has had.
+    pub fn shots_at(&self, server: u32) -> usize {
+        self.host.shots.iter().filter(|shot| shot.1 == server).count()
+    }
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,236 @@
+//! Stories of a border proxy: what it meets, and what it decides.
+
+mod fake;
+
+use fake::{Story, line};
+use frostthread::choice::{Histogram, quantile_after};
+use frostthread::host::{Ending, State};
+use rstest::rstest;
+
+#[test]
+fn a_conversation_goes_to_its_first_choice() {
+    let mut story = Story::with(3);
+    let handle = story.call(0, 2);
+    assert_eq!(story.went(handle), [2]);
+}
+
+#[test]
+fn the_two_step_mix_matches_a_case_worked_by_hand() {
+    // 38 samples in the first bin and 2 in the eleventh, of 50. At 0.95 the old quantile is the first
+    // bin's edge, 0.02. With one sample spread over all bins the total is 41, of which 38.95 are wanted;
+    // 38.02 lie in the first bin and 0.02 more in each that follows, until the eleventh: 0.22.
+    let mut histogram = Histogram::default();
+    (0..38).for_each(|_| histogram.count(0.01));
+    (0..2).for_each(|_| histogram.count(0.21));
+    let mixed = quantile_after(&histogram, 0.05, 0.25);
+    assert!((mixed - (0.25 * 0.22 + 0.75 * 0.02)).abs() < 1e-9, "{mixed}");
+}
+
+#[test]
+fn no_uniform_share_is_mixed_in_below_one_over_p_samples() {
+    let mut histogram = Histogram::default();
+    (0..38).for_each(|_| histogram.count(0.01));
+    (0..2).for_each(|_| histogram.count(0.21));
+    // At 0.02 fewer than 50 samples are too few: the old quantile alone decides.
+    assert!((quantile_after(&histogram, 0.02, 1.0) - 0.22).abs() < 1e-9);
+}
+
+#[rstest]
+#[case::below_the_floor_it_passes(19, 0)]
+#[case::from_the_floor_on_it_fails(20, 1)]
+fn ones_in_the_histogram_fail_the_first_choice_from_the_floor_on(#[case] samples: usize, #[case] to: u32) {
+    let mut story = Story::with(2);
+    // Two set-ups are cut, which counts as 1 each; the rest is answered quickly.
+    for _ in 0..2 {
+        let handle = story.call(0, 0);
+        story.ended(handle, Ending::Reset);
+        story.pass(400.0);
+        story.stood(handle);
+        story.ended(handle, Ending::Ok);
+    }
+    (4..samples).for_each(|_| story.answer(0, 50.0));
+    assert_eq!(story.shots_at(0), samples, "all went to the first choice so far");
+    let next = story.call(0, 0);
+    assert_eq!(story.went(next), [to]);
+}
+
+#[test]
+fn a_silent_central_server_stops_taking_work_before_any_time_out() {
+    let mut story = Story::with(2);
+    for _ in 0..12 {
+        let handle = story.call(0, 0);
+        if story.went(handle) == [1] {
+            story.pass(30.0);
+            story.stood(handle);
+            story.ended(handle, Ending::Ok);
+        }
+    }
+    assert!(story.shots_at(0) <= 3, "shots still out fill its line: {:?}", story.host);
+    assert!(story.shots_at(1) >= 9, "the rest goes elsewhere");
+}
+
+#[test]
+fn a_jammed_line_is_narrowed_and_opens_again() {
+    let mut story = Story::with(1);
+    (0..2).for_each(|_| story.answer(0, 1500.0));
+    let both = [story.call(0, 0), story.call(0, 0)];
+    assert!(both.iter().any(|&h| story.went(h).is_empty()), "late answers have narrowed the line");
+    story.pass(2900.0);
+    for handle in both {
+        story.ended(handle, Ending::Ok);
+    }
+    (0..40).for_each(|_| story.answer(0, 60.0));
+    let both = [story.call(0, 0), story.call(0, 0)];
+    assert!(both.iter().all(|&h| story.went(h) == [0]), "quick answers have opened it again");
+}
+
+#[test]
+fn a_cut_does_not_narrow_a_line() {
+    let mut story = Story::with(1);
+    for _ in 0..4 {
+        let handle = story.call(0, 0);
+        story.pass(20.0);
+        story.ended(handle, Ending::Reset);
+        story.pass(400.0);
+        story.stood(handle);
+        story.ended(handle, Ending::Ok);
+    }
+    let both = [story.call(0, 0), story.call(0, 0)];
+    assert!(both.iter().all(|&h| story.went(h) == [0]));
+}
+
+#[test]
+fn where_none_passes_one_that_ended_quickly_is_entered_by_single_shots() {
+    let mut story = Story::with(1);
+    for _ in 0..40 {
+        let handle = story.call(0, 0);
+        story.pass(10.0);
+        if !story.went(handle).is_empty() {
+            story.ended(handle, Ending::Reset);
+        }
+    }
+    story.pass(400.0);
+    let (one, two) = (story.call(1, 0), story.call(1, 0));
+    let out = [one, two].iter().filter(|&&h| !story.went(h).is_empty()).count();
+    assert!(out <= 1, "one at a time");
+    assert!(story.shots_at(0) > 20, "but never shut out for good");
+}
+
+#[rstest]
+#[case(Ending::TimedOut)]
+#[case(Ending::Reset)]
+#[case(Ending::Cancelled)]
+fn the_release_is_awaited(#[case] ending: Ending) {
+    let mut story = Story::with(2);
+    let handle = story.call(0, 0);
+    story.pass(100.0);
+    story.ended(handle, ending);
+    story.pass(299.0);
+    assert_eq!(story.went(handle).len(), 1, "nothing is sent within the release");
+    story.pass(100.0);
+    assert_eq!(story.went(handle).len(), 2, "then it is sent again");
+}
+
+#[test]
+fn a_nacked_conversation_is_sent_again_at_once_and_never_twice_at_a_time() {
+    let mut story = Story::with(2);
+    let handle = story.call(0, 0);
+    story.pass(2000.0);
+    assert_eq!(story.went(handle).len(), 1);
+    let other = story.call(0, 1);
+    story.ended(other, Ending::Nacked);
+    assert!(story.went(other).len() <= 2);
+}
+
+#[test]
+fn shots_end_with_the_agreed_number_and_a_failure() {
+    let mut story = Story::with(3);
+    let handle = story.call(0, 0);
+    for _ in 0..4 {
+        if story.went(handle).len() <= 4 && story.host.failed.is_empty() {
+            story.ended(handle, Ending::NoConnection);
+            story.pass(5.0);
+        }
+    }
+    assert!(story.went(handle).len() <= 4);
+    assert_eq!(story.host.failed.len() + story.host.refused.len(), 1, "one final answer");
+    assert!(!story.proxy.holds(handle));
+}
+
+#[rstest]
+#[case(State::Draining)]
+#[case(State::Gone)]
+fn a_draining_or_gone_central_server_gets_nothing_new(#[case] state: State) {
+    let mut story = Story::with(2);
+    story.list(&[line(0, state, None)]);
+    let handles: Vec<_> = (0..4).map(|_| story.call(0, 0)).collect();
+    story.pass(2500.0);
+    assert_eq!(story.shots_at(0), 0);
+    assert!(handles.iter().any(|&h| story.went(h) == [1]));
+    assert!(story.host.notes.iter().any(|note| note.contains("central server 0 is")), "it is logged");
+}
+
+#[test]
+fn a_whole_list_drops_what_it_does_not_name() {
+    let mut story = Story::with(2);
+    story.proxy.listed(&[line(1, State::Running, None)], true, &mut story.host);
+    let handle = story.call(0, 0);
+    assert_eq!(story.went(handle), [1]);
+}
+
+#[test]
+fn a_cold_central_server_gets_a_small_part_until_it_answers_quickly() {
+    let mut story = Story::with(1);
+    story.pass(20_000.0);
+    // One that came back under its own id is as cold as a new one.
+    story.list(&[line(0, State::Running, Some(19_900.0))]);
+    let mut slow = Vec::new();
+    for _ in 0..50 {
+        slow.push(story.call(1, 0));
+        story.pass(100.0);
+    }
+    // Five proxies; twice what one doing two set-ups a second bears: one in 1.25 s from each at most.
+    assert!(story.shots_at(0) <= 5, "{} shots in 5 s", story.shots_at(0));
+    let answered = slow.iter().copied().find(|&h| !story.went(h).is_empty() && story.proxy.holds(h));
+    assert!(answered.is_some(), "but it is entered");
+}
+
+#[test]
+fn what_cannot_stand_in_time_is_refused_with_advice() {
+    let mut story = Story::with(1);
+    story.list(&[line(0, State::Gone, None)]);
+    let handle = story.call(0, 0);
+    story.pass(2100.0);
+    let (refused, advice) = story.host.refused[0];
+    assert_eq!(refused, handle);
+    assert!(advice.is_some_and(|wait| wait > 0.0 && wait <= 2000.0));
+}
+
+#[rstest]
+#[case::better_earnings((0, 0), (1, 0))]
+#[case::inside_its_share((0, 1), (0, 0))]
+fn a_hold_serves_the_best_earners_first(#[case] low: (usize, usize), #[case] high: (usize, usize)) {
+    let mut story = Story::with(1);
+    let full: Vec<_> = (0..2).map(|_| story.call(1, 0)).collect();
+    // The tenant's quota is far under what this conversation brings it to.
+    let poor = story.call_of(low.0, 0, low.1);
+    let rich = story.call_of(high.0, 0, high.1);
+    story.pass(50.0);
+    for handle in full {
+        story.stood(handle);
+        story.pass(50.0);
+    }
+    let order = |h| story.host.shots.iter().position(|shot| shot.0 == h).unwrap_or(usize::MAX);
+    assert!(order(rich) < order(poor), "{:?}", story.host);
+}
+
+#[test]
+fn a_caller_that_has_gone_is_not_answered() {
+    let mut story = Story::with(1);
+    story.list(&[line(0, State::Gone, None)]);
+    let handle = story.call(0, 0);
+    handle.left(&mut story.proxy, &mut story.host);
+    story.pass(5000.0);
+    assert!(story.host.refused.is_empty() && story.host.failed.is_empty());
+    assert!(!story.proxy.holds(handle));
+}
