Gap numbers whose lines are all busy, and know a caller that dials again by its number

The cause says that all lines of the called number were busy, and the tap shows one number in 5588 of 5766. Told from a faulty server by the number: other numbers went through everywhere. Each was tried again elsewhere and counted against the server. May hurt where two callers share a number and one was given up.

--- a/simhost/src/instance.rs
+++ b/simhost/src/instance.rs
@@ -176,7 +176,7 @@
     pub fn job_in(&mut self, now: f64, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
         let req = fields.u64("req")?;
         let opts = fields.u8("opts")?;
-        fields.u64("name_key")?;
+        let number = Some(fields.u64("name_key")?).filter(|&key| key != 0);
         let remaining = fields.millis("remaining")?;
         let tenant = fields.u32("project")? as usize;
         let grade = usize::from(fields.u8("category")?);
@@ -186,7 +186,7 @@
         let first = fields.f32("far_end")? as u16;
         fields.f32("width")?;
         let tenant = Some(tenant).filter(|&t| t < self.tenants);
-        let call = Call { grade, tenant, first, remaining, redial: opts & 2 != 0 };
+        let call = Call { grade, tenant, first, number, remaining, redial: opts & 2 != 0 };
         self.proxy.at(now);
         let handle = self.proxy.take(&call);
         self.names.taken(req, handle);
@@ -207,8 +207,12 @@
 
     pub fn reply(&mut self, now: f64, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
         let req = fields.u64("req")?;
-        fields.u32("clear_code")?;
-        let ending = ending("reply", fields.u8("rc")?)?;
+        let cause = fields.u32("clear_code")? & 15;
+        let ending = match (ending("reply", fields.u8("rc")?)?, cause) {
+            (Ending::Error, 4) => Ending::Busy,
+            (Ending::Nacked, 1) => Ending::NoLine,
+            (ending, _) => ending,
+        };
         fields.millis("time_taken")?;
         let finished = fields.u8("finished")? != 0;
         let server = self.names.server(fields.address("server")?);
@@ -238,12 +242,13 @@
         let ending = ending("ping_result", fields.u8("rc")?)?;
         let report = self.order.read(&fields.values("report")?);
         // One that comes unasked tells only of free lines, and took no time.
-        if delay > 0.0 || ending != Ending::Ok {
-            self.with(now, reply, |proxy, host| {
-                proxy.reported(server, report);
+        let asked = delay > 0.0 || ending != Ending::Ok;
+        self.with(now, reply, |proxy, host| {
+            proxy.reported(server, report);
+            if asked {
                 proxy.probed(server, delay, ending, host);
-            });
-        }
+            }
+        });
         Ok(())
     }
 
--- a/simhost/src/terms.rs
+++ b/simhost/src/terms.rs
@@ -50,6 +50,7 @@
 /// The place of each figure in a report.
 #[derive(Clone, Debug, Default)]
 pub struct ReportOrder {
+    free: Option<usize>,
     waiting: Option<usize>,
     wait: Option<usize>,
     rate: Option<usize>,
@@ -61,7 +62,7 @@
         let at = |place: Option<usize>| {
             place.and_then(|i| values.get(i)).map(|&v| f64::from(v)).filter(|v| v.is_finite() && *v >= 0.0)
         };
-        Report { waiting: at(self.waiting), wait: at(self.wait), rate: at(self.rate) }
+        Report { free: at(self.free), waiting: at(self.waiting), wait: at(self.wait), rate: at(self.rate) }
     }
 }
 
@@ -71,7 +72,12 @@
     let names: Vec<String> =
         if pairs.0.contains_key("feedback.names") { pairs.list("feedback.names")? } else { Vec::new() };
     let place = |name: &str| names.iter().position(|n| n == name);
-    let order = ReportOrder { waiting: place("pending"), wait: place("svc_ms"), rate: place("max_rate") };
+    let order = ReportOrder {
+        free: place("idle"),
+        waiting: place("pending"),
+        wait: place("svc_ms"),
+        rate: place("max_rate"),
+    };
 
     ensure!(
         pairs.text("domain.network_form")? == "skills",
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,7 +5,7 @@
 //! [`Handle::place`] once, then [`Handle::stood`], [`Handle::ended`], [`Handle::left`]. What the decisions
 //! ask for in return is the trait [`Host`] in `host.rs`. `docs/design.md` says why each step is taken.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -60,6 +60,8 @@
 struct Conversation {
     grade: usize,
     first: u16,
+    number: Option<u64>,
+    /// When its caller's first try was taken.
     taken: f64,
     /// When the caller gives up.
     until: f64,
@@ -73,6 +75,16 @@
     rest_until: f64,
 }
 
+/// A called number that was lately given up, or whose lines were all busy.
+struct Number {
+    /// When its caller's first try was taken, and when that was last given up.
+    first: f64,
+    seen: f64,
+    /// No shot for it before this; the gap between shots, which grows while its lines stay busy.
+    not_before: f64,
+    gap: f64,
+}
+
 /// All that is known of one central server.
 struct Central {
     state: State,
@@ -101,6 +113,9 @@
     delay: f64,
     /// The delay of its latest answer.
     latest: f64,
+    /// Free lines when that was last told.
+    free: f64,
+    told_free: f64,
     report: Report,
     reported: f64,
 }
@@ -117,6 +132,7 @@
     conversations: Slab<Conversation>,
     held: Vec<Handle>,
     wake_at: f64,
+    numbers: HashMap<u64, Number>,
     /// When conversations were last taken, by tenant.
     tenants: Vec<VecDeque<f64>>,
 }
@@ -141,6 +157,8 @@
             weighed: now,
             delay: 0.0,
             latest: 0.0,
+            free: f64::INFINITY,
+            told_free: now,
             report: Report::default(),
             reported: f64::NEG_INFINITY,
         }
@@ -257,6 +275,7 @@
             conversations: Slab::new(),
             held: Vec::new(),
             wake_at: f64::INFINITY,
+            numbers: HashMap::new(),
         }
     }
 
@@ -314,7 +333,12 @@
     pub fn reported(&mut self, server: Server, report: Report) {
         let now = self.now;
         if let Some(central) = self.centrals.get_mut(server.0 as usize).and_then(Option::as_mut) {
-            (central.report, central.reported) = (report, now);
+            if let Some(free) = report.free {
+                (central.free, central.told_free) = (free, now);
+            }
+            if report.waiting.or(report.wait).or(report.rate).is_some() {
+                (central.report, central.reported) = (report, now);
+            }
         }
     }
 
@@ -343,13 +367,19 @@
         let in_share = call.tenant.map_or(1.0, |tenant| self.in_share(tenant));
         let grade = &self.grades[call.grade];
         let mut worth = grade.earnings * in_share;
-        if call.redial {
-            worth *= grade.late.max(0.1);
+        // The quoted time runs from the caller's first try.
+        let former = call.number.and_then(|number| self.numbers.get(&number));
+        let former = former.filter(|n| n.gap == 0.0 && self.now - n.first < grade.limit);
+        let marked = if call.redial { self.now - grade.quoted } else { self.now };
+        let taken = former.map_or(marked, |n| n.first);
+        if taken + grade.quoted <= self.now {
+            worth *= grade.late;
         }
         let conversation = Conversation {
             grade: call.grade,
             first: call.first,
-            taken: self.now,
+            number: call.number,
+            taken,
             until: self.now + call.remaining,
             worth,
             shots: 0,
@@ -427,6 +457,7 @@
         let grade = &self.grades[grade];
         central.state == State::Running
             && grade.pools.contains(&central.pool)
+            && (central.free > 0.0 || self.now - central.told_free > self.window)
             && self.has_room(central)
             && if again { self.recovers(central) } else { self.passes_quantile(central, grade) }
             && !self.too_cold(central)
@@ -487,6 +518,8 @@
             central.forget_before(then);
         }
         self.weigh();
+        let (now, limit) = (self.now, self.longest_limit());
+        self.numbers.retain(|_, n| now - n.seen.max(n.not_before) < limit);
         let order = |c: &Conversation| (-c.worth, c.taken);
         let mut held = std::mem::take(&mut self.held);
         held.sort_by(|a, b| {
@@ -500,10 +533,17 @@
             let (grade, first, rest) = (conversation.grade, conversation.first, conversation.rest_until);
             let latest = self.latest(conversation);
             let rested = rest <= self.now;
-            let choice = if rested { self.choose(grade, first) } else { None };
+            let gapped = conversation.number.is_some_and(|n| self.gapped(n));
+            let choice = if gapped {
+                None
+            } else if rested {
+                self.choose(grade, first)
+            } else {
+                None
+            };
             if let Some(index) = choice {
                 self.shoot(handle, index, host);
-            } else if latest < self.now || self.held.len() >= room {
+            } else if gapped || latest < self.now || self.held.len() >= room {
                 self.give_up(handle, host);
             } else {
                 self.held.push(handle);
@@ -519,6 +559,28 @@
         }
     }
 
+    /// Departure: a number whose lines were all busy gets no shot until its gap is over, since each would
+    /// cost every central server work for nothing.
+    fn gapped(&self, number: u64) -> bool {
+        self.numbers.get(&number).is_some_and(|n| self.now < n.not_before)
+    }
+
+    /// Widens a number's gap when its lines are all busy, and narrows it when a conversation stands.
+    fn space(&mut self, number: u64, busy: bool) {
+        let now = self.now;
+        if busy {
+            let fresh = Number { first: now, seen: now, not_before: now, gap: 0.0 };
+            let entry = self.numbers.entry(number).or_insert(fresh);
+            entry.gap = (2.0 * entry.gap).clamp(self.terms.release, self.window);
+            (entry.seen, entry.not_before) = (now, now + entry.gap);
+        } else if self.numbers.get(&number).is_some_and(|n| n.gap == 0.0) {
+            self.numbers.remove(&number);
+        } else if let Some(entry) = self.numbers.get_mut(&number) {
+            entry.gap *= 0.5;
+            (entry.seen, entry.not_before) = (now, now + entry.gap);
+        }
+    }
+
     /// How many conversations are worth holding: what the lines have lately taken in half a quoted time.
     fn hold_room(&self) -> usize {
         let sent: usize = self.centrals.iter().flatten().map(|c| c.sent.len()).sum();
@@ -532,13 +594,23 @@
             host.fail(handle);
             return;
         }
+        if let Some(number) = conversation.number {
+            let entry = self.numbers.entry(number);
+            let given_up =
+                entry.or_insert(Number { first: conversation.taken, seen: 0.0, not_before: 0.0, gap: 0.0 });
+            given_up.seen = self.now;
+        }
         let advice = self.terms.longest_advice.map(|most| most * (0.5 + 0.5 * self.rng.random::<f64>()));
         host.refuse(handle, advice);
     }
 
+    fn longest_limit(&self) -> f64 {
+        self.grades.iter().map(|g| g.limit).fold(0.0, f64::max)
+    }
+
     /// Moves the standings in the draw: down at once with the mean ratio, up again over a window.
     fn weigh(&mut self) {
-        let limit = self.grades.iter().map(|g| g.limit).fold(0.0, f64::max);
+        let limit = self.longest_limit();
         for central in self.centrals.iter_mut().flatten() {
             let deserved = 1.0 / central.censored(self.now, limit).mean();
             let step = ((self.now - central.weighed) / self.window).min(1.0);
@@ -587,10 +659,14 @@
     pub fn stood(self, proxy: &mut Proxy, host: &mut impl Host) {
         let Some(conversation) = proxy.conversations.get_mut(self.0 as usize) else { return };
         conversation.stands = true;
+        let number = conversation.number;
         let Some(shot) = &conversation.shot else { return };
         let (index, delay) = (shot.server, proxy.now - shot.at);
         let ratio = delay / proxy.grades[conversation.grade].limit;
         proxy.answered(index, self, Some(delay), ratio);
+        if let Some(number) = number {
+            proxy.space(number, false);
+        }
         proxy.serve(host);
     }
 
@@ -603,11 +679,12 @@
             return;
         }
         let limit = proxy.grades[conversation.grade].limit;
+        let number = conversation.number;
         let (stands, over) = (conversation.stands, conversation.over || finished);
         if matches!(ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
             conversation.rest_until = now + proxy.terms.release + 1.0;
         }
-        let ran = !matches!(ending, Ending::Nacked | Ending::NoConnection | Ending::Moot);
+        let ran = !matches!(ending, Ending::Nacked | Ending::NoLine | Ending::NoConnection | Ending::Moot);
         let again = !over
             && conversation.shots < proxy.terms.max_shots
             && conversation.until > now
@@ -615,10 +692,15 @@
         if let Some(shot) = shot.filter(|_| !stands) {
             let age = now - shot.at;
             match ending {
-                Ending::Ok | Ending::Cancelled => proxy.answered(shot.server, self, Some(age), age / limit),
-                Ending::Moot => {
+                Ending::Ok | Ending::Cancelled | Ending::Busy => {
+                    proxy.answered(shot.server, self, Some(age), age / limit)
+                }
+                Ending::Moot | Ending::NoLine => {
                     if let Some(central) = &mut proxy.centrals[shot.server] {
                         central.out.retain(|out| out.0 != self);
+                        if ending == Ending::NoLine {
+                            (central.free, central.told_free) = (0.0, now);
+                        }
                     }
                 }
                 // A cut or fault says nothing of the line but its age, though it counts as 1 in the
@@ -627,8 +709,14 @@
                 _ => proxy.answered(shot.server, self, None, 1.0),
             }
         }
+        let busy = number.filter(|_| ending == Ending::Busy);
+        if let Some(number) = busy {
+            proxy.space(number, true);
+        }
         if over {
             proxy.conversations.remove(self.0 as usize);
+        } else if busy.is_some() {
+            proxy.give_up(self, host);
         } else if again {
             proxy.held.push(self);
         } else {
--- a/src/host.rs
+++ b/src/host.rs
@@ -61,6 +61,8 @@
     pub tenant: Option<usize>,
     /// The pool of first choice.
     pub first: u16,
+    /// The number that is called; a caller that dials again calls the same.
+    pub number: Option<u64>,
     /// How long the caller still waits.
     pub remaining: f64,
     pub redial: bool,
@@ -86,6 +88,8 @@
 /// What a central server says of its processor; late and not exact.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
+    /// Free lines of the pool.
+    pub free: Option<f64>,
     /// Set-ups waiting.
     pub waiting: Option<f64>,
     /// How long a set-up waits.
@@ -99,7 +103,11 @@
 pub enum Ending {
     Ok,
     Error,
+    /// All lines of the number that is called are busy.
+    Busy,
     Nacked,
+    /// Turned back because the pool had no free line.
+    NoLine,
     TimedOut,
     NoConnection,
     Reset,
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -109,7 +109,8 @@
     }
 
     pub fn call_of(&mut self, grade: usize, first: u16, tenant: usize) -> Handle {
-        let call = Call { grade, tenant: Some(tenant), first, remaining: 3000.0, redial: false };
+        let call =
+            Call { grade, tenant: Some(tenant), first, number: None, remaining: 3000.0, redial: false };
         let handle = self.proxy.take(&call);
         self.began.insert(handle, self.host.shots.len());
         handle.place(&mut self.proxy, &mut self.host);
