--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -109,9 +109,23 @@
     }
 
     pub fn call_of(&mut self, grade: usize, first: u16, tenant: usize) -> Handle {
-        let call =
-            Call { grade, tenant: Some(tenant), first, number: None, remaining: 3000.0, redial: false };
-        let handle = self.proxy.take(&call);
+        self.take(&Call {
+            grade,
+            tenant: Some(tenant),
+            first,
+            number: None,
+            remaining: 3000.0,
+            redial: false,
+        })
+    }
+
+    pub fn call_number(&mut self, number: u64) -> Handle {
+        let number = Some(number);
+        self.take(&Call { grade: 0, tenant: None, first: 0, number, remaining: 3000.0, redial: false })
+    }
+
+    fn take(&mut self, call: &Call) -> Handle {
+        let handle = self.proxy.take(call);
         self.began.insert(handle, self.host.shots.len());
         handle.place(&mut self.proxy, &mut self.host);
         handle
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -4,7 +4,7 @@
 
 use fake::{Story, line};
 use frostthread::choice::{Histogram, quantile_after};
-use frostthread::host::{Ending, State};
+use frostthread::host::{Ending, Report, Server, State};
 use rstest::rstest;
 
 #[test]
@@ -234,3 +234,48 @@
     assert!(story.host.refused.is_empty() && story.host.failed.is_empty());
     assert!(!story.proxy.holds(handle));
 }
+
+#[test]
+fn a_number_whose_lines_are_busy_is_given_up_at_once_and_gapped() {
+    let mut story = Story::with(3);
+    let handle = story.call_number(5);
+    story.pass(50.0);
+    story.ended(handle, Ending::Busy);
+    assert_eq!(story.host.refused.len(), 1, "no other central server has lines for it");
+    story.call_number(5);
+    assert_eq!((story.host.refused.len(), story.host.shots.len()), (2, 1), "nor is it tried in its gap");
+    let other = story.call_number(6);
+    assert_eq!(story.went(other), [0], "other numbers are not held back");
+    story.pass(400.0);
+    let again = story.call_number(5);
+    assert_eq!(story.went(again).len(), 1, "after the gap it is tried again");
+}
+
+#[test]
+fn a_caller_that_dials_again_past_its_quoted_time_yields_to_a_new_one() {
+    let mut story = Story::with(1);
+    story.list(&[line(0, State::Draining, None)]);
+    let given_up = story.call_number(5);
+    story.pass(2500.0);
+    assert!(!story.proxy.holds(given_up));
+    story.list(&[line(0, State::Running, None)]);
+    let full = [story.call(0, 0), story.call(0, 0)];
+    story.call_number(5);
+    assert_eq!(story.host.refused.len(), 2, "it can no longer stand in time, so it is not held");
+    let fresh = story.call_number(6);
+    story.stood(full[0]);
+    assert_eq!(story.went(fresh), [0]);
+}
+
+#[test]
+fn a_nack_for_want_of_lines_fails_the_server_until_lines_are_told() {
+    let mut story = Story::with(2);
+    let handle = story.call(0, 0);
+    story.ended(handle, Ending::NoLine);
+    assert_eq!(story.went(handle), [0, 1]);
+    let next = story.call(0, 0);
+    assert_eq!(story.went(next), [1]);
+    story.proxy.reported(Server(0), Report { free: Some(3.0), ..Report::default() });
+    let both = [story.call(0, 0), story.call(0, 0)];
+    assert!(both.iter().all(|&h| story.went(h) == [0]), "its line was not narrowed");
+}
