Take an overtaken shot for lost: it holds no line and is called off in time

Told from a hang or a jam by later shots at the same server being answered: a line serves in turn, so what was overtaken is lost. Each lost shot held a place in its line until its time-out and then halved the line. May hurt where a central server answers out of turn.

--- a/simhost/src/terms.rs
+++ b/simhost/src/terms.rs
@@ -100,6 +100,7 @@
         } else {
             None
         },
+        may_cancel: pairs.value("bounds.cancel")?,
         may_probe: pairs.value("bounds.may_probe")?,
         may_tell: pairs.value("bounds.peers")?,
         release: pairs.millis("domain.clear_wait")?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -57,6 +57,15 @@
     at: f64,
 }
 
+/// A shot on its line to a central server, still out.
+struct Out {
+    handle: Handle,
+    at: f64,
+    /// A later one has been answered. Lines are served in turn, so this one is lost, not late.
+    overtaken: bool,
+    cancelled: bool,
+}
+
 struct Conversation {
     grade: usize,
     first: u16,
@@ -99,7 +108,7 @@
     /// When set-ups were sent, over the window.
     sent: VecDeque<f64>,
     /// When each of the shots still out was sent.
-    out: Vec<(Handle, f64)>,
+    out: Vec<Out>,
     /// How many shots may be out at once; under one, the share of the time that one may.
     allowance: f64,
     /// Spreads the part of an allowance over whole shots.
@@ -179,11 +188,16 @@
         self.histogram.count(ratio);
     }
 
+    /// The shots that stand in line there.
+    fn waiting(&self) -> impl Iterator<Item = &Out> {
+        self.out.iter().filter(|shot| !shot.overtaken)
+    }
+
     /// Departure: the histogram with each shot that is out for longer than answers usually take counted
     /// at its age, since it will take at least that long.
     fn censored(&self, now: f64, limit: f64) -> Histogram {
         let mut histogram = self.histogram.clone();
-        let ages = self.out.iter().map(|shot| now - shot.1);
+        let ages = self.waiting().map(|shot| now - shot.at);
         ages.filter(|&age| age > self.delay).for_each(|age| histogram.count(age / limit));
         histogram
     }
@@ -440,9 +454,9 @@
     /// stops taking work by itself.
     fn has_room(&self, central: &Central) -> bool {
         if central.allowance < 1.0 {
-            central.out.is_empty() && self.now >= central.not_before
+            central.waiting().next().is_none() && self.now >= central.not_before
         } else {
-            central.out.len() as f64 + 1.0 <= central.allowance + central.dither
+            central.waiting().count() as f64 + 1.0 <= central.allowance + central.dither
         }
     }
 
@@ -497,7 +511,7 @@
         conversation.shots += 1;
         conversation.shot = Some(Shot { server: index, at: now });
         let central = self.centrals[index].as_mut().expect("listed");
-        central.out.push((handle, now));
+        central.out.push(Out { handle, at: now, overtaken: false, cancelled: false });
         central.sent.push_back(now);
         central.dither = self.rng.random();
         host.shoot(handle, Server(index as u32), time_out);
@@ -511,6 +525,24 @@
         quoted.min(conversation.until - 2.0 * quickest)
     }
 
+    /// Departure: a shot that was overtaken and still has no answer after the standing delay is called off
+    /// while there is time to wait out the release and be answered by another.
+    fn call_off(&mut self, host: &mut impl Host) {
+        for central in self.centrals.iter_mut().flatten().filter(|_| self.terms.may_cancel) {
+            let late = |shot: &&mut Out| shot.overtaken && !shot.cancelled;
+            for shot in central.out.iter_mut().filter(late) {
+                let Some(conversation) = self.conversations.get(shot.handle.0 as usize) else { continue };
+                let grade = &self.grades[conversation.grade];
+                let end = self.now + self.terms.release + central.delay.max(self.standing * 0.5);
+                let again = conversation.shots < self.terms.max_shots && grade.repeatable;
+                if again && self.now - shot.at > self.standing && end < conversation.taken + grade.quoted {
+                    shot.cancelled = true;
+                    host.cancel(shot.handle, conversation.shots as u16 - 1);
+                }
+            }
+        }
+    }
+
     /// Shoots what can be shot, best earners first, and gives up at once what can no longer stand in time.
     fn serve(&mut self, host: &mut impl Host) {
         let then = self.now - self.window;
@@ -518,6 +550,7 @@
             central.forget_before(then);
         }
         self.weigh();
+        self.call_off(host);
         let (now, limit) = (self.now, self.longest_limit());
         self.numbers.retain(|_, n| now - n.seen.max(n.not_before) < limit);
         let order = |c: &Conversation| (-c.worth, c.taken);
@@ -623,10 +656,16 @@
     fn answered(&mut self, index: usize, handle: Handle, delay: Option<f64>, ratio: f64) {
         let (now, standing) = (self.now, self.standing);
         let Some(central) = &mut self.centrals[index] else { return };
-        let full = central.out.len() as f64 + 1.0 > central.allowance;
-        let sent = central.out.iter().find(|shot| shot.0 == handle).map_or(now, |shot| shot.1);
-        central.out.retain(|shot| shot.0 != handle);
+        let full = central.waiting().count() as f64 + 1.0 > central.allowance;
+        let Some(place) = central.out.iter().position(|shot| shot.handle == handle) else { return };
+        let Out { at: sent, overtaken, .. } = central.out.swap_remove(place);
+        if delay.is_some() {
+            central.out.iter_mut().filter(|shot| shot.at < sent).for_each(|shot| shot.overtaken = true);
+        }
         central.sample(now, ratio);
+        if overtaken {
+            return;
+        }
         let took = delay.unwrap_or(f64::INFINITY);
         central.latest = took;
         if took > standing {
@@ -697,7 +736,7 @@
                 }
                 Ending::Moot | Ending::NoLine => {
                     if let Some(central) = &mut proxy.centrals[shot.server] {
-                        central.out.retain(|out| out.0 != self);
+                        central.out.retain(|out| out.handle != self);
                         if ending == Ending::NoLine {
                             (central.free, central.told_free) = (0.0, now);
                         }
--- a/src/host.rs
+++ b/src/host.rs
@@ -20,6 +20,7 @@
     pub max_shots: u32,
     /// The longest wait that a refused caller can be told, where advice is allowed at all.
     pub longest_advice: Option<f64>,
+    pub may_cancel: bool,
     pub may_probe: bool,
     pub may_tell: bool,
     /// After a time-out, reset or cancel the conversation rests for this long.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -10,6 +10,7 @@
     pub shots: Vec<(Handle, u32, f64)>,
     pub refused: Vec<(Handle, Option<f64>)>,
     pub failed: Vec<Handle>,
+    pub cancelled: Vec<(Handle, u16)>,
     pub wakes: Vec<f64>,
     pub notes: Vec<String>,
 }
@@ -24,7 +25,9 @@
     fn fail(&mut self, handle: Handle) {
         self.failed.push(handle);
     }
-    fn cancel(&mut self, _: Handle, _: u16) {}
+    fn cancel(&mut self, handle: Handle, shot: u16) {
+        self.cancelled.push((handle, shot));
+    }
     fn wake(&mut self, at: f64) {
         self.wakes.push(at);
     }
@@ -61,6 +64,7 @@
         over_share: 0.2,
         max_shots: 4,
         longest_advice: Some(2000.0),
+        may_cancel: true,
         may_probe: false,
         may_tell: false,
         release: 300.0,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -279,3 +279,20 @@
     let both = [story.call(0, 0), story.call(0, 0)];
     assert!(both.iter().all(|&h| story.went(h) == [0]), "its line was not narrowed");
 }
+
+#[test]
+fn an_overtaken_shot_is_lost_so_it_holds_no_line_and_is_called_off() {
+    let mut story = Story::with(1);
+    let lost = story.call(0, 0);
+    story.pass(10.0);
+    (0..3).for_each(|_| story.answer(0, 50.0));
+    let both = [story.call(0, 0), story.call(0, 0)];
+    assert!(both.iter().all(|&h| story.went(h) == [0]), "the lost shot holds no line");
+    assert!(story.host.cancelled.is_empty(), "it may only be a little late");
+    story.pass(500.0);
+    story.stood(both[0]);
+    assert_eq!(story.host.cancelled, [(lost, 0)], "called off, and once");
+    story.ended(lost, Ending::Cancelled);
+    story.pass(310.0);
+    assert_eq!(story.went(lost), [0, 0], "sent again after the release");
+}
