--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -292,6 +292,7 @@
     story.pass(500.0);
     story.stood(both[0]);
     assert_eq!(story.host.cancelled, [(lost, 0)], "called off, and once");
+    story.stood(both[1]);
     story.ended(lost, Ending::Cancelled);
     story.pass(310.0);
     assert_eq!(story.went(lost), [0, 0], "sent again after the release");
