--- a/src/choice.rs
+++ b/src/choice.rs
@@ -598,20 +598,24 @@
         self.numbers.get(&number).is_some_and(|n| self.now < n.not_before)
     }
 
-    /// Widens a number's gap when its lines are all busy, and narrows it when a conversation stands.
-    fn space(&mut self, number: u64, busy: bool) {
+    /// Widens a number's gap when its lines are all busy, and narrows it when a conversation stands. True
+    /// when the gap reaches its full width.
+    fn space(&mut self, number: u64, busy: bool) -> bool {
         let now = self.now;
         if busy {
             let fresh = Number { first: now, seen: now, not_before: now, gap: 0.0 };
             let entry = self.numbers.entry(number).or_insert(fresh);
-            entry.gap = (2.0 * entry.gap).clamp(self.terms.release, self.window);
+            let former = entry.gap;
+            entry.gap = (2.0 * former).clamp(self.terms.release, self.window);
             (entry.seen, entry.not_before) = (now, now + entry.gap);
+            return entry.gap > former && entry.gap >= self.window;
         } else if self.numbers.get(&number).is_some_and(|n| n.gap == 0.0) {
             self.numbers.remove(&number);
         } else if let Some(entry) = self.numbers.get_mut(&number) {
             entry.gap *= 0.5;
             (entry.seen, entry.not_before) = (now, now + entry.gap);
         }
+        false
     }
 
     /// How many conversations are worth holding: what the lines have lately taken in half a quoted time.
@@ -750,7 +754,9 @@
         }
         let busy = number.filter(|_| ending == Ending::Busy);
         if let Some(number) = busy {
-            proxy.space(number, true);
+            if proxy.space(number, true) {
+                host.note(&format!("number {number} is busy, gapped"));
+            }
         }
         if over {
             proxy.conversations.remove(self.0 as usize);
