--- a/src/choice.rs
+++ b/src/choice.rs
@@ -753,10 +753,10 @@
             }
         }
         let busy = number.filter(|_| ending == Ending::Busy);
-        if let Some(number) = busy {
-            if proxy.space(number, true) {
-                host.note(&format!("number {number} is busy, gapped"));
-            }
+        if let Some(number) = busy
+            && proxy.space(number, true)
+        {
+            host.note(&format!("number {number} is busy, gapped"));
         }
         if over {
             proxy.conversations.remove(self.0 as usize);
