--- a/src/choice.rs
+++ b/src/choice.rs
@@ -666,10 +666,10 @@
         if delay.is_some() {
             central.out.iter_mut().filter(|shot| shot.at < sent).for_each(|shot| shot.overtaken = true);
         }
-        central.sample(now, ratio);
         if overtaken {
             return;
         }
+        central.sample(now, ratio);
         let took = delay.unwrap_or(f64::INFINITY);
         central.latest = took;
         if took > standing {
