--- a/src/choice.rs
+++ b/src/choice.rs
@@ -451,12 +451,15 @@
 
     /// Departure: the line to a central server takes only as many shots as it answers well within the
     /// span after which waiting set-ups breed work. Shots out fill it, so that a hung, slow or silent one
-    /// stops taking work by itself.
+    /// stops taking work by itself; one older than the standing delay shrinks the line before it ends.
     fn has_room(&self, central: &Central) -> bool {
-        if central.allowance < 1.0 {
-            central.waiting().next().is_none() && self.now >= central.not_before
+        let oldest = central.waiting().map(|shot| self.now - shot.at).fold(0.0, f64::max);
+        let allowance = central.allowance * (self.standing / oldest).min(1.0);
+        let out = central.waiting().count();
+        if allowance < 1.0 {
+            out == 0 && self.now >= central.not_before
         } else {
-            central.waiting().count() as f64 + 1.0 <= central.allowance + central.dither
+            out as f64 + 1.0 <= allowance + central.dither
         }
     }
 
