Drop settings and report figures that the decisions do not read

Reported wait and rate, probes and notes are not read, so neither module, interface nor adapter carries them; the trait keeps its place for probes and notes.

--- a/simhost/src/fleet.rs
+++ b/simhost/src/fleet.rs
@@ -80,9 +80,9 @@
                 Ok(())
             }
             8 => instance.job_in(now, fields, reply),
-            10 => instance.datagram(now, fields, reply),
+            10 => instance.datagram(fields),
             11 => instance.reply(now, fields, reply),
-            _ => instance.ping_result(now, fields, reply),
+            _ => instance.ping_result(now, fields),
         }
     }
 
--- a/simhost/src/instance.rs
+++ b/simhost/src/instance.rs
@@ -165,11 +165,11 @@
         self.with(now, reply, |proxy, host| proxy.woken(host));
     }
 
-    pub fn datagram(&mut self, now: f64, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
-        let from = fields.u32("who")?;
+    /// Another proxy's message: the decisions send none, so none is owed attention.
+    pub fn datagram(&mut self, fields: &mut Fields) -> Result<()> {
+        fields.u32("who")?;
         let length = fields.u16("contents")?;
-        let message = fields.bytes("contents", length.into())?;
-        self.with(now, reply, |proxy, host| proxy.heard(from, message, host));
+        fields.bytes("contents", length.into())?;
         Ok(())
     }
 
@@ -236,19 +236,14 @@
         Ok(())
     }
 
-    pub fn ping_result(&mut self, now: f64, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
+    /// A central server's free lines, told unasked.
+    pub fn ping_result(&mut self, now: f64, fields: &mut Fields) -> Result<()> {
         let server = self.names.server(fields.address("server")?);
-        let delay = fields.millis("time_taken")?;
-        let ending = ending("ping_result", fields.u8("rc")?)?;
+        fields.millis("time_taken")?;
+        ending("ping_result", fields.u8("rc")?)?;
         let report = self.order.read(&fields.values("report")?);
-        // One that comes unasked tells only of free lines, and took no time.
-        let asked = delay > 0.0 || ending != Ending::Ok;
-        self.with(now, reply, |proxy, host| {
-            proxy.reported(server, report);
-            if asked {
-                proxy.probed(server, delay, ending, host);
-            }
-        });
+        self.proxy.at(now);
+        self.proxy.reported(server, report);
         Ok(())
     }
 
--- a/simhost/src/terms.rs
+++ b/simhost/src/terms.rs
@@ -51,18 +51,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReportOrder {
     free: Option<usize>,
-    waiting: Option<usize>,
-    wait: Option<usize>,
-    rate: Option<usize>,
 }
 
 impl ReportOrder {
     /// The figures that a report holds; one below zero was not told.
     pub fn read(&self, values: &[f32]) -> Report {
-        let at = |place: Option<usize>| {
-            place.and_then(|i| values.get(i)).map(|&v| f64::from(v)).filter(|v| v.is_finite() && *v >= 0.0)
-        };
-        Report { free: at(self.free), waiting: at(self.waiting), wait: at(self.wait), rate: at(self.rate) }
+        let free = self.free.and_then(|place| values.get(place)).map(|&free| f64::from(free));
+        Report { free: free.filter(|free| free.is_finite() && *free >= 0.0) }
     }
 }
 
@@ -71,13 +66,7 @@
     let pairs = Pairs(text.lines().filter_map(|line| line.split_once('=')).collect());
     let names: Vec<String> =
         if pairs.0.contains_key("feedback.names") { pairs.list("feedback.names")? } else { Vec::new() };
-    let place = |name: &str| names.iter().position(|n| n == name);
-    let order = ReportOrder {
-        free: place("idle"),
-        waiting: place("pending"),
-        wait: place("svc_ms"),
-        rate: place("max_rate"),
-    };
+    let order = ReportOrder { free: names.iter().position(|name| name == "idle") };
 
     ensure!(
         pairs.text("domain.network_form")? == "skills",
@@ -89,7 +78,6 @@
     let tenants = if pairs.0.contains_key("tenants.count") { pairs.count("tenants.count")? } else { 0 };
     let tenant = |i| Ok(TenantTerms { quota: pairs.number(&format!("tenants.{i}.quota_rps"))? });
     let terms = Terms {
-        rank: pairs.value("rank")?,
         proxies: pairs.value("balancers")?,
         grades,
         tenants: (0..tenants).map(tenant).collect::<Result<_>>()?,
@@ -101,13 +89,9 @@
             None
         },
         may_cancel: pairs.value("bounds.cancel")?,
-        may_probe: pairs.value("bounds.may_probe")?,
-        may_tell: pairs.value("bounds.peers")?,
         release: pairs.millis("domain.clear_wait")?,
         repeat: pairs.millis("domain.repeat")?,
-        drain_grace: pairs.millis("rules.drain_grace")?,
         cold: pairs.millis("rules.cold")?,
-        cold_from: pairs.number("rules.cold_from")?,
         fall_multiple: pairs.number("rules.overload_factor")?,
         fall_span: pairs.millis("rules.fall")?,
     };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -125,8 +125,6 @@
     /// Free lines when that was last told.
     free: f64,
     told_free: f64,
-    report: Report,
-    reported: f64,
 }
 
 /// The decisions of one border proxy.
@@ -168,8 +166,6 @@
             latest: 0.0,
             free: f64::INFINITY,
             told_free: now,
-            report: Report::default(),
-            reported: f64::NEG_INFINITY,
         }
     }
 
@@ -343,25 +339,15 @@
         weights.fold(f64::INFINITY, f64::min).min(BINS as f64)
     }
 
-    /// A central server's report of its processor.
+    /// A central server's report.
     pub fn reported(&mut self, server: Server, report: Report) {
         let now = self.now;
-        if let Some(central) = self.centrals.get_mut(server.0 as usize).and_then(Option::as_mut) {
-            if let Some(free) = report.free {
-                (central.free, central.told_free) = (free, now);
-            }
-            if report.waiting.or(report.wait).or(report.rate).is_some() {
-                (central.report, central.reported) = (report, now);
-            }
+        let central = self.centrals.get_mut(server.0 as usize).and_then(Option::as_mut);
+        if let (Some(central), Some(free)) = (central, report.free) {
+            (central.free, central.told_free) = (free, now);
         }
     }
 
-    /// What a probe brought.
-    pub fn probed(&mut self, _server: Server, _delay: f64, _ending: Ending, _host: &mut impl Host) {}
-
-    /// Another proxy's message.
-    pub fn heard(&mut self, _from: u32, _message: &[u8], _host: &mut impl Host) {}
-
     /// The time that was asked for with [`Host::wake`] has come.
     pub fn woken(&mut self, host: &mut impl Host) {
         // The host's clock may round a time to just below the one asked for.
--- a/src/host.rs
+++ b/src/host.rs
@@ -10,8 +10,7 @@
 /// What is agreed for one deployment.
 #[derive(Clone, Debug, Default)]
 pub struct Terms {
-    /// This proxy's number and how many there are.
-    pub rank: u32,
+    /// How many proxies there are.
     pub proxies: u32,
     pub grades: Vec<GradeTerms>,
     pub tenants: Vec<TenantTerms>,
@@ -21,17 +20,12 @@
     /// The longest wait that a refused caller can be told, where advice is allowed at all.
     pub longest_advice: Option<f64>,
     pub may_cancel: bool,
-    pub may_probe: bool,
-    pub may_tell: bool,
     /// After a time-out, reset or cancel the conversation rests for this long.
     pub release: f64,
     /// A set-up that waits at a processor is sent again after this; 0 for never.
     pub repeat: f64,
-    /// No sends to a draining or gone central server after this.
-    pub drain_grace: f64,
-    /// A central server is warm this long after its start, and starts at `cold_from` of its capacity.
+    /// A central server is warm this long after its start.
     pub cold: f64,
-    pub cold_from: f64,
     /// A cold one falls over at this multiple of its present capacity, kept up for `fall_span`.
     pub fall_multiple: f64,
     pub fall_span: f64,
@@ -86,17 +80,11 @@
     pub started: Option<f64>,
 }
 
-/// What a central server says of its processor; late and not exact.
+/// What a central server says of itself, as far as it is used.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
     /// Free lines of the pool.
     pub free: Option<f64>,
-    /// Set-ups waiting.
-    pub waiting: Option<f64>,
-    /// How long a set-up waits.
-    pub wait: Option<f64>,
-    /// New set-ups a second that it can take from all senders.
-    pub rate: Option<f64>,
 }
 
 /// How a shot, or the conversation that it set up, came to its end.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -57,7 +57,6 @@
         pools: vec![0, 1, 2],
     };
     Terms {
-        rank: 0,
         proxies: 5,
         grades: vec![grade(2000.0, 1.0), grade(2000.0, 3.0)],
         tenants: vec![TenantTerms { quota: 1000.0 }, TenantTerms { quota: 0.1 }],
@@ -65,13 +64,9 @@
         max_shots: 4,
         longest_advice: Some(2000.0),
         may_cancel: true,
-        may_probe: false,
-        may_tell: false,
         release: 300.0,
         repeat: 500.0,
-        drain_grace: 500.0,
         cold: 14_000.0,
-        cold_from: 0.28,
         fall_multiple: 2.0,
         fall_span: 1000.0,
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -275,7 +275,7 @@
     assert_eq!(story.went(handle), [0, 1]);
     let next = story.call(0, 0);
     assert_eq!(story.went(next), [1]);
-    story.proxy.reported(Server(0), Report { free: Some(3.0), ..Report::default() });
+    story.proxy.reported(Server(0), Report { free: Some(3.0) });
     let both = [story.call(0, 0), story.call(0, 0)];
     assert!(both.iter().all(|&h| story.went(h) == [0]), "its line was not narrowed");
 }
