Let only a standing conversation overtake the shots before it

Cause, found on reading: a quick fault, which may jump the line, marked the shots before it as lost. Also: a refusal in time even where no delay is known yet, a gap that cannot panic on a long release, and a field dropped that nothing read.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -61,7 +61,7 @@
 struct Out {
     handle: Handle,
     at: f64,
-    /// A later one has been answered. Lines are served in turn, so this one is lost, not late.
+    /// A later one stands. Lines are served in turn, so this one is lost, not late.
     overtaken: bool,
     cancelled: bool,
 }
@@ -97,8 +97,6 @@
 /// All that is known of one central server.
 struct Central {
     state: State,
-    /// When the proxy was told of that state.
-    told: f64,
     pool: u16,
     started: f64,
     /// No shot before this while it is cold.
@@ -107,7 +105,6 @@
     histogram: Histogram,
     /// When set-ups were sent, over the window.
     sent: VecDeque<f64>,
-    /// When each of the shots still out was sent.
     out: Vec<Out>,
     /// How many shots may be out at once; under one, the share of the time that one may.
     allowance: f64,
@@ -148,7 +145,6 @@
     fn new(line: &Listed, now: f64, weight: f64, entry: f64) -> Self {
         Self {
             state: line.state,
-            told: now,
             pool: line.pool,
             started: line.started.unwrap_or(f64::NEG_INFINITY),
             entry,
@@ -299,9 +295,8 @@
         if whole {
             let named = |i: usize| lines.iter().any(|line| line.server.0 as usize == i);
             for (i, central) in self.centrals.iter_mut().enumerate() {
-                if let Some(central) = central.as_mut().filter(|c| c.state != State::Gone && !named(i)) {
+                if let Some(central) = central.as_mut().filter(|_| !named(i)) {
                     central.state = State::Gone;
-                    central.told = self.now;
                 }
             }
         }
@@ -316,7 +311,7 @@
             match &mut self.centrals[index] {
                 Some(central) => {
                     if central.state != line.state {
-                        (central.state, central.told) = (line.state, self.now);
+                        central.state = line.state;
                         host.note(&format!("central server {index} is {:?}", line.state));
                     }
                     if started > central.started {
@@ -511,7 +506,7 @@
         let quickest = self.centrals.iter().flatten().filter(|c| c.state == State::Running);
         let quickest = quickest.map(|c| c.delay).fold(f64::INFINITY, f64::min).min(self.standing);
         let quoted = conversation.taken + self.grades[conversation.grade].quoted - 1.2 * quickest;
-        quoted.min(conversation.until - 2.0 * quickest)
+        quoted.min(conversation.until - 2.0 * quickest.max(0.1 * self.standing))
     }
 
     /// Departure: a shot that was overtaken and still has no answer after the standing delay is called off
@@ -556,13 +551,7 @@
             let latest = self.latest(conversation);
             let rested = rest <= self.now;
             let gapped = conversation.number.is_some_and(|n| self.gapped(n));
-            let choice = if gapped {
-                None
-            } else if rested {
-                self.choose(grade, first)
-            } else {
-                None
-            };
+            let choice = if rested && !gapped { self.choose(grade, first) } else { None };
             if let Some(index) = choice {
                 self.shoot(handle, index, host);
             } else if gapped || latest < self.now || self.held.len() >= room {
@@ -595,7 +584,7 @@
             let fresh = Number { first: now, seen: now, not_before: now, gap: 0.0 };
             let entry = self.numbers.entry(number).or_insert(fresh);
             let former = entry.gap;
-            entry.gap = (2.0 * former).clamp(self.terms.release, self.window);
+            entry.gap = (2.0 * former).max(self.terms.release).min(self.window);
             (entry.seen, entry.not_before) = (now, now + entry.gap);
             return entry.gap > former && entry.gap >= self.window;
         } else if self.numbers.get(&number).is_some_and(|n| n.gap == 0.0) {
@@ -652,9 +641,6 @@
         let full = central.waiting().count() as f64 + 1.0 > central.allowance;
         let Some(place) = central.out.iter().position(|shot| shot.handle == handle) else { return };
         let Out { at: sent, overtaken, .. } = central.out.swap_remove(place);
-        if delay.is_some() {
-            central.out.iter_mut().filter(|shot| shot.at < sent).for_each(|shot| shot.overtaken = true);
-        }
         if overtaken {
             return;
         }
@@ -693,9 +679,12 @@
         conversation.stands = true;
         let number = conversation.number;
         let Some(shot) = &conversation.shot else { return };
-        let (index, delay) = (shot.server, proxy.now - shot.at);
+        let (index, sent, delay) = (shot.server, shot.at, proxy.now - shot.at);
         let ratio = delay / proxy.grades[conversation.grade].limit;
         proxy.answered(index, self, Some(delay), ratio);
+        if let Some(central) = &mut proxy.centrals[index] {
+            central.out.iter_mut().filter(|out| out.at < sent).for_each(|out| out.overtaken = true);
+        }
         if let Some(number) = number {
             proxy.space(number, false);
         }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -310,3 +310,16 @@
     story.pass(2000.0);
     assert!(story.went(next).len() <= 1);
 }
+
+#[test]
+fn a_quick_fault_overtakes_nothing() {
+    let mut story = Story::with(1);
+    let early = story.call(0, 0);
+    story.pass(10.0);
+    let faulty = story.call(0, 0);
+    story.ended(faulty, Ending::Error);
+    story.pass(600.0);
+    story.call(0, 0);
+    assert!(story.host.cancelled.is_empty(), "it may still stand in line");
+    assert_eq!(story.went(early), [0]);
+}
