--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,8 @@
 const LEAST_ALLOWANCE: f64 = 0.1;
 const MOST_ALLOWANCE: f64 = 16.0;
 const DEEPEST_CUT: f64 = 0.5;
+/// Age in standing delays past which a shot still out shrinks its line.
+const JAMMED: f64 = 2.0;
 /// An answer of a cold central server is quick under this share of the work that would push it over.
 const COLD_QUICK: f64 = 0.25;
 /// Set-ups that any central server is taken to do in the span of a fall, however cold.
@@ -432,10 +434,10 @@
 
     /// Departure: the line to a central server takes only as many shots as it answers well within the
     /// span after which waiting set-ups breed work. Shots out fill it, so that a hung, slow or silent one
-    /// stops taking work by itself; one older than the standing delay shrinks the line before it ends.
+    /// stops taking work by itself; one of twice the standing delay shrinks the line before it ends.
     fn has_room(&self, central: &Central) -> bool {
         let oldest = central.waiting().map(|shot| self.now - shot.at).fold(0.0, f64::max);
-        let allowance = central.allowance * (self.standing / oldest).min(1.0);
+        let allowance = central.allowance * (JAMMED * self.standing / oldest).min(1.0);
         let out = central.waiting().count();
         if allowance < 1.0 {
             out == 0 && self.now >= central.not_before
