--- a/src/choice.rs
+++ b/src/choice.rs
@@ -297,8 +297,9 @@
         if whole {
             let named = |i: usize| lines.iter().any(|line| line.server.0 as usize == i);
             for (i, central) in self.centrals.iter_mut().enumerate() {
-                if let Some(central) = central.as_mut().filter(|_| !named(i)) {
+                if let Some(central) = central.as_mut().filter(|c| c.state != State::Gone && !named(i)) {
                     central.state = State::Gone;
+                    host.note(&format!("central server {i} is Gone"));
                 }
             }
         }
