Hold a line's allowance to its proxy's part of a fleet and to what it lately used

Cause: with hundreds of proxies each sends a central server well under one set-up a second. An allowance from 2 shots, at least 0.1 and grown by good answers to 16, bound nobody until several late answers had come. Change: the first and least allowance are shots of the whole fleet over the number of proxies; the allowance is at most twice what the line lately used; one answer at most doubles it. Also holds against any cause of lateness that a lone answer shows; hurts a proxy whose traffic leaps, for a while.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,10 +25,13 @@
 const STANDING: f64 = 0.8;
 /// The same where set-ups are not sent again: a share of the shortest quoted time.
 const STANDING_QUOTED: f64 = 0.5;
-/// A line's allowance after a restart, its bounds, and the most of a cut that one bad answer makes.
-const FIRST_ALLOWANCE: f64 = 2.0;
-const LEAST_ALLOWANCE: f64 = 0.1;
-const MOST_ALLOWANCE: f64 = 16.0;
+/// Shots that all proxies together may have out at a central server of which nothing is known yet, and at
+/// the least; each proxy's line has its part.
+const FIRST_OUT: f64 = 12.0;
+const LEAST_OUT: f64 = 0.6;
+/// The most of a line's lately used room that its allowance may be; the most that one answer adds or cuts.
+const SLACK: f64 = 2.0;
+const STEEPEST_GROWTH: f64 = 2.0;
 const DEEPEST_CUT: f64 = 0.5;
 /// Age in standing delays past which a shot still out shrinks its line.
 const JAMMED: f64 = 2.0;
@@ -152,7 +155,7 @@
 }
 
 impl Central {
-    fn new(line: &Listed, now: f64, weight: f64, entry: f64) -> Self {
+    fn new(line: &Listed, now: f64, weight: f64, entry: f64, allowance: f64) -> Self {
         Self {
             state: line.state,
             pool: line.pool,
@@ -162,7 +165,7 @@
             histogram: Histogram::default(),
             sent: VecDeque::new(),
             out: Vec::new(),
-            allowance: FIRST_ALLOWANCE,
+            allowance,
             dither: 0.5,
             cut_at: f64::NEG_INFINITY,
             not_before: f64::NEG_INFINITY,
@@ -326,6 +329,7 @@
             let weight = self.lowest_weight();
             let entry = self.now + self.rng.random::<f64>() * self.cold_gap();
             let started = line.started.unwrap_or(f64::NEG_INFINITY);
+            let first = FIRST_OUT / f64::from(self.terms.proxies);
             match &mut self.centrals[index] {
                 Some(central) => {
                     if central.state != line.state {
@@ -335,13 +339,13 @@
                     if started > central.started {
                         // A new processor: what the old one took so long for says nothing of it.
                         let out = std::mem::take(&mut central.out);
-                        *central = Central::new(line, self.now, weight, entry);
+                        *central = Central::new(line, self.now, weight, entry, first);
                         central.out = out;
                         host.note(&format!("central server {index} has started anew"));
                     }
                     central.pool = line.pool;
                 }
-                slot => *slot = Some(Central::new(line, self.now, weight, entry)),
+                slot => *slot = Some(Central::new(line, self.now, weight, entry, first)),
             }
         }
         self.serve(host);
@@ -646,6 +650,8 @@
     /// Takes a shot off its line and counts its delay; an answer moves the line's allowance.
     fn answered(&mut self, index: usize, handle: Handle, delay: Option<f64>, ratio: f64) {
         let (now, standing) = (self.now, self.standing);
+        let part = 1.0 / f64::from(self.terms.proxies);
+        let window = self.window;
         let Some(central) = &mut self.centrals[index] else { return };
         let full = central.waiting().count() as f64 + 1.0 > central.allowance;
         let Some(place) = central.out.iter().position(|shot| shot.handle == handle) else { return };
@@ -659,13 +665,15 @@
         if took > standing {
             if sent >= central.cut_at {
                 let cut = (standing / took).max(DEEPEST_CUT);
-                central.allowance = (central.allowance * cut).max(LEAST_ALLOWANCE);
+                central.allowance = (central.allowance * cut).max(LEAST_OUT * part);
                 central.cut_at = now;
             }
         } else if full {
             let room = 1.0 - took / standing;
-            central.allowance += GROWTH * (room + 0.2) / central.allowance.max(0.5);
-            central.allowance = central.allowance.min(MOST_ALLOWANCE);
+            let grown = central.allowance + GROWTH * (room + 0.2) / central.allowance.max(0.5);
+            let used = (central.sent.len() as f64 + 1.0) * standing / window;
+            central.allowance =
+                grown.min(central.allowance * STEEPEST_GROWTH).min((SLACK * used).max(FIRST_OUT * part));
         }
         if let Some(took) = delay {
             central.delay += 0.25 * (took - central.delay);
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -79,8 +79,12 @@
 impl Story {
     /// A proxy that knows so many running central servers, warm since long ago.
     pub fn with(servers: u32) -> Self {
+        Self::among(servers, terms())
+    }
+
+    pub fn among(servers: u32, terms: Terms) -> Self {
         let lines: Vec<Listed> = (0..servers).map(|s| line(s, State::Running, None)).collect();
-        let proxy = Proxy::new(terms(), 7, 0.0);
+        let proxy = Proxy::new(terms, 7, 0.0);
         let mut story = Self { proxy, host: Fake::default(), now: 0.0, began: HashMap::new() };
         story.list(&lines);
         story
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -2,9 +2,9 @@
 
 mod fake;
 
-use fake::{Story, line};
+use fake::{Story, line, terms};
 use frostthread::choice::{Histogram, quantile_after};
-use frostthread::host::{Ending, Report, Server, State};
+use frostthread::host::{Ending, Report, Server, State, Terms};
 use rstest::rstest;
 
 #[test]
@@ -84,6 +84,22 @@
     assert!(both.iter().all(|&h| story.went(h) == [0]), "quick answers have opened it again");
 }
 
+#[rstest]
+#[case::one_of_few(5, 1)]
+#[case::one_of_hundreds(250, 0)]
+fn one_late_answer_rests_the_line_of_one_proxy_among_hundreds(#[case] proxies: u32, #[case] shots: usize) {
+    let mut story = Story::among(1, Terms { proxies, ..terms() });
+    (0..6).for_each(|_| {
+        story.answer(0, 60.0);
+        story.pass(3000.0);
+    });
+    story.answer(0, 1500.0);
+    // One that has little traffic of its own sees a jam by one answer in seconds.
+    story.pass(1000.0);
+    let next = story.call(0, 0);
+    assert_eq!(story.went(next).len(), shots);
+}
+
 #[test]
 fn a_cut_does_not_narrow_a_line() {
     let mut story = Story::with(1);
