Settle a batch at its end; keep own stalls out of delays; know callers' waiting time

Cause: a border proxy that stood still found answers, calls and list news at once, took its own stall for the servers' delay, and held calls whose quoted time had passed before it saw them. Change: the program tells all that came at one time, then settles once. A wake that comes late shows the stall; an answer found then counts only for what had surely passed before. What is left of most callers' patience tells how long a call has waited. The draw's weights are moved only where they are read. Also holds against any pause of the program; a wake lost by the host would look like a stall, for one batch.

--- a/simhost/src/fleet.rs
+++ b/simhost/src/fleet.rs
@@ -1,6 +1,6 @@
 //! All instances of one process and the lists that they share by number.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use anyhow::{Context, Result, bail, ensure};
 
@@ -21,6 +21,7 @@
         let mut reply = Reply::default();
         let now = batch.clock * 1000.0;
         let mut named = None;
+        let mut told = Vec::new();
         for (code, bytes) in records(batch)? {
             let record = name_of(code)?;
             let fields = &mut Fields::new(record, bytes);
@@ -30,10 +31,19 @@
                 _ => {
                     let who = named.with_context(|| format!("{record}: no switch_to names an instance"))?;
                     self.play_one(who, now, code, record, fields, &mut reply)?;
+                    if told.last() != Some(&who) {
+                        told.push(who);
+                    }
                 }
             }
             fields.end()?;
         }
+        let mut settled = HashSet::new();
+        for who in told.into_iter().filter(|&who| settled.insert(who)) {
+            if let Some(instance) = self.instances.get_mut(&who) {
+                instance.settle(&mut reply);
+            }
+        }
         Ok(reply)
     }
 
@@ -60,7 +70,7 @@
             .with_context(|| format!("{record}: instance {who} is not running"))?;
         instance.at(now);
         match code {
-            2 => instance.withdrawn(fields, reply),
+            2 => instance.withdrawn(fields),
             3 => {
                 let scope = fields.u8("scope")?;
                 fields.u32("stamp")?;
@@ -74,13 +84,12 @@
                 instance.membership(entries, scope != 0, reply);
                 Ok(())
             }
-            5 => instance.accepted(fields, reply),
+            5 => instance.accepted(fields),
             7 => {
                 fields.u64("key_back")?;
-                instance.woken(reply);
                 Ok(())
             }
-            8 => instance.job_in(fields, reply),
+            8 => instance.job_in(fields),
             10 => instance.datagram(fields),
             11 => instance.reply(fields, reply),
             _ => instance.ping_result(fields),
--- a/simhost/src/instance.rs
+++ b/simhost/src/instance.rs
@@ -166,8 +166,9 @@
         self.with(reply, |proxy, host| proxy.listed(&lines, whole, host));
     }
 
-    pub fn woken(&mut self, reply: &mut Reply) {
-        self.with(reply, |proxy, host| proxy.woken(host));
+    /// All that came for the instance at this time is told.
+    pub fn settle(&mut self, reply: &mut Reply) {
+        self.with(reply, |proxy, host| proxy.settle(host));
     }
 
     /// Another proxy's message: the decisions send none, so none is owed attention.
@@ -178,7 +179,7 @@
         Ok(())
     }
 
-    pub fn job_in(&mut self, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
+    pub fn job_in(&mut self, fields: &mut Fields) -> Result<()> {
         let req = fields.u64("req")?;
         let opts = fields.u8("opts")?;
         let number = Some(fields.u64("name_key")?).filter(|&key| key != 0);
@@ -194,17 +195,17 @@
         let call = Call { grade, tenant, first, number, remaining, redial: opts & 2 != 0 };
         let handle = self.proxy.take(&call);
         self.names.taken(req, handle);
-        self.with(reply, |proxy, host| handle.place(proxy, host));
+        handle.place(&mut self.proxy);
         Ok(())
     }
 
-    pub fn accepted(&mut self, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
+    pub fn accepted(&mut self, fields: &mut Fields) -> Result<()> {
         let req = fields.u64("req")?;
         fields.u16("send_no")?;
         fields.address("server")?;
         fields.millis("time_taken")?;
         if let Some(&handle) = self.names.handles.get(&req) {
-            self.with(reply, |proxy, host| handle.stood(proxy, host));
+            handle.stood(&mut self.proxy);
         }
         Ok(())
     }
@@ -230,10 +231,10 @@
         Ok(())
     }
 
-    pub fn withdrawn(&mut self, fields: &mut Fields, reply: &mut Reply) -> Result<()> {
+    pub fn withdrawn(&mut self, fields: &mut Fields) -> Result<()> {
         let req = fields.u64("req")?;
         if let Some(&handle) = self.names.handles.get(&req) {
-            self.with(reply, |proxy, host| handle.left(proxy, host));
+            handle.left(&mut self.proxy);
             self.drop_if_done(req, handle);
         }
         Ok(())
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -2,8 +2,9 @@
 //!
 //! How to call it: make one [`Proxy`] for each border proxy and hand it the list with [`Proxy::listed`].
 //! [`Proxy::take`] gives a [`Handle`] for a conversation; everything later is a call on that handle:
-//! [`Handle::place`] once, then [`Handle::stood`], [`Handle::ended`], [`Handle::left`]. What the decisions
-//! ask for in return is the trait [`Host`] in `host.rs`. `docs/design.md` says why each step is taken.
+//! [`Handle::place`] once, then [`Handle::stood`], [`Handle::ended`], [`Handle::left`]. Say the time with
+//! [`Proxy::at`] before whatever comes at that time, and [`Proxy::settle`] after it. What the decisions ask
+//! for in return is the trait [`Host`] in `host.rs`. `docs/design.md` says why each step is taken.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -33,6 +34,10 @@
 const SLACK: f64 = 2.0;
 const STEEPEST_GROWTH: f64 = 2.0;
 const DEEPEST_CUT: f64 = 0.5;
+/// A proxy with shots out or conversations held wants a turn each such part of a standing delay.
+const BEAT: f64 = 0.25;
+/// Two callers' patience is the same within this share of the time limit.
+const SAME_PATIENCE: f64 = 0.002;
 /// Let through in full while the reported rate is above the best one over this.
 const RATE_SLACK: f64 = 1.25;
 /// How long a reported rate is trusted, in windows.
@@ -159,6 +164,10 @@
     conversations: Slab<Conversation>,
     held: Vec<Handle>,
     wake_at: f64,
+    /// Until when this proxy surely had its turns: before `now` where it has just stood still.
+    awake: f64,
+    /// How long a caller waits for a try, as a share of the time limit: what most ask for, and how firmly.
+    patience: (f64, u32),
     numbers: HashMap<u64, Number>,
     /// When conversations were last taken, by tenant.
     tenants: Vec<VecDeque<f64>>,
@@ -314,13 +323,23 @@
             conversations: Slab::new(),
             held: Vec::new(),
             wake_at: f64::INFINITY,
+            awake: now,
+            patience: (0.0, 0),
             numbers: HashMap::new(),
         }
     }
 
     /// The time of what follows.
     pub fn at(&mut self, now: f64) {
-        self.now = now;
+        if now > self.now {
+            // The host's clock may round a time to just below the one asked for.
+            let late = now - self.wake_at;
+            self.awake = if late > BEAT * self.standing { self.wake_at.max(self.now) } else { now };
+            if late >= -1.0 {
+                self.wake_at = f64::INFINITY;
+            }
+            self.now = now;
+        }
     }
 
     /// News of the list. A whole list replaces the old one.
@@ -361,7 +380,6 @@
                 slot => *slot = Some(Central::new(line, self.now, weight, entry, first)),
             }
         }
-        self.serve(host);
     }
 
     fn lowest_weight(&self) -> f64 {
@@ -383,15 +401,6 @@
         }
     }
 
-    /// The time that was asked for with [`Host::wake`] has come.
-    pub fn woken(&mut self, host: &mut impl Host) {
-        // The host's clock may round a time to just below the one asked for.
-        if self.now + 1.0 >= self.wake_at {
-            self.wake_at = f64::INFINITY;
-        }
-        self.serve(host);
-    }
-
     /// Whether the handle is still of use.
     pub fn holds(&self, handle: Handle) -> bool {
         self.conversations.contains(handle.key())
@@ -400,12 +409,13 @@
     /// Takes a conversation; it is placed with [`Handle::place`].
     pub fn take(&mut self, call: &Call) -> Handle {
         let in_share = call.tenant.map_or(1.0, |tenant| self.in_share(tenant));
+        let waited = self.waited(call);
         let grade = &self.grades[call.grade];
         let mut worth = grade.earnings * in_share;
         // The quoted time runs from the caller's first try.
         let former = call.number.and_then(|number| self.numbers.get(&number));
         let former = former.filter(|n| n.gap == 0.0 && self.now - n.first < grade.limit);
-        let marked = if call.redial { self.now - grade.quoted } else { self.now };
+        let marked = self.now - if call.redial { grade.quoted } else { waited };
         let taken = former.map_or(marked, |n| n.first);
         if taken + grade.quoted <= self.now {
             worth *= grade.late;
@@ -427,6 +437,23 @@
         Handle(self.conversations.insert(conversation) as u32)
     }
 
+    /// Departure: how long the caller had waited before this proxy had a turn, by what is left of the time
+    /// that most callers give a try. After a stall of its own a proxy so knows who still can stand in time.
+    fn waited(&mut self, call: &Call) -> f64 {
+        let limit = self.grades[call.grade].limit;
+        let (usual, firm) = &mut self.patience;
+        let left = call.remaining / limit;
+        if (left - *usual).abs() < SAME_PATIENCE {
+            *firm = (*firm + 1).min(FLOOR as u32);
+        } else if *firm == 0 {
+            (*usual, *firm) = (left, 1);
+        } else {
+            *firm -= 1;
+        }
+        let short = *usual - left;
+        if short > SAME_PATIENCE { short * limit } else { 0.0 }
+    }
+
     /// The part of its earnings that the tenant's next conversation may expect to keep, taking this
     /// proxy's traffic for a fair sample of everyone's.
     fn in_share(&mut self, tenant: usize) -> f64 {
@@ -526,8 +553,7 @@
         if passing.is_empty() {
             passing = all.filter(|&i| self.passes(i, grade, chance, true)).collect();
         }
-        let weights: Vec<f64> =
-            passing.iter().map(|&i| self.centrals[i].as_ref().expect("passes").weight).collect();
+        let weights: Vec<f64> = passing.iter().map(|&i| self.weigh(i)).collect();
         let mut draw = self.rng.random::<f64>() * weights.iter().sum::<f64>();
         let at = weights.iter().position(|w| {
             draw -= w;
@@ -581,13 +607,13 @@
         }
     }
 
-    /// Shoots what can be shot, best earners first, and gives up at once what can no longer stand in time.
-    fn serve(&mut self, host: &mut impl Host) {
+    /// To be called when all that has come at one time is told: shoots what can be shot, best earners
+    /// first, and gives up at once what can no longer stand in time.
+    pub fn settle(&mut self, host: &mut impl Host) {
         let then = self.now - self.window;
         for central in self.centrals.iter_mut().flatten() {
             central.forget_before(then);
         }
-        self.weigh();
         self.call_off(host);
         let (now, limit) = (self.now, self.longest_limit);
         self.numbers.retain(|_, n| now - n.seen.max(n.not_before) < limit);
@@ -616,8 +642,8 @@
                 due = due.min(latest + 1.0).min(if rested { f64::INFINITY } else { rest });
             }
         }
-        if !self.held.is_empty() {
-            due = due.min(self.now + 0.25 * self.standing);
+        if !self.held.is_empty() || self.centrals.iter().flatten().any(|c| !c.out.is_empty()) {
+            due = due.min(self.now + BEAT * self.standing);
             if due < self.wake_at {
                 self.wake_at = due;
                 host.wake(due);
@@ -670,19 +696,20 @@
         host.refuse(handle, advice);
     }
 
-    /// Moves the standings in the draw: down at once with the mean ratio, up again over a window.
-    fn weigh(&mut self) {
-        for central in self.centrals.iter_mut().flatten() {
-            let deserved = 1.0 / central.censored(self.now, self.longest_limit).mean();
-            let step = ((self.now - central.weighed) / self.window).min(1.0);
-            central.weight = deserved.min(central.weight + step * deserved);
-            central.weighed = self.now;
-        }
+    /// Moves a standing in the draw: down at once with the mean ratio, up again over a window.
+    fn weigh(&mut self, index: usize) -> f64 {
+        let Some(central) = &mut self.centrals[index] else { return 0.0 };
+        let deserved = 1.0 / central.censored(self.now, self.longest_limit).mean();
+        let step = ((self.now - central.weighed) / self.window).min(1.0);
+        central.weight = deserved.min(central.weight + step * deserved);
+        central.weighed = self.now;
+        central.weight
     }
 
     /// Takes a shot off its line and counts its delay; an answer moves the line's allowance.
-    fn answered(&mut self, index: usize, handle: Handle, delay: Option<f64>, ratio: f64) {
-        let (now, standing) = (self.now, self.standing);
+    /// `least` is what its ratio counts for at the least.
+    fn answered(&mut self, index: usize, handle: Handle, delay: Option<f64>, limit: f64, least: f64) {
+        let (now, awake, standing) = (self.now, self.awake, self.standing);
         let part = 1.0 / f64::from(self.terms.proxies);
         let window = self.window;
         let Some(central) = &mut self.centrals[index] else { return };
@@ -692,8 +719,14 @@
         if overtaken {
             return;
         }
-        central.sample(now, ratio);
-        let took = delay.unwrap_or(f64::INFINITY);
+        // Departure: where this proxy itself stood still, an answer that it finds then counts only for what
+        // had surely passed before; that says nothing unless it is late by then.
+        let sure = awake - sent;
+        if awake < now && delay.is_some() && least < 1.0 && sure <= standing {
+            return;
+        }
+        let took = delay.map_or(f64::INFINITY, |delay| delay.min(sure));
+        central.sample(now, (took / limit).clamp(least, 1.0));
         central.latest = took;
         if took > standing {
             if sent >= central.cut_at {
@@ -708,11 +741,12 @@
             central.allowance =
                 grown.min(central.allowance * STEEPEST_GROWTH).min((SLACK * used).max(FIRST_OUT * part));
         }
-        if let Some(took) = delay {
+        if delay.is_some() {
             central.delay += 0.25 * (took - central.delay);
         }
         let span = took.min(2.0 * standing);
         central.not_before = now + span * (1.0 / central.allowance.min(1.0) - 1.0);
+        self.weigh(index);
     }
 }
 
@@ -721,28 +755,26 @@
         self.0 as usize
     }
 
-    /// Finds the conversation its first way, or holds it, or gives it up.
-    pub fn place(self, proxy: &mut Proxy, host: &mut impl Host) {
+    /// Lets the conversation in: [`Proxy::settle`] finds its first way, or holds it, or gives it up.
+    pub fn place(self, proxy: &mut Proxy) {
         proxy.held.push(self);
-        proxy.serve(host);
     }
 
     /// The conversation stands.
-    pub fn stood(self, proxy: &mut Proxy, host: &mut impl Host) {
+    pub fn stood(self, proxy: &mut Proxy) {
         let Some(conversation) = proxy.conversations.get_mut(self.key()) else { return };
         conversation.stands = true;
         let number = conversation.number;
         let Some(shot) = &conversation.shot else { return };
         let (index, sent, delay) = (shot.server, shot.at, proxy.now - shot.at);
-        let ratio = delay / proxy.grades[conversation.grade].limit;
-        proxy.answered(index, self, Some(delay), ratio);
+        let limit = proxy.grades[conversation.grade].limit;
+        proxy.answered(index, self, Some(delay), limit, 0.0);
         if let Some(central) = &mut proxy.centrals[index] {
             central.out.iter_mut().filter(|out| out.at < sent).for_each(|out| out.overtaken = true);
         }
         if let Some(number) = number {
             proxy.space(number, false);
         }
-        proxy.serve(host);
     }
 
     /// The shot, or the conversation that stood by it, has ended; `finished` when no answer is owed.
@@ -768,7 +800,7 @@
             let age = now - shot.at;
             match ending {
                 Ending::Ok | Ending::Cancelled | Ending::Busy => {
-                    proxy.answered(shot.server, self, Some(age), age / limit)
+                    proxy.answered(shot.server, self, Some(age), limit, 0.0)
                 }
                 Ending::Moot | Ending::NoLine => {
                     if let Some(central) = &mut proxy.centrals[shot.server] {
@@ -780,8 +812,8 @@
                 }
                 // A cut or fault says nothing of the line but its age, though it counts as 1 in the
                 // histogram: else one that fails everything quickly would look best and draw all traffic.
-                Ending::Reset | Ending::Error => proxy.answered(shot.server, self, Some(age), 1.0),
-                _ => proxy.answered(shot.server, self, None, 1.0),
+                Ending::Reset | Ending::Error => proxy.answered(shot.server, self, Some(age), limit, 1.0),
+                _ => proxy.answered(shot.server, self, None, limit, 1.0),
             }
         }
         let busy = number.filter(|_| ending == Ending::Busy);
@@ -800,17 +832,15 @@
             proxy.conversations.remove(self.key());
             host.fail(self);
         }
-        proxy.serve(host);
     }
 
     /// The caller has gone.
-    pub fn left(self, proxy: &mut Proxy, host: &mut impl Host) {
+    pub fn left(self, proxy: &mut Proxy) {
         let Some(conversation) = proxy.conversations.get_mut(self.key()) else { return };
         conversation.over = true;
         if conversation.shot.is_none() {
             proxy.held.retain(|&held| held != self);
             proxy.conversations.remove(self.key());
         }
-        proxy.serve(host);
     }
 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -115,7 +115,7 @@
     fn refuse(&mut self, handle: Handle, come_back: Option<f64>);
     fn fail(&mut self, handle: Handle);
     fn cancel(&mut self, handle: Handle, shot: u16);
-    /// Call [`crate::Proxy::woken`] at this time.
+    /// Call [`crate::Proxy::at`] and [`crate::Proxy::settle`] at this time.
     fn wake(&mut self, at: f64);
     fn probe(&mut self, server: Server);
     /// Send a short message to every other proxy.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -92,6 +92,7 @@
 
     pub fn list(&mut self, lines: &[Listed]) {
         self.proxy.listed(lines, false, &mut self.host);
+        self.proxy.settle(&mut self.host);
     }
 
     /// Time goes on; the wakes that fall due are called.
@@ -101,7 +102,7 @@
             self.host.wakes.retain(|&w| w != at);
             self.now = self.now.max(at);
             self.proxy.at(self.now);
-            self.proxy.woken(&mut self.host);
+            self.proxy.settle(&mut self.host);
         }
         self.now = end;
         self.proxy.at(end);
@@ -130,16 +131,19 @@
     fn take(&mut self, call: &Call) -> Handle {
         let handle = self.proxy.take(call);
         self.began.insert(handle, self.host.shots.len());
-        handle.place(&mut self.proxy, &mut self.host);
+        handle.place(&mut self.proxy);
+        self.proxy.settle(&mut self.host);
         handle
     }
 
     pub fn stood(&mut self, handle: Handle) {
-        handle.stood(&mut self.proxy, &mut self.host);
+        handle.stood(&mut self.proxy);
+        self.proxy.settle(&mut self.host);
     }
 
     pub fn ended(&mut self, handle: Handle, ending: Ending) {
         handle.ended(&mut self.proxy, ending, ending == Ending::Ok, &mut self.host);
+        self.proxy.settle(&mut self.host);
     }
 
     /// One conversation, answered `delay` after its shot, unless it is given up before it has one.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -246,7 +246,7 @@
     let mut story = Story::with(1);
     story.list(&[line(0, State::Gone, None)]);
     let handle = story.call(0, 0);
-    handle.left(&mut story.proxy, &mut story.host);
+    handle.left(&mut story.proxy);
     story.pass(5000.0);
     assert!(story.host.refused.is_empty() && story.host.failed.is_empty());
     assert!(!story.proxy.holds(handle));
