Weigh the draw by free lines, so that deflected calls do not meet at the smallest server

Lines are planned by size and told once a second. Change: the draw's weight is the standing by mean ratio times the free lines last told. Where lines are not told all weigh the same, as before. Hurts where a central server has lines but no speed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -542,6 +542,13 @@
             && !self.too_cold(central)
     }
 
+    /// Departure: the draw goes by free lines too, so that all that turn away from one central server do not
+    /// meet at the smallest.
+    fn room(&self, index: usize) -> f64 {
+        let free = self.centrals[index].as_ref().map_or(0.0, |c| c.free);
+        if free.is_finite() { free.max(1.0) } else { 1.0 }
+    }
+
     /// First choice while it passes; else a draw among the others that pass.
     fn choose(&mut self, grade: usize, first: u16, chance: f64) -> Option<usize> {
         let all = 0..self.centrals.len();
@@ -553,7 +560,7 @@
         if passing.is_empty() {
             passing = all.filter(|&i| self.passes(i, grade, chance, true)).collect();
         }
-        let weights: Vec<f64> = passing.iter().map(|&i| self.weigh(i)).collect();
+        let weights: Vec<f64> = passing.iter().map(|&i| self.weigh(i) * self.room(i)).collect();
         let mut draw = self.rng.random::<f64>() * weights.iter().sum::<f64>();
         let at = weights.iter().position(|w| {
             draw -= w;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -284,6 +284,16 @@
     assert_eq!(story.went(fresh), [0]);
 }
 
+#[test]
+fn the_draw_goes_by_free_lines_so_that_the_smallest_is_not_overrun() {
+    let mut story = Story::with(3);
+    story.list(&[line(0, State::Draining, None)]);
+    story.proxy.reported(Server(1), Report { free: Some(5.0), rate: None });
+    story.proxy.reported(Server(2), Report { free: Some(95.0), rate: None });
+    (0..100).for_each(|_| story.answer(0, 20.0));
+    assert!((1..=15).contains(&story.shots_at(1)), "{} of 100", story.shots_at(1));
+}
+
 #[test]
 fn a_nack_for_want_of_lines_fails_the_server_until_lines_are_told() {
     let mut story = Story::with(2);
