--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,7 +41,7 @@
 /// Let through in full while the reported rate is above the best one over this.
 const RATE_SLACK: f64 = 1.25;
 /// How long a reported rate is trusted, in windows.
-const RATE_TRUST: f64 = 0.5;
+const RATE_TRUST: f64 = 1.0;
 /// Age in standing delays past which a shot still out shrinks its line.
 const JAMMED: f64 = 2.0;
 /// An answer of a cold central server is quick under this share of the work that would push it over.
