Let a resting line be open to high earners first, but not to be tried again by them

Change: under one shot at once, the rest between shots goes by the square of mean earnings over the call's worth; where the latest answer was late, high earners get no shorter rest. Hurts low earners where a line recovers slowly.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -133,7 +133,9 @@
     /// Spreads the part of an allowance over whole shots.
     dither: f64,
     cut_at: f64,
-    not_before: f64,
+    /// Under one shot at once the line rests after an answer: since when, and how long for mean earnings.
+    rests: f64,
+    rest: f64,
     /// Its standing in the draw, and when that was last moved.
     weight: f64,
     weighed: f64,
@@ -156,6 +158,7 @@
     grades: Vec<Grade>,
     rng: Pcg64Mcg,
     now: f64,
+    mean_earnings: f64,
     longest_limit: f64,
     shortest_quoted: f64,
     window: f64,
@@ -187,7 +190,8 @@
             allowance,
             dither: 0.5,
             cut_at: f64::NEG_INFINITY,
-            not_before: f64::NEG_INFINITY,
+            rests: f64::NEG_INFINITY,
+            rest: 0.0,
             weight,
             weighed: now,
             delay: 0.0,
@@ -315,6 +319,7 @@
             grades,
             rng: Pcg64Mcg::seed_from_u64(seed),
             now,
+            mean_earnings: mean,
             longest_limit,
             shortest_quoted,
             window: WINDOW_LIMITS * longest_limit,
@@ -500,13 +505,19 @@
 
     /// Departure: the line to a central server takes only as many shots as it answers well within the
     /// span after which waiting set-ups breed work. Shots out fill it, so that a hung, slow or silent one
-    /// stops taking work by itself; one of twice the standing delay shrinks the line before it ends.
-    fn has_room(&self, central: &Central) -> bool {
+    /// stops taking work by itself; one of twice the standing delay shrinks the line before it ends. Where
+    /// the line takes less than one, it rests between shots, longer for low earners; high earners do not
+    /// go sooner while its latest answer was late, so that trying it again is not left to them.
+    fn has_room(&self, central: &Central, worth: f64) -> bool {
         let oldest = central.waiting().map(|shot| self.now - shot.at).fold(0.0, f64::max);
         let allowance = central.allowance * (JAMMED * self.standing / oldest).min(1.0);
         let out = central.waiting().count();
         if allowance < 1.0 {
-            out == 0 && self.now >= central.not_before
+            let mut by_worth = (self.mean_earnings / worth).powi(2);
+            if central.latest > self.standing {
+                by_worth = by_worth.max(1.0);
+            }
+            out == 0 && self.now - central.rests >= central.rest * by_worth
         } else {
             out as f64 + 1.0 <= allowance + central.dither
         }
@@ -530,14 +541,14 @@
         }
     }
 
-    fn passes(&self, index: usize, grade: usize, chance: f64, again: bool) -> bool {
+    fn passes(&self, index: usize, conversation: &Conversation, again: bool) -> bool {
         let Some(central) = &self.centrals[index] else { return false };
-        let grade = &self.grades[grade];
+        let grade = &self.grades[conversation.grade];
         central.state == State::Running
             && grade.pools.contains(&central.pool)
             && (central.free > 0.0 || self.now - central.told_free > self.window)
-            && chance < self.admitted(central)
-            && self.has_room(central)
+            && conversation.chance < self.admitted(central)
+            && self.has_room(central, conversation.worth)
             && if again { self.recovers(central) } else { self.passes_quantile(central, grade) }
             && !self.too_cold(central)
     }
@@ -550,15 +561,16 @@
     }
 
     /// First choice while it passes; else a draw among the others that pass.
-    fn choose(&mut self, grade: usize, first: u16, chance: f64) -> Option<usize> {
+    fn choose(&mut self, handle: Handle) -> Option<usize> {
+        let conversation = &self.conversations[handle.key()];
         let all = 0..self.centrals.len();
-        let mut passing: Vec<usize> = all.clone().filter(|&i| self.passes(i, grade, chance, false)).collect();
+        let mut passing: Vec<usize> = all.clone().filter(|&i| self.passes(i, conversation, false)).collect();
         let pool = |i: usize| self.centrals[i].as_ref().expect("passes").pool;
-        if let Some(&first) = passing.iter().find(|&&i| pool(i) == first) {
+        if let Some(&first) = passing.iter().find(|&&i| pool(i) == conversation.first) {
             return Some(first);
         }
         if passing.is_empty() {
-            passing = all.filter(|&i| self.passes(i, grade, chance, true)).collect();
+            passing = all.filter(|&i| self.passes(i, conversation, true)).collect();
         }
         let weights: Vec<f64> = passing.iter().map(|&i| self.weigh(i) * self.room(i)).collect();
         let mut draw = self.rng.random::<f64>() * weights.iter().sum::<f64>();
@@ -634,12 +646,11 @@
         let mut due = f64::INFINITY;
         for handle in held {
             let conversation = &self.conversations[handle.key()];
-            let (grade, first, rest) = (conversation.grade, conversation.first, conversation.rest_until);
-            let chance = conversation.chance;
+            let rest = conversation.rest_until;
             let latest = self.latest(conversation);
             let rested = rest <= self.now;
             let gapped = conversation.number.is_some_and(|n| self.gapped(n));
-            let choice = if rested && !gapped { self.choose(grade, first, chance) } else { None };
+            let choice = if rested && !gapped { self.choose(handle) } else { None };
             if let Some(index) = choice {
                 self.shoot(handle, index, host);
             } else if gapped || latest < self.now || self.held.len() >= room {
@@ -752,7 +763,7 @@
             central.delay += 0.25 * (took - central.delay);
         }
         let span = took.min(2.0 * standing);
-        central.not_before = now + span * (1.0 / central.allowance.min(1.0) - 1.0);
+        (central.rests, central.rest) = (now, span * (1.0 / central.allowance.min(1.0) - 1.0));
         self.weigh(index);
     }
 }
