--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,8 +30,10 @@
 /// the least; each proxy's line has its part.
 const FIRST_OUT: f64 = 12.0;
 const LEAST_OUT: f64 = 0.6;
-/// The most of a line's lately used room that its allowance may be; the most that one answer adds or cuts.
+/// The most of a line's lately used room that its allowance may be: this, and more where few share a central
+/// server, so that each must be able to fill what another leaves; the most that one answer adds or cuts.
 const SLACK: f64 = 2.0;
+const SLACK_OF_ONE: f64 = 16.0;
 const STEEPEST_GROWTH: f64 = 2.0;
 const DEEPEST_CUT: f64 = 0.5;
 /// A proxy with shots out or conversations held wants a turn each such part of a standing delay.
@@ -756,8 +758,9 @@
             let room = 1.0 - took / standing;
             let grown = central.allowance + GROWTH * (room + 0.2) / central.allowance.max(0.5);
             let used = (central.sent.len() as f64 + 1.0) * standing / window;
-            central.allowance =
-                grown.min(central.allowance * STEEPEST_GROWTH).min((SLACK * used).max(FIRST_OUT * part));
+            central.allowance = grown
+                .min(central.allowance * STEEPEST_GROWTH)
+                .min(((SLACK + SLACK_OF_ONE * part) * used).max(FIRST_OUT * part));
         }
         if delay.is_some() {
             central.delay += 0.25 * (took - central.delay);
