Share contested free lines by chance until the next word of them

Change: while a shot came back for want of a line within a window, a proxy lets through the part that the free lines are of those changing hands in a usual gap between words. Also holds against any crowd at a full pool. May hurt where lines are short but word of them comes seldom: some stay idle.

--- a/simhost/src/terms.rs
+++ b/simhost/src/terms.rs
@@ -51,6 +51,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct ReportOrder {
     free: Option<usize>,
+    lines: Option<usize>,
     rate: Option<usize>,
 }
 
@@ -61,7 +62,7 @@
             let value = values.get(place?).copied().map(f64::from);
             value.filter(|value| value.is_finite() && *value >= 0.0)
         };
-        Report { free: figure(self.free), rate: figure(self.rate) }
+        Report { free: figure(self.free), lines: figure(self.lines), rate: figure(self.rate) }
     }
 }
 
@@ -71,14 +72,15 @@
     let names: Vec<String> =
         if pairs.0.contains_key("feedback.names") { pairs.list("feedback.names")? } else { Vec::new() };
     let place = |wanted: &str| names.iter().position(|name| name == wanted);
-    let order = ReportOrder { free: place("idle"), rate: place("max_rate") };
+    let order = ReportOrder { free: place("idle"), lines: place("circuits"), rate: place("max_rate") };
 
     ensure!(
         pairs.text("domain.network_form")? == "skills",
         "launch: setting domain.network_form: only 'skills' is served"
     );
+    let holds: Vec<f64> = pairs.list("domain.mean_hold")?;
     let grades: Vec<GradeTerms> =
-        (0..pairs.count("profiles.count")?).map(|i| grade(&pairs, i)).collect::<Result<_>>()?;
+        (0..pairs.count("profiles.count")?).map(|i| grade(&pairs, i, &holds)).collect::<Result<_>>()?;
     ensure!(!grades.is_empty(), "launch: setting profiles.count is 0");
     let tenants = if pairs.0.contains_key("tenants.count") { pairs.count("tenants.count")? } else { 0 };
     let tenant = |i| Ok(TenantTerms { quota: pairs.number(&format!("tenants.{i}.quota_rps"))? });
@@ -103,7 +105,7 @@
     Ok((terms, order))
 }
 
-fn grade(pairs: &Pairs, i: usize) -> Result<GradeTerms> {
+fn grade(pairs: &Pairs, i: usize, holds: &[f64]) -> Result<GradeTerms> {
     let key = |name: &str| format!("profiles.{i}.{name}");
     let effect = key("effect");
     let repeatable = match pairs.text(&effect)? {
@@ -111,9 +113,11 @@
         "once" | "by_key" => false,
         other => bail!("launch: setting {effect} has no use for {other:?}"),
     };
+    let hold = holds.get(i).copied().filter(|hold| hold.is_finite() && *hold >= 0.0);
     Ok(GradeTerms {
         quoted: pairs.millis(&key("objective"))?,
         limit: pairs.millis(&key("deadline"))?,
+        hold: hold.with_context(|| format!("launch: setting domain.mean_hold: none for grade {i}"))? * 1000.0,
         earnings: pairs.number(&key("worth"))?,
         late: pairs.number(&key("late_worth"))?,
         repeatable,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,8 @@
 const BEAT: f64 = 0.25;
 /// Two callers' patience is the same within this share of the time limit.
 const SAME_PATIENCE: f64 = 0.002;
+/// Spreads one draw evenly over the central servers.
+const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// Let through in full while the reported rate is above the best one over this.
 const RATE_SLACK: f64 = 1.25;
 /// How long a reported rate is trusted, in windows.
@@ -61,6 +63,7 @@
 struct Grade {
     quoted: f64,
     limit: f64,
+    hold: f64,
     earnings: f64,
     late: f64,
     violation: f64,
@@ -145,8 +148,13 @@
     delay: f64,
     /// The delay of its latest answer.
     latest: f64,
-    /// Free lines when that was last told.
+    /// Free lines when that was last told, and how many there are.
     free: f64,
+    lines: f64,
+    /// When a shot last came back for want of one.
+    lineless: f64,
+    /// How long it usually is from one word of free lines to the next.
+    word_gap: f64,
     told_free: f64,
     /// Set-ups a second that it can take as it last said, when, and the most that it has said.
     rate: f64,
@@ -200,6 +208,9 @@
             latest: 0.0,
             free: f64::INFINITY,
             told_free: now,
+            lines: 0.0,
+            lineless: f64::NEG_INFINITY,
+            word_gap: 0.0,
             rate: 0.0,
             told_rate: f64::NEG_INFINITY,
             best_rate: f64::MIN_POSITIVE,
@@ -302,6 +313,7 @@
         let row = |g: &GradeTerms| Grade {
             quoted: g.quoted,
             limit: g.limit,
+            hold: g.hold,
             earnings: g.earnings,
             late: g.late,
             violation: (VIOLATION * g.earnings / mean).clamp(VIOLATION / 10.0, 0.5),
@@ -400,8 +412,12 @@
         let central = self.centrals.get_mut(server.0 as usize).and_then(Option::as_mut);
         let Some(central) = central else { return };
         if let Some(free) = report.free {
+            central.word_gap += 0.2 * (now - central.told_free - central.word_gap);
             (central.free, central.told_free) = (free, now);
         }
+        if let Some(lines) = report.lines {
+            central.lines = lines;
+        }
         if let Some(rate) = report.rate {
             (central.rate, central.told_rate) = (rate, now);
             central.best_rate = central.best_rate.max(rate);
@@ -543,6 +559,16 @@
         }
     }
 
+    /// Departure: while shots come back for want of a line, all proxies are after the same few. Each lets
+    /// through, by chance, what the free ones cover of the lines that change hands before the next word of
+    /// them. Guards against storms of nacks, which cost the processor work; leaves a few lines idle.
+    fn line_share(&self, central: &Central, grade: &Grade) -> f64 {
+        if self.now - central.lineless > self.window {
+            return 1.0;
+        }
+        central.free * grade.hold / (central.lines * central.word_gap)
+    }
+
     fn passes(&self, index: usize, conversation: &Conversation, again: bool) -> bool {
         let Some(central) = &self.centrals[index] else { return false };
         let grade = &self.grades[conversation.grade];
@@ -550,6 +576,7 @@
             && grade.pools.contains(&central.pool)
             && (central.free > 0.0 || self.now - central.told_free > self.window)
             && conversation.chance < self.admitted(central)
+            && (conversation.chance + index as f64 * GOLDEN).fract() < self.line_share(central, grade)
             && self.has_room(central, conversation.worth)
             && if again { self.recovers(central) } else { self.passes_quantile(central, grade) }
             && !self.too_cold(central)
@@ -827,7 +854,7 @@
                     if let Some(central) = &mut proxy.centrals[shot.server] {
                         central.out.retain(|out| out.handle != self);
                         if ending == Ending::NoLine {
-                            (central.free, central.told_free) = (0.0, now);
+                            (central.free, central.told_free, central.lineless) = (0.0, now, now);
                         }
                     }
                 }
--- a/src/host.rs
+++ b/src/host.rs
@@ -35,6 +35,8 @@
 pub struct GradeTerms {
     pub quoted: f64,
     pub limit: f64,
+    /// How long a conversation lasts on average.
+    pub hold: f64,
     pub earnings: f64,
     /// The part of the earnings that is left after the quoted time.
     pub late: f64,
@@ -83,8 +85,9 @@
 /// What a central server says of itself, as far as it is used.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
-    /// Free lines of the pool.
+    /// Free lines of the pool, and how many it has.
     pub free: Option<f64>,
+    pub lines: Option<f64>,
     /// Set-ups a second that its processor can take from all proxies.
     pub rate: Option<f64>,
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -51,6 +51,7 @@
     let grade = |quoted, earnings| GradeTerms {
         quoted,
         limit: 9000.0,
+        hold: 8000.0,
         earnings,
         late: 0.25,
         repeatable: true,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -301,12 +301,35 @@
     assert_eq!(story.went(fresh), [0]);
 }
 
+#[test]
+fn few_free_lines_are_shared_by_chance_while_shots_come_back_for_want_of_one() {
+    let mut story = Story::with(2);
+    let say = |story: &mut Story, free| {
+        story.pass(500.0);
+        let lines = Some(800.0);
+        story.proxy.reported(Server(0), Report { free: Some(free), lines, ..Report::default() });
+    };
+    (0..20).for_each(|_| say(&mut story, 10.0));
+    (0..10).for_each(|_| story.answer(0, 1.0));
+    assert_eq!(story.shots_at(0), 10, "few are enough while none comes back");
+    let handle = story.call(0, 0);
+    story.ended(handle, Ending::NoLine);
+    let before = story.shots_at(0);
+    // Some 50 lines change hands from one word to the next, and 10 are free.
+    (0..8).for_each(|_| {
+        say(&mut story, 10.0);
+        (0..10).for_each(|_| story.answer(0, 1.0));
+    });
+    let sent = story.shots_at(0) - before;
+    assert!((4..=40).contains(&sent), "about a fifth: {sent} of 80");
+}
+
 #[test]
 fn the_draw_goes_by_free_lines_so_that_the_smallest_is_not_overrun() {
     let mut story = Story::with(3);
     story.list(&[line(0, State::Draining, None)]);
-    story.proxy.reported(Server(1), Report { free: Some(5.0), rate: None });
-    story.proxy.reported(Server(2), Report { free: Some(95.0), rate: None });
+    story.proxy.reported(Server(1), Report { free: Some(5.0), ..Report::default() });
+    story.proxy.reported(Server(2), Report { free: Some(95.0), ..Report::default() });
     (0..100).for_each(|_| story.answer(0, 20.0));
     assert!((1..=15).contains(&story.shots_at(1)), "{} of 100", story.shots_at(1));
 }
@@ -319,7 +342,7 @@
     assert_eq!(story.went(handle), [0, 1]);
     let next = story.call(0, 0);
     assert_eq!(story.went(next), [1]);
-    story.proxy.reported(Server(0), Report { free: Some(3.0), rate: None });
+    story.proxy.reported(Server(0), Report { free: Some(3.0), ..Report::default() });
     let both = [story.call(0, 0), story.call(0, 0)];
     assert!(both.iter().all(|&h| story.went(h) == [0]), "its line was not narrowed");
 }
@@ -328,7 +351,7 @@
 fn a_fall_of_the_reported_rate_is_shared_by_chance_and_soon_forgotten() {
     let mut story = Story::with(2);
     let say = |story: &mut Story, rate| {
-        story.proxy.reported(Server(0), Report { free: None, rate: Some(rate) });
+        story.proxy.reported(Server(0), Report { rate: Some(rate), ..Report::default() });
     };
     say(&mut story, 100.0);
     (0..20).for_each(|_| story.answer(0, 20.0));
