Probe cold central servers for their rate and pace them by each proxy's part of it

Change: where rates are told, a cold server is probed about once in a quarter of its warming time; once its rate is known a proxy enters within its part of it and sends that part, half as much again while it answers quickly. Where none is told the old guard stands.

--- a/simhost/src/terms.rs
+++ b/simhost/src/terms.rs
@@ -96,6 +96,7 @@
             None
         },
         may_cancel: pairs.value("bounds.cancel")?,
+        may_probe: pairs.value("bounds.may_probe")?,
         release: pairs.millis("domain.clear_wait")?,
         repeat: pairs.millis("domain.repeat")?,
         cold: pairs.millis("rules.cold")?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,6 +36,8 @@
 const SLACK_OF_ONE: f64 = 16.0;
 const STEEPEST_GROWTH: f64 = 2.0;
 const DEEPEST_CUT: f64 = 0.5;
+/// A cold central server is probed about once in such a part of the time that it takes to be warm.
+const PROBE_SPAN: f64 = 0.25;
 /// A proxy with shots out or conversations held wants a turn each such part of a standing delay.
 const BEAT: f64 = 0.25;
 /// Two callers' patience is the same within this share of the time limit.
@@ -50,6 +52,8 @@
 const JAMMED: f64 = 2.0;
 /// An answer of a cold central server is quick under this share of the work that would push it over.
 const COLD_QUICK: f64 = 0.25;
+/// How much more than its part of the told rate a proxy sends to a cold one that is quick.
+const COLD_MORE: f64 = 1.5;
 /// Set-ups that any central server is taken to do in the span of a fall, however cold.
 const COLD_SETUPS: f64 = 2.0;
 /// How fast an allowance grows: shots for each window's worth of good answers.
@@ -126,8 +130,9 @@
     state: State,
     pool: u16,
     started: f64,
-    /// No shot before this while it is cold.
+    /// No shot, and no probe, before this while it is cold.
     entry: f64,
+    probe_at: f64,
     samples: VecDeque<(f64, f64)>,
     histogram: Histogram,
     /// When set-ups were sent, over the window.
@@ -193,6 +198,7 @@
             pool: line.pool,
             started: line.started.unwrap_or(f64::NEG_INFINITY),
             entry,
+            probe_at: f64::NEG_INFINITY,
             samples: VecDeque::new(),
             histogram: Histogram::default(),
             sent: VecDeque::new(),
@@ -419,6 +425,10 @@
             central.lines = lines;
         }
         if let Some(rate) = report.rate {
+            if central.told_rate == f64::NEG_INFINITY {
+                let gap = f64::from(self.terms.proxies) * 1000.0 / rate.max(1.0);
+                central.entry = central.entry.min(now + self.rng.random::<f64>() * gap);
+            }
             (central.rate, central.told_rate) = (rate, now);
             central.best_rate = central.best_rate.max(rate);
         }
@@ -499,7 +509,12 @@
             return false;
         }
         let quick = COLD_QUICK * (self.terms.fall_multiple - 1.0) * self.terms.fall_span;
-        if central.out.is_empty() && !central.samples.is_empty() && central.latest <= quick {
+        let quick = central.out.is_empty() && !central.samples.is_empty() && central.latest <= quick;
+        if central.told_rate > f64::NEG_INFINITY {
+            let part = central.rate / f64::from(self.terms.proxies) * if quick { COLD_MORE } else { 1.0 };
+            return self.now < central.sent.back().map_or(central.entry, |&at| at + 1000.0 / part);
+        }
+        if quick {
             return false;
         }
         let last = central.sent.back().map_or(f64::NEG_INFINITY, |&at| at + self.cold_gap());
@@ -663,6 +678,7 @@
             central.forget_before(then);
         }
         self.call_off(host);
+        self.probe(host);
         let (now, limit) = (self.now, self.longest_limit);
         self.numbers.retain(|_, n| now - n.seen.max(n.not_before) < limit);
         let order = |c: &Conversation| (-c.worth, c.taken);
@@ -698,6 +714,26 @@
         }
     }
 
+    /// Departure: a cold central server is probed now and then, where others have told their rate.
+    fn probe(&mut self, host: &mut impl Host) {
+        let known = |c: &Central| c.told_rate > f64::NEG_INFINITY;
+        if !self.terms.may_probe || !self.centrals.iter().flatten().any(known) {
+            return;
+        }
+        let (now, cold) = (self.now, self.terms.cold);
+        for (i, central) in self.centrals.iter_mut().enumerate() {
+            let Some(central) = central else { continue };
+            if central.state == State::Running && now - central.started < cold && now >= central.probe_at {
+                let first = central.probe_at == f64::NEG_INFINITY;
+                let wait = self.rng.random::<f64>() + if first { 0.0 } else { 0.5 };
+                central.probe_at = now + cold * PROBE_SPAN * wait;
+                if !first {
+                    host.probe(Server(i as u32));
+                }
+            }
+        }
+    }
+
     /// Departure: a number whose lines were all busy gets no shot until its gap is over, since each would
     /// cost every central server work for nothing.
     fn gapped(&self, number: u64) -> bool {
--- a/src/host.rs
+++ b/src/host.rs
@@ -20,6 +20,7 @@
     /// The longest wait that a refused caller can be told, where advice is allowed at all.
     pub longest_advice: Option<f64>,
     pub may_cancel: bool,
+    pub may_probe: bool,
     /// After a time-out, reset or cancel the conversation rests for this long.
     pub release: f64,
     /// A set-up that waits at a processor is sent again after this; 0 for never.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -13,6 +13,7 @@
     pub cancelled: Vec<(Handle, u16)>,
     pub wakes: Vec<f64>,
     pub notes: Vec<String>,
+    pub probes: Vec<u32>,
 }
 
 impl Host for Fake {
@@ -31,7 +32,9 @@
     fn wake(&mut self, at: f64) {
         self.wakes.push(at);
     }
-    fn probe(&mut self, _: Server) {}
+    fn probe(&mut self, server: Server) {
+        self.probes.push(server.0);
+    }
     fn tell(&mut self, _: &[u8]) {}
     fn note(&mut self, line: &str) {
         self.notes.push(line.to_owned());
@@ -65,6 +68,7 @@
         max_shots: 4,
         longest_advice: Some(2000.0),
         may_cancel: true,
+        may_probe: true,
         release: 300.0,
         repeat: 500.0,
         cold: 14_000.0,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -229,6 +229,32 @@
     assert!(answered.is_some(), "but it is entered");
 }
 
+#[test]
+fn a_cold_central_server_is_probed_and_paced_by_its_told_rate() {
+    let mut story = Story::with(2);
+    let say = |story: &mut Story, server, rate| {
+        story.proxy.reported(Server(server), Report { rate: Some(rate), ..Report::default() });
+    };
+    say(&mut story, 0, 100.0);
+    story.pass(20_000.0);
+    story.list(&[line(1, State::Running, Some(19_900.0))]);
+    for _ in 0..40 {
+        story.call(1, 0);
+        story.pass(100.0);
+    }
+    let probes = &story.host.probes;
+    assert!(!probes.is_empty() && probes.iter().all(|&s| s == 1), "the warm one is not asked: {probes:?}");
+    say(&mut story, 1, 10.0);
+    let before = story.shots_at(1);
+    for _ in 0..100 {
+        story.call(1, 1);
+        story.pass(50.0);
+    }
+    // Five proxies: two a second for each, and half as much again while it is quick.
+    let sent = story.shots_at(1) - before;
+    assert!((1..=16).contains(&sent), "{sent} in 5 s");
+}
+
 #[test]
 fn what_cannot_stand_in_time_is_refused_with_advice() {
     let mut story = Story::with(1);
