--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -238,17 +238,17 @@
     say(&mut story, 0, 100.0);
     story.pass(20_000.0);
     story.list(&[line(1, State::Running, Some(19_900.0))]);
-    for _ in 0..40 {
-        story.call(1, 0);
-        story.pass(100.0);
+    for _ in 0..50 {
+        story.answer(0, 20.0);
+        story.pass(80.0);
     }
     let probes = &story.host.probes;
     assert!(!probes.is_empty() && probes.iter().all(|&s| s == 1), "the warm one is not asked: {probes:?}");
     say(&mut story, 1, 10.0);
     let before = story.shots_at(1);
     for _ in 0..100 {
-        story.call(1, 1);
-        story.pass(50.0);
+        story.answer(1, 20.0);
+        story.pass(30.0);
     }
     // Five proxies: two a second for each, and half as much again while it is quick.
     let sent = story.shots_at(1) - before;
