--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,7 +38,7 @@
 const DEEPEST_CUT: f64 = 0.5;
 /// A cold central server is probed about once in such a part of the time that it takes to be warm.
 const PROBE_SPAN: f64 = 0.25;
-/// A proxy with shots out or conversations held wants a turn each such part of a standing delay.
+/// A proxy with conversations held or shots out wants a turn in each such part of a standing delay.
 const BEAT: f64 = 0.25;
 /// Two callers' patience is the same within this share of the time limit.
 const SAME_PATIENCE: f64 = 0.002;
@@ -182,8 +182,6 @@
     conversations: Slab<Conversation>,
     held: Vec<Handle>,
     wake_at: f64,
-    /// Until when this proxy surely had its turns: before `now` where it has just stood still.
-    awake: f64,
     /// How long a caller waits for a try, as a share of the time limit: what most ask for, and how firmly.
     patience: (f64, u32),
     numbers: HashMap<u64, Number>,
@@ -242,15 +240,6 @@
     fn waiting(&self) -> impl Iterator<Item = &Out> {
         self.out.iter().filter(|shot| !shot.overtaken)
     }
-
-    /// Departure: the histogram with each shot that is out for longer than answers usually take counted
-    /// at its age, since it will take at least that long.
-    fn censored(&self, now: f64, limit: f64) -> Histogram {
-        let mut histogram = self.histogram.clone();
-        let ages = self.waiting().map(|shot| now - shot.at);
-        ages.filter(|&age| age > self.delay).for_each(|age| histogram.count(age / limit));
-        histogram
-    }
 }
 
 /// How often each ratio of set-up delay to time limit was met.
@@ -348,7 +337,6 @@
             conversations: Slab::new(),
             held: Vec::new(),
             wake_at: f64::INFINITY,
-            awake: now,
             patience: (0.0, 0),
             numbers: HashMap::new(),
         }
@@ -358,9 +346,7 @@
     pub fn at(&mut self, now: f64) {
         if now > self.now {
             // The host's clock may round a time to just below the one asked for.
-            let late = now - self.wake_at;
-            self.awake = if late > BEAT * self.standing { self.wake_at.max(self.now) } else { now };
-            if late >= -1.0 {
+            if now + 1.0 >= self.wake_at {
                 self.wake_at = f64::INFINITY;
             }
             self.now = now;
@@ -528,12 +514,11 @@
     /// The design's test: would the set-up's delay, with this call's own share added, stay inside the
     /// quoted time at all but the grade's violation probability?
     fn passes_quantile(&self, central: &Central, grade: &Grade) -> bool {
-        let histogram = central.censored(self.now, grade.limit);
-        if histogram.samples() < FLOOR {
+        if central.histogram.samples() < FLOOR {
             return true;
         }
         let alpha = 1.0 / (1.0 + central.sent.len() as f64);
-        quantile_after(&histogram, grade.violation, alpha) * grade.limit <= grade.quoted
+        quantile_after(&central.histogram, grade.violation, alpha) * grade.limit <= grade.quoted
     }
 
     /// Departure: the line to a central server takes only as many shots as it answers well within the
@@ -782,7 +767,7 @@
     /// Moves a standing in the draw: down at once with the mean ratio, up again over a window.
     fn weigh(&mut self, index: usize) -> f64 {
         let Some(central) = &mut self.centrals[index] else { return 0.0 };
-        let deserved = 1.0 / central.censored(self.now, self.longest_limit).mean();
+        let deserved = 1.0 / central.histogram.mean();
         let step = ((self.now - central.weighed) / self.window).min(1.0);
         central.weight = deserved.min(central.weight + step * deserved);
         central.weighed = self.now;
@@ -792,7 +777,7 @@
     /// Takes a shot off its line and counts its delay; an answer moves the line's allowance.
     /// `least` is what its ratio counts for at the least.
     fn answered(&mut self, index: usize, handle: Handle, delay: Option<f64>, limit: f64, least: f64) {
-        let (now, awake, standing) = (self.now, self.awake, self.standing);
+        let (now, standing) = (self.now, self.standing);
         let part = 1.0 / f64::from(self.terms.proxies);
         let window = self.window;
         let Some(central) = &mut self.centrals[index] else { return };
@@ -802,13 +787,7 @@
         if overtaken {
             return;
         }
-        // Departure: where this proxy itself stood still, an answer that it finds then counts only for what
-        // had surely passed before; that says nothing unless it is late by then.
-        let sure = awake - sent;
-        if awake < now && delay.is_some() && least < 1.0 && sure <= standing {
-            return;
-        }
-        let took = delay.map_or(f64::INFINITY, |delay| delay.min(sure));
+        let took = delay.unwrap_or(f64::INFINITY);
         central.sample(now, (took / limit).clamp(least, 1.0));
         central.latest = took;
         if took > standing {
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -133,6 +133,11 @@
         self.take(&Call { grade: 0, tenant: None, first: 0, number, remaining: 3000.0, redial: false })
     }
 
+    /// A call that its caller gives up after `remaining`.
+    pub fn call_left(&mut self, remaining: f64) -> Handle {
+        self.take(&Call { grade: 0, tenant: None, first: 0, number: None, remaining, redial: false })
+    }
+
     fn take(&mut self, call: &Call) -> Handle {
         let handle = self.proxy.take(call);
         self.began.insert(handle, self.host.shots.len());
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -360,6 +360,17 @@
     assert!((1..=15).contains(&story.shots_at(1)), "{} of 100", story.shots_at(1));
 }
 
+#[test]
+fn a_call_that_waited_through_a_stall_of_the_proxy_is_known_by_what_is_left_of_its_patience() {
+    let mut story = Story::with(1);
+    (0..10).for_each(|_| story.answer(0, 50.0));
+    story.list(&[line(0, State::Gone, None)]);
+    story.call_left(3000.0);
+    assert!(story.host.refused.is_empty(), "a new one is held");
+    story.call_left(900.0);
+    assert_eq!(story.host.refused.len(), 1, "one that has waited for 2.1 s can no longer stand in time");
+}
+
 #[test]
 fn a_nack_for_want_of_lines_fails_the_server_until_lines_are_told() {
     let mut story = Story::with(2);
