Probe lines that rest for long and let a told rate near the best end the rest

Change: a rate near the best, told when the line has rested for over a window, ends the rest; resting servers that tell rates are probed about once in two windows. Also opens a line after a hang or a stale burst of nacks. Hurts if a rate is told too high for longer than a window.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,8 +36,10 @@
 const SLACK_OF_ONE: f64 = 16.0;
 const STEEPEST_GROWTH: f64 = 2.0;
 const DEEPEST_CUT: f64 = 0.5;
-/// A cold central server is probed about once in such a part of the time that it takes to be warm.
+/// A cold central server is probed about once in such a part of the time that it takes to be warm, one whose
+/// line rests for long about once in so many windows.
 const PROBE_SPAN: f64 = 0.25;
+const PROBE_RESTING: f64 = 2.0;
 /// A proxy with conversations held or shots out wants a turn in each such part of a standing delay.
 const BEAT: f64 = 0.25;
 /// Two callers' patience is the same within this share of the time limit.
@@ -417,6 +419,10 @@
             }
             (central.rate, central.told_rate) = (rate, now);
             central.best_rate = central.best_rate.max(rate);
+            // What one proxy's line rests after can be long over: the server itself knows.
+            if RATE_SLACK * rate >= central.best_rate && now - central.rests > self.window {
+                central.rest = 0.0;
+            }
         }
     }
 
@@ -699,19 +705,28 @@
         }
     }
 
-    /// Departure: a cold central server is probed now and then, where others have told their rate.
+    /// Departure: where rates are told, a cold central server is probed now and then, and one whose line has
+    /// rested for over a window, since hundreds of proxies with few shots each would leave it idle for long
+    /// after a jam. Costs the probes' work; a rate told too high ends rests too soon.
     fn probe(&mut self, host: &mut impl Host) {
         let known = |c: &Central| c.told_rate > f64::NEG_INFINITY;
         if !self.terms.may_probe || !self.centrals.iter().flatten().any(known) {
             return;
         }
-        let (now, cold) = (self.now, self.terms.cold);
+        let (now, window, cold) = (self.now, self.window, self.terms.cold);
         for (i, central) in self.centrals.iter_mut().enumerate() {
             let Some(central) = central else { continue };
-            if central.state == State::Running && now - central.started < cold && now >= central.probe_at {
+            let span = if now - central.started < cold {
+                cold * PROBE_SPAN
+            } else if now - central.rests > window && now - central.rests < central.rest {
+                PROBE_RESTING * window
+            } else {
+                continue;
+            };
+            if central.state == State::Running && now >= central.probe_at {
+                // The first wait is drawn from the start on, so that the proxies do not all ask at once.
                 let first = central.probe_at == f64::NEG_INFINITY;
-                let wait = self.rng.random::<f64>() + if first { 0.0 } else { 0.5 };
-                central.probe_at = now + cold * PROBE_SPAN * wait;
+                central.probe_at = now + span * (self.rng.random::<f64>() + if first { 0.0 } else { 0.5 });
                 if !first {
                     host.probe(Server(i as u32));
                 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -255,6 +255,28 @@
     assert!((1..=16).contains(&sent), "{sent} in 5 s");
 }
 
+#[test]
+fn a_line_that_rests_for_long_is_probed_and_opened_by_a_told_rate_near_the_best() {
+    let mut story = Story::among(2, Terms { proxies: 250, ..terms() });
+    let say = |story: &mut Story, rate| {
+        story.proxy.reported(Server(0), Report { rate: Some(rate), ..Report::default() });
+    };
+    say(&mut story, 100.0);
+    story.answer(0, 1500.0);
+    say(&mut story, 100.0);
+    story.answer(0, 20.0);
+    assert_eq!(story.shots_at(0), 1, "such word may be older than the jam");
+    for _ in 0..250 {
+        story.answer(1, 20.0);
+        story.pass(80.0);
+    }
+    assert!(story.host.probes.contains(&0));
+    assert_eq!(story.shots_at(0), 1, "still at rest");
+    say(&mut story, 100.0);
+    story.answer(0, 20.0);
+    assert_eq!(story.shots_at(0), 2);
+}
+
 #[test]
 fn what_cannot_stand_in_time_is_refused_with_advice() {
     let mut story = Story::with(1);
