Bound the rest of a worthless call, and smooth words of lines like delays

On rereading: a call worth nothing would have rested for ever; a grade that lasts no time is malformed.

--- a/simhost/src/terms.rs
+++ b/simhost/src/terms.rs
@@ -114,7 +114,7 @@
         "once" | "by_key" => false,
         other => bail!("launch: setting {effect} has no use for {other:?}"),
     };
-    let hold = holds.get(i).copied().filter(|hold| hold.is_finite() && *hold >= 0.0);
+    let hold = holds.get(i).copied().filter(|hold| hold.is_finite() && *hold > 0.0);
     Ok(GradeTerms {
         quoted: pairs.millis(&key("objective"))?,
         limit: pairs.millis(&key("deadline"))?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -42,6 +42,8 @@
 const PROBE_RESTING: f64 = 2.0;
 /// A proxy with conversations held or shots out wants a turn in each such part of a standing delay.
 const BEAT: f64 = 0.25;
+/// A call is taken to be worth at least this share of mean earnings when its line rests.
+const LEAST_WORTH: f64 = 0.01;
 /// Two callers' patience is the same within this share of the time limit.
 const SAME_PATIENCE: f64 = 0.002;
 /// Spreads one draw evenly over the central servers.
@@ -245,7 +247,6 @@
 }
 
 /// How often each ratio of set-up delay to time limit was met.
-#[derive(Clone)]
 pub struct Histogram {
     bins: [u32; BINS],
     samples: usize,
@@ -406,7 +407,7 @@
         let central = self.centrals.get_mut(server.0 as usize).and_then(Option::as_mut);
         let Some(central) = central else { return };
         if let Some(free) = report.free {
-            central.word_gap += 0.2 * (now - central.told_free - central.word_gap);
+            central.word_gap += 0.25 * (now - central.told_free - central.word_gap);
             (central.free, central.told_free) = (free, now);
         }
         if let Some(lines) = report.lines {
@@ -537,7 +538,7 @@
         let allowance = central.allowance * (JAMMED * self.standing / oldest).min(1.0);
         let out = central.waiting().count();
         if allowance < 1.0 {
-            let mut by_worth = (self.mean_earnings / worth).powi(2);
+            let mut by_worth = (self.mean_earnings / worth.max(LEAST_WORTH * self.mean_earnings)).powi(2);
             if central.latest > self.standing {
                 by_worth = by_worth.max(1.0);
             }
