--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,6 +22,8 @@
 const VIOLATION: f64 = 0.05;
 /// With fewer samples than this a central server passes the quantile test.
 const FLOOR: usize = 20;
+/// With fewer than this it has too little of its own to go by.
+const SCARCE: usize = FLOOR / 4;
 /// Delay that a line may have, as a share of the span after which a waiting set-up is sent again.
 const STANDING: f64 = 0.8;
 /// The same where set-ups are not sent again: a share of the shortest quoted time.
@@ -554,12 +556,14 @@
         central.out.is_empty() && central.latest <= self.standing
     }
 
-    /// Departure: where a central server says how many set-ups it can take, a fall of that rate is shared
-    /// by all that shoot at it, by chance: each proxy lets through that part of what it would send. Guards
-    /// against a sudden loss of speed, which one proxy's own answers show only after seconds; holds for any
-    /// cause that the server itself notices. Hurts where the rate is told too low: hence its short trust.
+    /// Departure: where own answers are scarce and a central server says how many set-ups it can take, a
+    /// fall of that rate is shared by all that shoot at it, by chance: each proxy lets through that part of
+    /// what it would send. Guards against a sudden loss of speed, which one proxy's own answers show only
+    /// after seconds; holds for any cause that the server itself notices. Hurts where the rate is told too
+    /// low: hence its short trust.
     fn admitted(&self, central: &Central) -> f64 {
-        if self.now - central.told_rate < RATE_TRUST * self.window {
+        let fresh = self.now - central.told_rate < RATE_TRUST * self.window;
+        if fresh && central.histogram.samples() < SCARCE {
             RATE_SLACK * central.rate / central.best_rate
         } else {
             1.0
