--- a/simhost/tests/wire.rs
+++ b/simhost/tests/wire.rs
@@ -124,6 +124,9 @@
 #[case::no_instance_named(frame(&[launch(SETUP)]), "launch")]
 #[case::an_unknown_grade(frame(&[&start()[..], &[job_in(1, 9)]].concat()), "job_in: field category")]
 #[case::a_missing_setting(frame(&[switch_to(3), without("domain.repeat")]), "domain.repeat")]
+#[case::no_length_for_a_grade(
+    frame(&[switch_to(3), launch(&SETUP.replace("mean_hold=8.1", "mean_hold="))]), "domain.mean_hold"
+)]
 #[case::a_senseless_setting(frame(&[switch_to(3), launch("balancers=many\n")]), "launch: setting")]
 fn what_does_not_fit_ends_with_one_plain_line(#[case] input: Vec<u8>, #[case] named: &str) {
     let output = play(&input);
