Reread: one name for a told rate, comments that match, a factor of one dropped

The entry time of a cold server has nothing to do with probes, as its comment said; the cold guard's comment now tells of the told rate.

--- a/simhost/tests/wire.rs
+++ b/simhost/tests/wire.rs
@@ -22,7 +22,8 @@
 const SETUP: &str = "balancers=2\nrank=0\nbounds.max_attempts=4\nbounds.retry_after=false\n\
     bounds.cancel=true\n\
     bounds.may_probe=true\nbounds.peers=true\ndomain.clear_wait=0.3\ndomain.repeat=0.5\n\
-    domain.network_form=skills\ndomain.pools_by_class.0=0\ndomain.mean_hold=8.1\nprofiles.count=1\nprofiles.0.objective=2.0\n\
+    domain.network_form=skills\ndomain.pools_by_class.0=0\ndomain.mean_hold=8.1\n\
+    profiles.count=1\nprofiles.0.objective=2.0\n\
     profiles.0.deadline=9.0\nprofiles.0.worth=1.0\nprofiles.0.late_worth=0.1\n\
     profiles.0.effect=repeatable\nfeedback.names=idle,circuits,pending,max_rate\nrules.cold=14.0\n\
     rules.drain_grace=0.5\nrules.cold_from=0.28\nrules.overload_factor=2.5\nrules.fall=1.0\nnew.key=x\n";
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -52,8 +52,6 @@
 const GOLDEN: f64 = 0.618_033_988_749_894_9;
 /// Let through in full while the reported rate is above the best one over this.
 const RATE_SLACK: f64 = 1.25;
-/// How long a reported rate is trusted, in windows.
-const RATE_TRUST: f64 = 1.0;
 /// Age in standing delays past which a shot still out shrinks its line.
 const JAMMED: f64 = 2.0;
 /// An answer of a cold central server is quick under this share of the work that would push it over.
@@ -136,8 +134,9 @@
     state: State,
     pool: u16,
     started: f64,
-    /// No shot, and no probe, before this while it is cold.
+    /// No shot before this while it is cold.
     entry: f64,
+    /// No probe before this; not set until one is first thought of.
     probe_at: f64,
     samples: VecDeque<(f64, f64)>,
     histogram: Histogram,
@@ -242,6 +241,11 @@
         self.histogram.count(ratio);
     }
 
+    /// Whether it has ever said how many set-ups it can take.
+    fn tells_rate(&self) -> bool {
+        self.told_rate > f64::NEG_INFINITY
+    }
+
     /// The shots that stand in line there.
     fn waiting(&self) -> impl Iterator<Item = &Out> {
         self.out.iter().filter(|shot| !shot.overtaken)
@@ -416,7 +420,7 @@
             central.lines = lines;
         }
         if let Some(rate) = report.rate {
-            if central.told_rate == f64::NEG_INFINITY {
+            if !central.tells_rate() {
                 let gap = f64::from(self.terms.proxies) * 1000.0 / rate.max(1.0);
                 central.entry = central.entry.min(now + self.rng.random::<f64>() * gap);
             }
@@ -496,8 +500,9 @@
         inside + (1.0 - inside) * self.terms.over_share
     }
 
-    /// Guards a central server that has just started, by this proxy alone: it gets this proxy's part of
-    /// what one doing `COLD_SETUPS` a span could bear, entered at a time drawn by chance, and beyond that
+    /// Guards a central server that has just started, by this proxy alone. Where it tells its rate it gets
+    /// this proxy's part of that, and somewhat more while it answers quickly. Else it gets this proxy's part
+    /// of what one doing `COLD_SETUPS` a span could bear, entered at a time drawn by chance, and beyond that
     /// single shots while it answers quickly. What others carry tells nothing: their speeds differ widely.
     fn too_cold(&self, central: &Central) -> bool {
         if self.now - central.started >= self.terms.cold {
@@ -505,7 +510,7 @@
         }
         let quick = COLD_QUICK * (self.terms.fall_multiple - 1.0) * self.terms.fall_span;
         let quick = central.out.is_empty() && !central.samples.is_empty() && central.latest <= quick;
-        if central.told_rate > f64::NEG_INFINITY {
+        if central.tells_rate() {
             let part = central.rate / f64::from(self.terms.proxies) * if quick { COLD_MORE } else { 1.0 };
             return self.now < central.sent.back().map_or(central.entry, |&at| at + 1000.0 / part);
         }
@@ -562,7 +567,7 @@
     /// after seconds; holds for any cause that the server itself notices. Hurts where the rate is told too
     /// low: hence its short trust.
     fn admitted(&self, central: &Central) -> f64 {
-        let fresh = self.now - central.told_rate < RATE_TRUST * self.window;
+        let fresh = self.now - central.told_rate < self.window;
         if fresh && central.histogram.samples() < SCARCE {
             RATE_SLACK * central.rate / central.best_rate
         } else {
@@ -714,8 +719,7 @@
     /// rested for over a window, since hundreds of proxies with few shots each would leave it idle for long
     /// after a jam. Costs the probes' work; a rate told too high ends rests too soon.
     fn probe(&mut self, host: &mut impl Host) {
-        let known = |c: &Central| c.told_rate > f64::NEG_INFINITY;
-        if !self.terms.may_probe || !self.centrals.iter().flatten().any(known) {
+        if !self.terms.may_probe || !self.centrals.iter().flatten().any(Central::tells_rate) {
             return;
         }
         let (now, window, cold) = (self.now, self.window, self.terms.cold);
