Handle stands in host.rs; the module shows operators what it makes of a server

Need: host.rs and choice.rs named each other in a circle, and a running proxy must show its servers as the module sees them.

Change: Handle's type moved to host.rs; Proxy::view gives a read-only View. No decision touched.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,7 +12,7 @@
 use rand_pcg::Pcg64Mcg;
 use slab::Slab;
 
-use crate::host::{Call, Ending, GradeTerms, Host, Listed, Report, Server, State, Terms};
+use crate::host::{Call, Ending, GradeTerms, Handle, Host, Listed, Report, Server, State, Terms, View};
 
 /// Bins of a central server's histogram of set-up delay / time limit.
 const BINS: usize = 50;
@@ -63,10 +63,6 @@
 /// How fast an allowance grows: shots for each window's worth of good answers.
 const GROWTH: f64 = 0.25;
 
-/// A conversation that this proxy has taken.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct Handle(pub u32);
-
 /// What the module reads of a service grade.
 struct Grade {
     quoted: f64,
@@ -433,6 +429,22 @@
         }
     }
 
+    /// What this proxy makes of a central server, for operators to look at.
+    pub fn view(&self, server: Server) -> Option<View> {
+        let central = self.centrals.get(server.0 as usize)?.as_ref()?;
+        Some(View {
+            state: central.state,
+            cold: self.now - central.started < self.terms.cold,
+            out: central.waiting().count(),
+            allowance: central.allowance,
+            resting: self.now - central.rests < central.rest,
+            samples: central.histogram.samples(),
+            mean_ratio: central.histogram.mean(),
+            delay: central.delay,
+            rate: central.tells_rate().then_some(central.rate),
+        })
+    }
+
     /// Whether the handle is still of use.
     pub fn holds(&self, handle: Handle) -> bool {
         self.conversations.contains(handle.key())
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,7 +1,9 @@
 //! The interface between the decisions and the program around them: plain types and [`Host`].
 //! Times are milliseconds on the host's clock, which only goes forward.
 
-use crate::choice::Handle;
+/// A conversation that this proxy has taken. What can be done with it is in `choice.rs`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Handle(pub u32);
 
 /// A central server: a small index that the host gives out and keeps for as long as the proxy lives.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -111,6 +113,25 @@
     Moot,
 }
 
+/// What a proxy makes of a central server at present.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct View {
+    pub state: State,
+    pub cold: bool,
+    /// Shots out and still waited for, and how many may be; under one, the share of the time that one may.
+    pub out: usize,
+    pub allowance: f64,
+    /// No shot but of high earnings for now.
+    pub resting: bool,
+    /// Samples of set-up delay over time limit in the window, and their mean.
+    pub samples: usize,
+    pub mean_ratio: f64,
+    /// Its answers' delay of late.
+    pub delay: f64,
+    /// Set-ups a second that it last said it can take.
+    pub rate: Option<f64>,
+}
+
 /// What the decisions ask of the program around them.
 pub trait Host {
     /// Send the conversation's set-up, to be given up after `time_out`.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod choice;
 pub mod host;
 
-pub use choice::{Handle, Proxy};
+pub use choice::Proxy;
+pub use host::Handle;
