Media keeps its distances over a relay, mini frames and clock wrap included

Need: a border proxy passes media between two legs with clocks of their own. Change: media carries the sender's time; each leg moves it to its own clock. Result: a test across the 16-bit wrap.

--- a/iax2/src/endpoint.rs
+++ b/iax2/src/endpoint.rs
@@ -59,11 +59,12 @@
 
 /// What a leg carries beside its signalling.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Media {
-    /// A mini frame's media, with the low 16 bits of its time.
-    Mini { timestamp: u16, body: Bytes },
-    /// A full frame of voice, text, DTMF or another kind that is passed on in order.
-    Full { kind: u8, subclass: u32, body: Bytes },
+pub struct Media {
+    /// Milliseconds on the sending peer's clock of the call.
+    pub timestamp: u32,
+    /// Frame type and subclass of a full frame, passed on in order; `None` for a mini frame.
+    pub full: Option<(u8, u32)>,
+    pub body: Bytes,
 }
 
 /// How a leg came to its end.
@@ -152,6 +153,10 @@
     phase: Phase,
     began: f64,
     stamped: u32,
+    /// The latest time of the peer's clock of the call.
+    heard_at: u32,
+    /// What media times are moved by, from the peer's clock to this leg's.
+    media_base: Option<u32>,
     oseq: u8,
     iseq: u8,
     unacknowledged: VecDeque<Unacknowledged>,
@@ -293,18 +298,20 @@
         self.over(leg, now);
     }
 
-    /// Passes media on.
+    /// Passes media on. Its times keep their distances on the leg's own clock (RFC 5456, 8.1.2).
     pub fn media(&mut self, now: f64, leg: Leg, media: &Media) {
         if !matches!(self.phase(leg), Some(Phase::Linked | Phase::Up)) {
             return;
         }
-        match media {
-            Media::Full { kind, subclass, body } => self.send(leg, now, *kind, *subclass, body.clone()),
-            Media::Mini { timestamp, body } => {
-                let state = &self.legs[leg];
-                let mini = Mini { source: state.ours, timestamp: *timestamp, body: body.clone() };
-                self.datagrams.push_back(Datagram { peer: state.peer, bytes: mini.write().freeze() });
-            }
+        let state = &mut self.legs[leg];
+        let elapsed = (now - state.began).max(0.0) as u32;
+        let base = *state.media_base.get_or_insert(elapsed.wrapping_sub(media.timestamp));
+        let timestamp = media.timestamp.wrapping_add(base);
+        if let Some((kind, subclass)) = media.full {
+            self.send_at(leg, now, timestamp, kind, subclass, media.body.clone());
+        } else {
+            let mini = Mini { source: state.ours, timestamp: timestamp as u16, body: media.body.clone() };
+            self.datagrams.push_back(Datagram { peer: state.peer, bytes: mini.write().freeze() });
         }
     }
 
@@ -431,6 +438,8 @@
             phase,
             began: now,
             stamped: 0,
+            heard_at: 0,
+            media_base: None,
             oseq: 0,
             iseq: 0,
             unacknowledged: VecDeque::new(),
@@ -488,11 +497,16 @@
     }
 
     fn send(&mut self, leg: Leg, now: f64, kind: u8, subclass: u32, body: Bytes) {
-        let resend = self.limits.resend;
         let state = &mut self.legs[leg];
         // Times grow from frame to frame (RFC 5456, 8.1.1), however quickly these follow.
         let timestamp = ((now - state.began).max(0.0) as u32).max(state.stamped.wrapping_add(1));
         state.stamped = timestamp;
+        self.send_at(leg, now, timestamp, kind, subclass, body);
+    }
+
+    fn send_at(&mut self, leg: Leg, now: f64, timestamp: u32, kind: u8, subclass: u32, body: Bytes) {
+        let resend = self.limits.resend;
+        let state = &mut self.legs[leg];
         let full = Full {
             source: state.ours,
             dest: state.theirs,
@@ -544,7 +558,12 @@
         let leg = self.theirs.get(&(peer, mini.source)).copied();
         match leg.filter(|&leg| matches!(self.legs[leg].phase, Phase::Linked | Phase::Up)) {
             Some(leg) => {
-                let media = Media::Mini { timestamp: mini.timestamp, body: mini.body };
+                // The time nearest to the last whole one that has these low 16 bits.
+                let whole = self.legs[leg].heard_at;
+                let near = mini.timestamp.wrapping_sub(whole as u16) as i16;
+                let timestamp = whole.wrapping_add_signed(i32::from(near));
+                self.legs[leg].heard_at = timestamp;
+                let media = Media { timestamp, full: None, body: mini.body };
                 self.happenings.push_back((leg, Happening::Media(media)));
             }
             None => self.counts.strays += 1,
@@ -698,6 +717,7 @@
             return self.queue(leg);
         }
         state.iseq = state.iseq.wrapping_add(1);
+        state.heard_at = full.timestamp;
         self.in_order(now, leg, full);
         self.queue(leg);
     }
@@ -758,7 +778,11 @@
                 let body = Elements::new().with(element::UNKNOWN, [subclass as u8]);
                 return self.send_elements(leg, now, kind::IAX, iax::UNSUPPORT, &body);
             }
-            (kind, subclass) => Happening::Media(Media::Full { kind, subclass, body: full.body }),
+            (kind, subclass) => {
+                let media =
+                    Media { timestamp: full.timestamp, full: Some((kind, subclass)), body: full.body };
+                Happening::Media(media)
+            }
         };
         self.happenings.push_back((leg, tell));
     }
--- a/iax2/tests/legs.rs
+++ b/iax2/tests/legs.rs
@@ -212,11 +212,8 @@
     link.ends[1].accept(link.now, offer, &Elements::new());
     link.run(100.0);
     link.ends[1] = Endpoint::new(Limits::default(), 9);
-    link.ends[0].media(
-        link.now,
-        leg,
-        &iax2::Media::Full { kind: kind::TEXT, subclass: 0, body: Bytes::new() },
-    );
+    let text = iax2::Media { timestamp: 60, full: Some((kind::TEXT, 0)), body: Bytes::new() };
+    link.ends[0].media(link.now, leg, &text);
     link.run(200.0);
     assert_eq!(link.happened[0].last(), Some(&(leg, Happening::Ended(End::Unknown))));
 }
@@ -294,3 +291,28 @@
     assert!(end.legs() <= 50);
     assert!(end.counts().malformed > 0 && end.counts().strays > 0);
 }
+
+#[test]
+fn media_keeps_its_distances_when_its_clock_wraps() {
+    let mut link = Link::new(1, 0.0);
+    let leg = link.call();
+    link.run(50.0);
+    let offer = link.offers()[0];
+    link.ends[1].accept(link.now, offer, &Elements::new());
+    link.ends[1].answer(link.now, offer, &Elements::new());
+    link.run(100.0);
+    let media = |timestamp, full| iax2::Media { timestamp, full, body: Bytes::from_static(b"sound") };
+    link.ends[0].media(link.now, leg, &media(65_500, Some((kind::VOICE, 4))));
+    for timestamp in [65_520, 65_540, 65_560] {
+        link.ends[0].media(link.now, leg, &media(timestamp, None));
+    }
+    link.run(200.0);
+    let times = link.happened[1].iter().filter_map(|(_, h)| match h {
+        Happening::Media(media) => Some(media.timestamp),
+        _ => None,
+    });
+    let mut times: Vec<u32> = times.collect();
+    times.sort_unstable();
+    let gaps: Vec<u32> = times.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert_eq!(gaps, [20, 20, 20]);
+}
