The border proxy on sockets: proxy without I/O, daemon with settings and control socket

Change: package proxy (caller's leg in, module, server's leg out; causes, hints, routes, pool list with checked cache) and package daemon (binary frostthread: run, check, settings, status; a connected socket a server so that a refusal by the network names its server; feed subscription with spread, growing gaps).

--- /dev/null
+++ b/daemon/src/lib.rs
@@ -0,0 +1,10 @@
+//! The border proxy as a daemon: [`settings`] reads and checks its file, [`run`] drives it on sockets,
+//! [`control`] is the socket that operators ask.
+
+#![forbid(unsafe_code)]
+
+pub mod again;
+pub mod control;
+pub mod feed;
+pub mod run;
+pub mod settings;
--- /dev/null
+++ b/daemon/src/run.rs
@@ -0,0 +1,343 @@
+//! Drives one border proxy on sockets: datagrams, the pool list, the clock and signals in; datagrams out.
+//! Nothing is decided here.
+
+use std::collections::{HashMap, VecDeque};
+use std::fs;
+use std::io::{self, ErrorKind, Write};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use anyhow::{Context, Result};
+use border::pool::{News, PoolList};
+use border::{BorderProxy, Outbound, Side};
+use bytes::{Bytes, BytesMut};
+use rand::Rng;
+use socket2::{Domain, Protocol, Socket, Type};
+use tokio::net::{UdpSocket, UnixListener};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+
+use crate::control::{self, Ask};
+use crate::feed;
+use crate::settings::Plan;
+
+/// Bytes of the largest datagram that is read.
+const LARGEST: usize = 65_536;
+/// Arrivals that wait to be told; past that they wait in the sockets, and the kernel drops.
+const QUEUE: usize = 4096;
+/// Datagrams kept while a socket's buffer is full.
+const BACKLOG: usize = 4096;
+/// The loop looks at the clock at least this often, to know its own stalls.
+const BEAT: Duration = Duration::from_millis(50);
+/// After a stop, how long the last datagrams and their resends are given.
+const FAREWELL: Duration = Duration::from_millis(1500);
+
+enum Arrival {
+    Datagram(Side, SocketAddr, Bytes),
+    Refused(Side, SocketAddr),
+}
+
+/// The proxy's clock: milliseconds since it started.
+struct Clock(Instant);
+
+impl Clock {
+    fn now(&self) -> f64 {
+        self.0.elapsed().as_secs_f64() * 1000.0
+    }
+}
+
+fn unix() -> f64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0.0, |span| span.as_secs_f64() * 1000.0)
+}
+
+/// The sockets, and what waits for room in them.
+struct Sockets {
+    callers: Arc<UdpSocket>,
+    servers: HashMap<SocketAddr, Arc<UdpSocket>>,
+    from: SocketAddr,
+    receive_buffer: Option<usize>,
+    arrivals: mpsc::Sender<Arrival>,
+    backlog: VecDeque<Outbound>,
+    dropped: u64,
+}
+
+impl Sockets {
+    fn bind(address: SocketAddr, receive_buffer: Option<usize>) -> io::Result<UdpSocket> {
+        let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
+        if let Some(bytes) = receive_buffer {
+            socket.set_recv_buffer_size(bytes)?;
+        }
+        socket.set_nonblocking(true)?;
+        socket.bind(&address.into())?;
+        UdpSocket::from_std(socket.into())
+    }
+
+    /// A socket of its own for each server, connected, so that a refusal by the network names its server.
+    fn of_server(&mut self, peer: SocketAddr) -> io::Result<&Arc<UdpSocket>> {
+        if !self.servers.contains_key(&peer) {
+            let socket = Arc::new(Self::bind(self.from, self.receive_buffer)?);
+            socket.as_ref().connect_now(peer)?;
+            tokio::spawn(listen(socket.clone(), Side::Servers, Some(peer), self.arrivals.clone()));
+            self.servers.insert(peer, socket);
+        }
+        Ok(&self.servers[&peer])
+    }
+
+    /// Sends, or keeps for later what finds the socket's buffer full.
+    fn send(&mut self, out: Outbound) {
+        if !self.backlog.is_empty() || !self.try_send(&out) {
+            if self.backlog.len() < BACKLOG {
+                self.backlog.push_back(out);
+            } else {
+                self.dropped += 1;
+            }
+        }
+    }
+
+    /// False where there was no room.
+    fn try_send(&mut self, out: &Outbound) -> bool {
+        let sent = match out.side {
+            Side::Callers => self.callers.try_send_to(&out.bytes, out.peer),
+            Side::Servers => match self.of_server(out.peer) {
+                Ok(socket) => socket.try_send(&out.bytes),
+                Err(error) => Err(error),
+            },
+        };
+        match sent {
+            Err(error) if error.kind() == ErrorKind::WouldBlock => false,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused && out.side == Side::Servers => {
+                // Told of an earlier datagram; this one was not sent.
+                let _ = self.arrivals.try_send(Arrival::Refused(Side::Servers, out.peer));
+                true
+            }
+            Err(error) => {
+                tracing::debug!(peer = %out.peer, "datagram.unsent: {error}");
+                true
+            }
+            Ok(_) => true,
+        }
+    }
+
+    fn flush(&mut self) {
+        while let Some(out) = self.backlog.pop_front() {
+            if !self.try_send(&out) {
+                return self.backlog.push_front(out);
+            }
+        }
+    }
+}
+
+/// Connecting a datagram socket needs no waiting.
+trait ConnectNow {
+    fn connect_now(&self, peer: SocketAddr) -> io::Result<()>;
+}
+
+impl ConnectNow for UdpSocket {
+    fn connect_now(&self, peer: SocketAddr) -> io::Result<()> {
+        socket2::SockRef::from(self).connect(&peer.into())
+    }
+}
+
+/// Reads a socket for as long as anybody wants its datagrams.
+async fn listen(socket: Arc<UdpSocket>, side: Side, peer: Option<SocketAddr>, to: mpsc::Sender<Arrival>) {
+    let mut buffer = BytesMut::new();
+    loop {
+        buffer.reserve(LARGEST);
+        let arrival = match socket.recv_buf_from(&mut buffer).await {
+            Ok((_, from)) => Arrival::Datagram(side, from, buffer.split().freeze()),
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => match peer {
+                Some(peer) => Arrival::Refused(side, peer),
+                None => continue,
+            },
+            Err(error) => {
+                tracing::warn!(?side, "socket.broke: {error}");
+                tokio::time::sleep(BEAT).await;
+                continue;
+            }
+        };
+        if to.send(arrival).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Writes a file so that it is there whole or not at all.
+fn write_whole(path: &Path, text: &str) -> Result<()> {
+    let folder = path.parent().context("no folder")?;
+    let mut file = tempfile::NamedTempFile::new_in(folder)?;
+    file.write_all(text.as_bytes())?;
+    file.persist(path)?;
+    Ok(())
+}
+
+fn cached(plan: &Plan) -> Option<News> {
+    let text = fs::read_to_string(plan.pool_cache()).ok()?;
+    match PoolList::from_cache(&text) {
+        Ok(news) => Some(news),
+        Err(error) => {
+            tracing::warn!("pool.cache_dropped: {error}");
+            None
+        }
+    }
+}
+
+/// Runs the proxy until it is told to stop.
+pub async fn run(plan: Plan) -> Result<()> {
+    fs::create_dir_all(&plan.state).with_context(|| format!("state directory {}", plan.state.display()))?;
+    let seed: u64 = rand::rng().random();
+    let clock = Clock(Instant::now());
+    let mut proxy = BorderProxy::new(plan.terms.clone(), seed, clock.now());
+    if let Some(news) = cached(&plan) {
+        tracing::info!(version = news.version, servers = news.servers.len(), "pool.cached");
+        proxy.listed(clock.now(), unix(), &news)?;
+    }
+
+    let (arrivals_in, mut arrivals) = mpsc::channel(QUEUE);
+    let callers = Sockets::bind(plan.callers, plan.receive_buffer);
+    let callers = Arc::new(callers.with_context(|| format!("listen.callers {}", plan.callers))?);
+    let address = callers.local_addr()?;
+    tokio::spawn(listen(callers.clone(), Side::Callers, None, arrivals_in.clone()));
+    let mut sockets = Sockets {
+        callers,
+        servers: HashMap::new(),
+        from: plan.servers,
+        receive_buffer: plan.receive_buffer,
+        arrivals: arrivals_in,
+        backlog: VecDeque::new(),
+        dropped: 0,
+    };
+
+    let (news_in, mut news) = mpsc::channel(16);
+    let (have, have_out) = watch::channel(None);
+    tokio::spawn(feed::follow(plan.feed, seed, news_in, have_out));
+
+    let _ = fs::remove_file(&plan.control);
+    let control =
+        UnixListener::bind(&plan.control).with_context(|| format!("control {}", plan.control.display()))?;
+    let (asks_in, mut asks) = mpsc::channel(16);
+    tokio::spawn(control::serve(control, asks_in));
+
+    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let ready = serde_json::json!({ "callers": address, "pid": std::process::id() });
+    write_whole(&plan.ready_file(), &format!("{ready}\n"))?;
+    tracing::info!(name = plan.name, callers = %address, "proxy.ready");
+
+    let mut stop_at = None;
+    let mut looked = clock.now();
+    loop {
+        let due = proxy.due().min(looked + BEAT.as_secs_f64() * 1000.0);
+        let wait = Duration::from_secs_f64((due - clock.now()).max(0.0) / 1000.0);
+        let room = async {
+            match sockets.backlog.front().map(|out| (out.side, out.peer)) {
+                None => std::future::pending().await,
+                Some((Side::Callers, _)) => sockets.callers.writable().await,
+                Some((Side::Servers, peer)) => match sockets.servers.get(&peer) {
+                    Some(socket) => socket.writable().await,
+                    None => Ok(()),
+                },
+            }
+        };
+        let mut first = None;
+        let mut asked = None;
+        tokio::select! {
+            arrival = arrivals.recv() => first = arrival,
+            Some(change) = news.recv() => {
+                let now = clock.now();
+                match proxy.listed(now, unix(), &change) {
+                    Ok(()) => {
+                        tracing::info!(version = change.version, whole = change.whole, "pool.changed");
+                        let _ = have.send(proxy.pool().version());
+                        if let Err(error) = write_whole(&plan.pool_cache(), &proxy.pool().to_cache()) {
+                            tracing::warn!("pool.cache_unwritten: {error:#}");
+                        }
+                    }
+                    Err(error) => {
+                        tracing::warn!("pool.unfit: {error}");
+                        let _ = have.send(None);
+                    }
+                }
+            }
+            Some(ask) = asks.recv() => asked = Some(ask),
+            _ = terminate.recv() => asked = Some(Ask::Stop),
+            _ = interrupt.recv() => asked = Some(Ask::Stop),
+            _ = room => {}
+            () = tokio::time::sleep(wait) => {}
+        }
+        sockets.flush();
+        let now = clock.now();
+        match asked {
+            Some(Ask::Status(to)) => drop(to.send(Box::new(proxy.status()))),
+            Some(Ask::Stop) if stop_at.is_none() => {
+                tracing::info!(conversations = proxy.conversations(), "proxy.stopping");
+                proxy.stop_taking();
+                stop_at = Some(now + plan.standing);
+            }
+            _ => {}
+        }
+
+        // What is found after a stall came evenly spread over it, as far as can be known.
+        let mut batch = Vec::from_iter(first);
+        while let Ok(arrival) = arrivals.try_recv() {
+            batch.push(arrival);
+        }
+        let late = (now - looked - 2.0 * BEAT.as_secs_f64() * 1000.0).max(0.0);
+        let step = late / batch.len().max(1) as f64;
+        for (i, arrival) in batch.into_iter().enumerate() {
+            match arrival {
+                Arrival::Datagram(side, peer, bytes) => {
+                    let arrived = now - late + step * (i as f64 + 0.5);
+                    proxy.receive(now, arrived.min(now), side, peer, &bytes);
+                }
+                Arrival::Refused(side, peer) => proxy.refused(now, side, peer),
+            }
+        }
+        looked = now;
+        proxy.turn(now);
+        proxy.settle();
+        while let Some(out) = proxy.outbound() {
+            sockets.send(out);
+        }
+        while let Some(note) = proxy.note() {
+            tracing::info!("module.note: {note}");
+        }
+
+        if stop_at.is_some_and(|at| proxy.conversations() == 0 || now >= at) {
+            let left = proxy.conversations();
+            proxy.close_all(now);
+            return farewell(&mut proxy, &mut sockets, &mut arrivals, &clock, left).await;
+        }
+    }
+}
+
+/// Gives the last answers their time to be heard.
+async fn farewell(
+    proxy: &mut BorderProxy,
+    sockets: &mut Sockets,
+    arrivals: &mut mpsc::Receiver<Arrival>,
+    clock: &Clock,
+    left: usize,
+) -> Result<()> {
+    let end = Instant::now() + FAREWELL;
+    loop {
+        while let Some(out) = proxy.outbound() {
+            sockets.send(out);
+        }
+        sockets.flush();
+        tokio::select! {
+            Some(arrival) = arrivals.recv() => {
+                if let Arrival::Datagram(side, peer, bytes) = arrival {
+                    let now = clock.now();
+                    proxy.receive(now, now, side, peer, &bytes);
+                }
+            }
+            () = tokio::time::sleep(BEAT) => proxy.turn(clock.now()),
+        }
+        if Instant::now() >= end || (left == 0 && proxy.due() == f64::INFINITY) {
+            break;
+        }
+    }
+    tracing::info!(closed = left, unsent = sockets.dropped, "proxy.stopped");
+    Ok(())
+}
--- /dev/null
+++ b/proxy/src/border.rs
@@ -0,0 +1,582 @@
+//! The border proxy: a conversation is a caller's NEW; the module decides; its shots are NEWs to servers.
+//!
+//! [`BorderProxy::receive`], [`BorderProxy::listed`], [`BorderProxy::refused`] and [`BorderProxy::turn`] tell
+//! what comes; [`BorderProxy::settle`] must follow when all that came at one time is told. Then drain
+//! [`BorderProxy::outbound`] and [`BorderProxy::note`], and come back when [`BorderProxy::due`] says.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, VecDeque};
+use std::hash::Hasher;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use frostthread::Proxy;
+use frostthread::host::{Call, Ending, Handle, Host, Server, State, Terms};
+use iax2::element::{self, Elements};
+use iax2::{End, Endpoint, Happening, Leg, Limits, cause};
+use ordered_float::OrderedFloat;
+use siphasher::sip::SipHasher13;
+use slotmap::SecondaryMap;
+
+use crate::causes;
+use crate::hints::Hints;
+use crate::pool::{News, PoolList, Unfit};
+use crate::routes::Routes;
+use crate::status::{Present, ServerStatus, Status, Tally};
+
+/// Elements of a caller's NEW that its shots carry on.
+const CARRIED: [u8; 7] = [
+    element::CALLED_NUMBER,
+    element::CALLING_NUMBER,
+    element::CALLING_NAME,
+    element::CALLED_CONTEXT,
+    element::USERNAME,
+    element::CAPABILITY,
+    element::FORMAT,
+];
+
+/// Which socket a datagram is of: callers' or servers'.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Side {
+    Callers,
+    Servers,
+}
+
+/// A datagram to be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outbound {
+    pub side: Side,
+    pub peer: SocketAddr,
+    pub bytes: Bytes,
+}
+
+/// What is agreed for one border proxy.
+#[derive(Clone, Debug)]
+pub struct ProxyTerms {
+    pub terms: Terms,
+    pub routes: Routes,
+    /// How long a caller waits for a try that does not say so itself, by service grade.
+    pub patience: Vec<f64>,
+    /// An answer sets out so long before the caller gives up, to reach it in time.
+    pub answer_lead: f64,
+    pub callers: Limits,
+    pub servers: Limits,
+}
+
+struct Shot {
+    leg: Leg,
+    server: Server,
+}
+
+struct Conversation {
+    caller: Leg,
+    shot: Option<Shot>,
+    /// What its shots carry on from the caller.
+    carried: Elements,
+    accepted: bool,
+    ringing: bool,
+    stands: bool,
+}
+
+/// What carries out the module's wishes.
+struct Hands {
+    callers: Endpoint,
+    servers: Endpoint,
+    pool: PoolList,
+    conversations: Vec<Option<Conversation>>,
+    by_caller: SecondaryMap<Leg, Handle>,
+    by_server: SecondaryMap<Leg, Handle>,
+    time_outs: BinaryHeap<Reverse<(OrderedFloat<f64>, Leg)>>,
+    wake: f64,
+    /// Shots that ended while the module was speaking, to be told when it has finished.
+    unheard: VecDeque<(Handle, Ending)>,
+    notes: VecDeque<String>,
+    tally: Tally,
+    now: f64,
+}
+
+/// One border proxy.
+pub struct BorderProxy {
+    module: Proxy,
+    hands: Hands,
+    routes: Routes,
+    patience: Vec<f64>,
+    answer_lead: f64,
+    /// The first wait after which a caller sends its NEW again.
+    caller_resend: f64,
+    release: f64,
+    number_key: (u64, u64),
+    stopping: bool,
+}
+
+impl Hands {
+    fn conversation(&mut self, handle: Handle) -> Option<&mut Conversation> {
+        self.conversations.get_mut(handle.0 as usize)?.as_mut()
+    }
+
+    /// Takes the conversation off the books; its handle may be given out again from now on.
+    fn drop_conversation(&mut self, handle: Handle) -> Option<Conversation> {
+        let conversation = self.conversations.get_mut(handle.0 as usize)?.take()?;
+        self.by_caller.remove(conversation.caller);
+        if let Some(shot) = &conversation.shot {
+            self.by_server.remove(shot.leg);
+        }
+        Some(conversation)
+    }
+
+    /// Tells the caller its final answer, and leaves nothing out for it.
+    fn close(&mut self, handle: Handle, code: u8, come_back: Option<f64>) {
+        if let Some(conversation) = self.drop_conversation(handle) {
+            let hints = Hints { come_back: come_back.map(|ms| ms as u32), ..Hints::default() };
+            let answer = hints.add_to(Elements::new().with_cause(code));
+            self.callers.end(self.now, conversation.caller, &answer);
+            if let Some(shot) = conversation.shot {
+                self.servers.end(self.now, shot.leg, &Elements::new().with_cause(cause::NORMAL_CLEARING));
+            }
+        }
+    }
+
+    /// Calls a shot off; gives whether there was one.
+    fn hang_up_shot(&mut self, handle: Handle, code: u8) -> bool {
+        let now = self.now;
+        let Some(shot) = self.conversation(handle).and_then(|c| c.shot.take()) else { return false };
+        self.by_server.remove(shot.leg);
+        self.servers.end(now, shot.leg, &Elements::new().with_cause(code));
+        true
+    }
+}
+
+impl Host for Hands {
+    fn shoot(&mut self, handle: Handle, server: Server, time_out: f64) {
+        let (now, peer) = (self.now, self.pool.address(server));
+        let Some(conversation) = self.conversation(handle) else { return };
+        let carried = conversation.carried.clone();
+        let Some(leg) = self.servers.call(now, peer, &carried) else {
+            return self.unheard.push_back((handle, Ending::Moot));
+        };
+        self.tally.shots += 1;
+        self.by_server.insert(leg, handle);
+        self.conversation(handle).expect("just there").shot = Some(Shot { leg, server });
+        self.time_outs.push(Reverse((OrderedFloat(now + time_out), leg)));
+    }
+
+    fn refuse(&mut self, handle: Handle, come_back: Option<f64>) {
+        self.tally.refused += 1;
+        self.close(handle, causes::REFUSED, come_back);
+    }
+
+    fn fail(&mut self, handle: Handle) {
+        self.tally.failed += 1;
+        self.close(handle, causes::FAILED, None);
+    }
+
+    fn cancel(&mut self, handle: Handle, _shot: u16) {
+        if self.hang_up_shot(handle, cause::NORMAL_CLEARING) {
+            self.unheard.push_back((handle, Ending::Cancelled));
+        }
+    }
+
+    fn wake(&mut self, at: f64) {
+        self.wake = self.wake.min(at);
+    }
+
+    fn probe(&mut self, server: Server) {
+        self.tally.probes += 1;
+        let (now, peer) = (self.now, self.pool.address(server));
+        self.servers.poke(now, peer);
+    }
+
+    fn tell(&mut self, _message: &[u8]) {}
+
+    fn note(&mut self, line: &str) {
+        self.notes.push_back(line.to_owned());
+    }
+}
+
+impl BorderProxy {
+    pub fn new(terms: ProxyTerms, seed: u64, now: f64) -> Self {
+        Self {
+            routes: terms.routes,
+            patience: terms.patience,
+            answer_lead: terms.answer_lead,
+            caller_resend: terms.callers.resend,
+            release: terms.terms.release,
+            hands: Hands {
+                callers: Endpoint::new(terms.callers, seed),
+                servers: Endpoint::new(terms.servers, seed.rotate_left(32)),
+                pool: PoolList::default(),
+                conversations: Vec::new(),
+                by_caller: SecondaryMap::new(),
+                by_server: SecondaryMap::new(),
+                time_outs: BinaryHeap::new(),
+                wake: f64::INFINITY,
+                unheard: VecDeque::new(),
+                notes: VecDeque::new(),
+                tally: Tally::default(),
+                now,
+            },
+            module: Proxy::new(terms.terms, seed, now),
+            number_key: (seed, !seed),
+            stopping: false,
+        }
+    }
+
+    /// A datagram of one of the sockets. `arrived` is when it is thought to have come, before `now` where
+    /// this proxy was late to look.
+    pub fn receive(&mut self, now: f64, arrived: f64, side: Side, peer: SocketAddr, datagram: &Bytes) {
+        self.at(now);
+        match side {
+            Side::Callers => {
+                self.hands.callers.receive(now, peer, datagram);
+                self.hear_callers(now - arrived);
+            }
+            Side::Servers => {
+                self.hands.servers.receive(now, peer, datagram);
+                self.hear_servers();
+            }
+        }
+    }
+
+    /// The network told that nobody listens at the peer's address.
+    pub fn refused(&mut self, now: f64, side: Side, peer: SocketAddr) {
+        self.at(now);
+        match side {
+            Side::Callers => self.hands.callers.refused(now, peer),
+            Side::Servers => self.hands.servers.refused(now, peer),
+        }
+        self.hear_callers(0.0);
+        self.hear_servers();
+    }
+
+    /// News of the pool list; `unix` is the wall clock in milliseconds. Told wrong, the old list stands.
+    pub fn listed(&mut self, now: f64, unix: f64, news: &News) -> Result<(), Unfit> {
+        self.at(now);
+        let lines = self.hands.pool.apply(news, now, unix)?;
+        self.module.listed(&lines, news.whole, &mut self.hands);
+        Ok(())
+    }
+
+    /// The pool list as this proxy has it.
+    pub fn pool(&self) -> &PoolList {
+        &self.hands.pool
+    }
+
+    /// Does what has fallen due.
+    pub fn turn(&mut self, now: f64) {
+        self.at(now);
+        self.hands.callers.turn(now);
+        self.hands.servers.turn(now);
+        self.hear_callers(0.0);
+        self.hear_servers();
+        while let Some(Reverse((at, leg))) = self.hands.time_outs.peek().copied() {
+            if at.0 > now {
+                break;
+            }
+            self.hands.time_outs.pop();
+            let Some(&handle) = self.hands.by_server.get(leg) else { continue };
+            let stands = self.hands.conversation(handle).is_none_or(|c| c.stands);
+            if !stands && self.hands.hang_up_shot(handle, cause::RECOVERY_ON_TIMER) {
+                self.ended(handle, Ending::TimedOut);
+            }
+        }
+        if self.hands.wake <= now {
+            self.hands.wake = f64::INFINITY;
+        }
+    }
+
+    /// To be called when all that has come at one time is told.
+    pub fn settle(&mut self) {
+        loop {
+            self.module.settle(&mut self.hands);
+            // Each of these uses up a shot of its conversation, so there is an end to it.
+            let Some(first) = self.hands.unheard.pop_front() else { break };
+            for (handle, ending) in std::iter::once(first).chain(std::mem::take(&mut self.hands.unheard)) {
+                self.ended(handle, ending);
+            }
+        }
+    }
+
+    /// When [`BorderProxy::turn`] is next wanted.
+    pub fn due(&self) -> f64 {
+        let hands = &self.hands;
+        let time_out = hands.time_outs.peek().map(|Reverse((at, _))| at.0);
+        let legs = [hands.callers.due(), hands.servers.due(), time_out];
+        legs.into_iter().flatten().fold(hands.wake, f64::min)
+    }
+
+    /// The next datagram to send.
+    pub fn outbound(&mut self) -> Option<Outbound> {
+        let hands = &mut self.hands;
+        let of = |side| move |d: iax2::Datagram| Outbound { side, peer: d.peer, bytes: d.bytes };
+        hands
+            .servers
+            .datagram()
+            .map(of(Side::Servers))
+            .or_else(|| hands.callers.datagram().map(of(Side::Callers)))
+    }
+
+    /// The next line for the log.
+    pub fn note(&mut self) -> Option<String> {
+        self.hands.notes.pop_front()
+    }
+
+    /// Takes nothing new from now on; what it has goes on.
+    pub fn stop_taking(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Ends all that is left: those that stand are cut, the others fail.
+    pub fn close_all(&mut self, now: f64) {
+        self.at(now);
+        for index in 0..self.hands.conversations.len() as u32 {
+            let Some(conversation) = self.hands.conversation(Handle(index)) else { continue };
+            let stands = conversation.stands;
+            let count = if stands { &mut self.hands.tally.cut } else { &mut self.hands.tally.failed };
+            *count += 1;
+            self.hands.close(Handle(index), if stands { causes::CUT } else { causes::FAILED }, None);
+        }
+    }
+
+    /// Conversations there are.
+    pub fn conversations(&self) -> usize {
+        self.hands.conversations.iter().flatten().count()
+    }
+
+    pub fn status(&self) -> Status {
+        let mut present = Present::default();
+        for conversation in self.hands.conversations.iter().flatten() {
+            match (conversation.stands, &conversation.shot) {
+                (true, _) => present.standing += 1,
+                (false, Some(_)) => present.shot += 1,
+                (false, None) => present.held += 1,
+            }
+        }
+        let pool = &self.hands.pool;
+        let row = |server: Server| {
+            let view = self.module.view(server)?;
+            Some(ServerStatus {
+                name: pool.name(server).to_owned(),
+                address: pool.address(server).to_string(),
+                state: match view.state {
+                    State::Running => "running",
+                    State::Draining => "draining",
+                    State::Gone => "gone",
+                }
+                .to_owned(),
+                cold: view.cold,
+                out: view.out,
+                allowance: view.allowance,
+                resting: view.resting,
+                samples: view.samples,
+                mean_ratio: view.mean_ratio,
+                delay_ms: view.delay,
+                told_rate: view.rate,
+            })
+        };
+        Status {
+            list_version: pool.version(),
+            stopping: self.stopping,
+            legs: self.hands.callers.legs() + self.hands.servers.legs(),
+            present,
+            tally: self.hands.tally,
+            servers: pool.servers().filter_map(row).collect(),
+        }
+    }
+
+    /// How long a conversation rests after a time-out, reset or cancel.
+    pub fn release(&self) -> f64 {
+        self.release
+    }
+
+    fn at(&mut self, now: f64) {
+        self.hands.now = now;
+        self.module.at(now);
+    }
+
+    fn ended(&mut self, handle: Handle, ending: Ending) {
+        let tally = &mut self.hands.tally;
+        match ending {
+            Ending::Nacked | Ending::NoLine => tally.nacked += 1,
+            Ending::TimedOut => tally.timed_out += 1,
+            Ending::Reset => tally.reset += 1,
+            _ => {}
+        }
+        handle.ended(&mut self.module, ending, false, &mut self.hands);
+    }
+
+    fn hear_callers(&mut self, waited: f64) {
+        while let Some((leg, happening)) = self.hands.callers.happening() {
+            match happening {
+                Happening::Offered { elements, again, .. } => self.offered(leg, &elements, again, waited),
+                Happening::Media(media) => {
+                    let Some(&handle) = self.hands.by_caller.get(leg) else { continue };
+                    let now = self.hands.now;
+                    let shot =
+                        self.hands.conversation(handle).filter(|c| c.stands).and_then(|c| c.shot.as_ref());
+                    if let Some(to) = shot.map(|shot| shot.leg) {
+                        self.hands.servers.media(now, to, &media);
+                    }
+                }
+                Happening::Ended(_) => {
+                    if let Some(&handle) = self.hands.by_caller.get(leg) {
+                        self.caller_left(handle);
+                    }
+                }
+                Happening::Poked(poke) => self.hands.callers.pong(&poke, &Elements::new()),
+                _ => {}
+            }
+        }
+    }
+
+    fn offered(&mut self, caller: Leg, elements: &Elements, again: bool, waited: f64) {
+        let now = self.hands.now;
+        let mut turn_away = |code| self.hands.callers.end(now, caller, &Elements::new().with_cause(code));
+        let text = |kind| elements.text(kind).unwrap_or_default();
+        let (called, context) = (text(element::CALLED_NUMBER), text(element::CALLED_CONTEXT));
+        if self.stopping {
+            self.hands.tally.turned_away += 1;
+            return turn_away(causes::STOPPING);
+        }
+        let Some((grade, first)) = self.routes.find(context, called) else {
+            self.hands.tally.unrouted += 1;
+            return turn_away(causes::NO_ROUTE);
+        };
+        let hints = Hints::read(elements);
+        // An earlier copy of it was lost: the caller has waited for at least the first gap.
+        let waited = waited + if again { self.caller_resend } else { 0.0 };
+        let patience = hints.patience.map_or(self.patience[grade], f64::from);
+        let calling = text(element::CALLING_NUMBER);
+        let call = Call {
+            grade,
+            tenant: self.routes.tenant(text(element::USERNAME), context),
+            first,
+            number: (!calling.is_empty()).then(|| self.number(calling, called)),
+            remaining: patience.min(self.patience[grade]) - waited - self.answer_lead,
+            redial: hints.redial,
+        };
+        self.hands.tally.taken += 1;
+        let handle = self.module.take(&call);
+        let conversation = Conversation {
+            caller,
+            shot: None,
+            carried: elements.only(&CARRIED),
+            accepted: false,
+            ringing: false,
+            stands: false,
+        };
+        let index = handle.0 as usize;
+        if self.hands.conversations.len() <= index {
+            self.hands.conversations.resize_with(index + 1, || None);
+        }
+        self.hands.conversations[index] = Some(conversation);
+        self.hands.by_caller.insert(caller, handle);
+        handle.place(&mut self.module);
+    }
+
+    /// A caller that dials again is known by its own number and the one it calls: many call the same.
+    fn number(&self, calling: &str, called: &str) -> u64 {
+        let mut hasher = SipHasher13::new_with_keys(self.number_key.0, self.number_key.1);
+        hasher.write(calling.as_bytes());
+        hasher.write_u8(0xff);
+        hasher.write(called.as_bytes());
+        hasher.finish()
+    }
+
+    fn caller_left(&mut self, handle: Handle) {
+        let Some(conversation) = self.hands.drop_conversation(handle) else { return };
+        let now = self.hands.now;
+        if let Some(shot) = &conversation.shot {
+            self.hands.servers.end(now, shot.leg, &Elements::new().with_cause(cause::NORMAL_CLEARING));
+        }
+        if conversation.stands {
+            self.hands.tally.cleared += 1;
+        } else {
+            self.hands.tally.left += 1;
+        }
+        // The conversation is over for the module too: its shot, if any, has been called off with it.
+        let ending = if conversation.stands { Ending::Ok } else { Ending::Cancelled };
+        let out = conversation.shot.is_some();
+        if !conversation.stands {
+            handle.left(&mut self.module);
+        }
+        if out {
+            handle.ended(&mut self.module, ending, true, &mut self.hands);
+        }
+    }
+
+    fn hear_servers(&mut self) {
+        while let Some((leg, happening)) = self.hands.servers.happening() {
+            match happening {
+                Happening::Pong { peer, elements } => {
+                    self.hands.tally.pongs += 1;
+                    if let Some(server) = self.hands.pool.at(peer) {
+                        self.module.reported(server, Hints::read(&elements).report());
+                    }
+                }
+                Happening::Poked(poke) => self.hands.servers.pong(&poke, &Elements::new()),
+                // No server has anything to offer here.
+                Happening::Offered { .. } => {
+                    let now = self.hands.now;
+                    self.hands.servers.end(now, leg, &Elements::new().with_cause(cause::REJECTED));
+                }
+                happening => {
+                    if let Some(&handle) = self.hands.by_server.get(leg) {
+                        self.of_shot(handle, happening);
+                    }
+                }
+            }
+        }
+    }
+
+    fn of_shot(&mut self, handle: Handle, happening: Happening) {
+        let now = self.hands.now;
+        let Some(conversation) = self.hands.conversation(handle) else { return };
+        let caller = conversation.caller;
+        let Some(server) = conversation.shot.as_ref().map(|shot| shot.server) else { return };
+        match happening {
+            Happening::Accepted(elements) => {
+                let first = !std::mem::replace(&mut conversation.accepted, true);
+                self.module.reported(server, Hints::read(&elements).report());
+                if first {
+                    self.hands.callers.accept(now, caller, &elements.only(&[element::FORMAT]));
+                }
+            }
+            Happening::Ringing if !std::mem::replace(&mut conversation.ringing, true) => {
+                self.hands.callers.ringing(now, caller);
+            }
+            Happening::Answered(elements) => {
+                if std::mem::replace(&mut conversation.stands, true) {
+                    return;
+                }
+                if !std::mem::replace(&mut conversation.accepted, true) {
+                    self.hands.callers.accept(now, caller, &Elements::new());
+                }
+                self.hands.tally.stood += 1;
+                self.hands.callers.answer(now, caller, &Elements::new());
+                self.module.reported(server, Hints::read(&elements).report());
+                handle.stood(&mut self.module);
+            }
+            Happening::Media(media) if conversation.stands => self.hands.callers.media(now, caller, &media),
+            Happening::Ended(end) => self.shot_ended(handle, server, &end),
+            _ => {}
+        }
+    }
+
+    fn shot_ended(&mut self, handle: Handle, server: Server, end: &End) {
+        if let End::Peer { elements, .. } = end {
+            self.module.reported(server, Hints::read(elements).report());
+        }
+        let Some(conversation) = self.hands.conversation(handle) else { return };
+        let shot = conversation.shot.take().expect("it ended");
+        let stands = conversation.stands;
+        self.hands.by_server.remove(shot.leg);
+        if !stands {
+            return self.ended(handle, causes::of_shot(end));
+        }
+        let ending = causes::of_standing(end);
+        let cut = ending != Ending::Ok;
+        *(if cut { &mut self.hands.tally.cut } else { &mut self.hands.tally.cleared }) += 1;
+        self.hands.close(handle, if cut { causes::CUT } else { cause::NORMAL_CLEARING }, None);
+        handle.ended(&mut self.module, ending, true, &mut self.hands);
+    }
+}
--- /dev/null
+++ b/proxy/src/hints.rs
@@ -0,0 +1,96 @@
+//! The information element that frostthread adds to IAX2's own: advice to come back, a server's report, a
+//! caller's patience. A peer that does not know it passes it over (RFC 5456, 8.6). docs/wire.md gives its
+//! form: `ft`, a version, then entries of a tag, a length and a big-endian value.
+
+use bytes::Bytes;
+use frostthread::host::Report;
+use iax2::Elements;
+
+/// The element's type; RFC 5456 gives out none so high.
+pub const HINTS: u8 = 0xf5;
+const HEAD: [u8; 3] = [b'f', b't', 1];
+
+const COME_BACK: u8 = 1;
+const FREE: u8 = 2;
+const LINES: u8 = 3;
+const RATE: u8 = 4;
+const QUEUE: u8 = 5;
+const REDIAL: u8 = 6;
+const PATIENCE: u8 = 7;
+
+/// What the element says; everything in it may be left out.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Hints {
+    /// Milliseconds after which a refused caller does best to come back.
+    pub come_back: Option<u32>,
+    /// Free lines of the pool, and how many it has.
+    pub free: Option<u32>,
+    pub lines: Option<u32>,
+    /// Set-ups that the server's processor can take from all proxies, in thousandths a second.
+    pub rate: Option<u32>,
+    /// Set-ups that wait at the processor.
+    pub queue: Option<u32>,
+    /// The caller has tried before.
+    pub redial: bool,
+    /// Milliseconds from the sending of the NEW until the caller gives up.
+    pub patience: Option<u32>,
+}
+
+impl Hints {
+    /// What a frame's elements say; an element of another form says nothing.
+    pub fn read(elements: &Elements) -> Self {
+        let mut hints = Self::default();
+        let Some(rest) = elements.get(HINTS).and_then(|body| body.strip_prefix(&HEAD[..])) else {
+            return hints;
+        };
+        let mut rest = rest;
+        while let [tag, length, after @ ..] = rest {
+            let Some((value, more)) = after.split_at_checked(usize::from(*length)) else { break };
+            rest = more;
+            let number = value.try_into().map(u32::from_be_bytes).ok();
+            match *tag {
+                COME_BACK => hints.come_back = number,
+                FREE => hints.free = number,
+                LINES => hints.lines = number,
+                RATE => hints.rate = number,
+                QUEUE => hints.queue = number,
+                REDIAL => hints.redial = true,
+                PATIENCE => hints.patience = number,
+                _ => {}
+            }
+        }
+        hints
+    }
+
+    /// Adds the element, unless there is nothing to say.
+    pub fn add_to(&self, elements: Elements) -> Elements {
+        let mut body = HEAD.to_vec();
+        let numbers = [
+            (COME_BACK, self.come_back),
+            (FREE, self.free),
+            (LINES, self.lines),
+            (RATE, self.rate),
+            (QUEUE, self.queue),
+            (PATIENCE, self.patience),
+        ];
+        for (tag, value) in numbers {
+            if let Some(value) = value {
+                body.extend([tag, 4]);
+                body.extend(value.to_be_bytes());
+            }
+        }
+        if self.redial {
+            body.extend([REDIAL, 0]);
+        }
+        if body.len() > HEAD.len() { elements.with(HINTS, Bytes::from(body)) } else { elements }
+    }
+
+    /// The part that is a server's report.
+    pub fn report(&self) -> Report {
+        Report {
+            free: self.free.map(f64::from),
+            lines: self.lines.map(f64::from),
+            rate: self.rate.map(|rate| f64::from(rate) / 1000.0),
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/pool.rs
@@ -0,0 +1,210 @@
+//! The pool list: one JSON object a line, a whole list first, then changes with versions.
+//!
+//! [`News::read`] checks a line, [`PoolList::apply`] takes it in and gives lines for the module.
+//! [`PoolList::to_cache`] and [`PoolList::from_cache`] keep the last list over a restart. docs/wire.md has
+//! the form.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+
+use frostthread::host::{Listed, Server, State};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+/// Bytes of the longest line that is read.
+pub const LONGEST_LINE: usize = 1 << 20;
+/// Servers in the longest list that is taken.
+pub const MOST_SERVERS: usize = 10_000;
+
+/// What is wrong with a line of the feed or with the cached list.
+#[derive(Debug, Error)]
+pub enum Unfit {
+    #[error("pool list: {0}")]
+    Json(#[from] serde_json::Error),
+    #[error("pool list: {0} servers, at most {MOST_SERVERS} are taken")]
+    TooMany(usize),
+    #[error("pool list: servers[{place}].{field}: {why}")]
+    Field { place: usize, field: &'static str, why: String },
+    #[error("pool list: changes to version {0} came without a whole list")]
+    NoWhole(u64),
+    #[error("pool list: version {found} came after {last}")]
+    Gap { last: u64, found: u64 },
+    #[error("cached pool list: {0}")]
+    Cache(&'static str),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Readiness {
+    Running,
+    Draining,
+    Gone,
+}
+
+impl From<Readiness> for State {
+    fn from(readiness: Readiness) -> Self {
+        match readiness {
+            Readiness::Running => Self::Running,
+            Readiness::Draining => Self::Draining,
+            Readiness::Gone => Self::Gone,
+        }
+    }
+}
+
+/// A server as the feed names it. Its name stays the same over restarts of its process; a machine that
+/// replaces it has a new one.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entry {
+    pub name: String,
+    pub address: SocketAddr,
+    pub state: Readiness,
+    pub pool: u16,
+    /// When its process last started, in milliseconds of Unix time; left out where that is long ago.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub started: Option<f64>,
+}
+
+/// A line of the feed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct News {
+    pub version: u64,
+    /// Whether this is the whole list; else only what has changed since the version before.
+    #[serde(default)]
+    pub whole: bool,
+    pub servers: Vec<Entry>,
+}
+
+/// What a subscriber asks for, as the first line it sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// The version that it has, if any.
+    pub have: Option<u64>,
+}
+
+impl News {
+    pub fn read(line: &str) -> Result<Self, Unfit> {
+        let news: Self = serde_json::from_str(line)?;
+        if news.servers.len() > MOST_SERVERS {
+            return Err(Unfit::TooMany(news.servers.len()));
+        }
+        for (place, entry) in news.servers.iter().enumerate() {
+            let wrong = |field, why: String| Err(Unfit::Field { place, field, why });
+            if entry.name.is_empty() || entry.name.len() > 255 {
+                return wrong("name", format!("{} bytes, 1 to 255 wanted", entry.name.len()));
+            }
+            if entry.started.is_some_and(|at| !at.is_finite() || at < 0.0) {
+                return wrong("started", "no time".to_owned());
+            }
+            if entry.address.port() == 0 {
+                return wrong("address", "port 0".to_owned());
+            }
+        }
+        Ok(news)
+    }
+
+    pub fn write(&self) -> String {
+        let mut line = serde_json::to_string(self).expect("plain data");
+        line.push('\n');
+        line
+    }
+}
+
+struct Known {
+    entry: Entry,
+    server: Server,
+    /// When it started, on this proxy's clock. Reckoned once for each start told, so that a step of the
+    /// wall clock makes no server look restarted.
+    started: Option<f64>,
+}
+
+/// The list as this proxy has it.
+#[derive(Default)]
+pub struct PoolList {
+    version: Option<u64>,
+    known: BTreeMap<String, Known>,
+    addresses: Vec<SocketAddr>,
+    names: Vec<String>,
+    by_address: HashMap<SocketAddr, Server>,
+}
+
+impl PoolList {
+    pub fn version(&self) -> Option<u64> {
+        self.version
+    }
+
+    pub fn address(&self, server: Server) -> SocketAddr {
+        self.addresses[server.0 as usize]
+    }
+
+    pub fn name(&self, server: Server) -> &str {
+        &self.names[server.0 as usize]
+    }
+
+    /// The server at an address, the latest to be listed there.
+    pub fn at(&self, address: SocketAddr) -> Option<Server> {
+        self.by_address.get(&address).copied()
+    }
+
+    /// All servers ever listed, in the order of their indices.
+    pub fn servers(&self) -> impl Iterator<Item = Server> {
+        (0..self.names.len() as u32).map(Server)
+    }
+
+    /// Takes news in. `now` is the proxy's clock and `unix` the wall clock, both in milliseconds.
+    pub fn apply(&mut self, news: &News, now: f64, unix: f64) -> Result<Vec<Listed>, Unfit> {
+        if !news.whole {
+            let last = self.version.ok_or(Unfit::NoWhole(news.version))?;
+            if news.version != last + 1 {
+                return Err(Unfit::Gap { last, found: news.version });
+            }
+        }
+        self.version = Some(news.version);
+        if news.whole {
+            for known in self.known.values_mut() {
+                known.entry.state = Readiness::Gone;
+            }
+        }
+        Ok(news.servers.iter().map(|entry| self.take(entry, now, unix)).collect())
+    }
+
+    fn take(&mut self, entry: &Entry, now: f64, unix: f64) -> Listed {
+        let local = |at: f64| now - (unix - at).max(0.0);
+        let known = self.known.entry(entry.name.clone()).or_insert_with(|| {
+            self.names.push(entry.name.clone());
+            self.addresses.push(entry.address);
+            let server = Server(self.names.len() as u32 - 1);
+            Known { entry: entry.clone(), server, started: entry.started.map(local) }
+        });
+        if known.entry.started != entry.started {
+            known.started = entry.started.map(local);
+        }
+        known.entry = entry.clone();
+        self.addresses[known.server.0 as usize] = entry.address;
+        if entry.state != Readiness::Gone {
+            self.by_address.insert(entry.address, known.server);
+        }
+        let state = entry.state.into();
+        Listed { server: known.server, state, pool: entry.pool, started: known.started }
+    }
+
+    /// The list as it is kept on disk: a line with a checksum, then the news that would bring it.
+    pub fn to_cache(&self) -> String {
+        let servers = self.known.values().map(|known| known.entry.clone());
+        let servers = servers.filter(|entry| entry.state != Readiness::Gone).collect();
+        let body = News { version: self.version.unwrap_or(0), whole: true, servers }.write();
+        format!("frostthread-pool 1 {:08x}\n{body}", crc32fast::hash(body.as_bytes()))
+    }
+
+    /// The news in a kept list, if it is whole and undamaged.
+    pub fn from_cache(text: &str) -> Result<News, Unfit> {
+        let (head, body) = text.split_once('\n').ok_or(Unfit::Cache("its first line is missing"))?;
+        let sum =
+            head.strip_prefix("frostthread-pool 1 ").ok_or(Unfit::Cache("of another kind or version"))?;
+        if u32::from_str_radix(sum, 16) != Ok(crc32fast::hash(body.as_bytes())) {
+            return Err(Unfit::Cache("its checksum does not match"));
+        }
+        News::read(body)
+    }
+}
