Laboratory: stand-ins, callers, late list, faulty link, rules judged from datagrams; virtual drills

Need: proof that the border proxy keeps the five rules while things fail, from what passed and not from what it says.

--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -11,8 +11,10 @@
 
 use anyhow::{Context, Result};
 use border::pool::{News, PoolList};
-use border::{BorderProxy, Outbound, Side};
+use border::{BorderProxy, Decisions, Outbound, Side};
 use bytes::{Bytes, BytesMut};
+use frostthread::Proxy;
+use frostthread::host::Terms;
 use rand::Rng;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{UdpSocket, UnixListener};
@@ -185,10 +187,16 @@
 
 /// Runs the proxy until it is told to stop.
 pub async fn run(plan: Plan) -> Result<()> {
+    run_deciding(plan, Proxy::new).await
+}
+
+/// The same with something else that decides, made from the terms, a seed and the time.
+pub async fn run_deciding<D: Decisions>(plan: Plan, decide: impl FnOnce(Terms, u64, f64) -> D) -> Result<()> {
     fs::create_dir_all(&plan.state).with_context(|| format!("state directory {}", plan.state.display()))?;
     let seed: u64 = rand::rng().random();
     let clock = Clock(Instant::now());
-    let mut proxy = BorderProxy::new(plan.terms.clone(), seed, clock.now());
+    let module = decide(plan.terms.terms.clone(), seed, clock.now());
+    let mut proxy = BorderProxy::deciding(module, plan.terms.clone(), seed, clock.now());
     if let Some(news) = cached(&plan) {
         tracing::info!(version = news.version, servers = news.servers.len(), "pool.cached");
         proxy.listed(clock.now(), unix(), &news)?;
@@ -313,7 +321,7 @@
 
 /// Gives the last answers their time to be heard.
 async fn farewell(
-    proxy: &mut BorderProxy,
+    proxy: &mut BorderProxy<impl Decisions>,
     sockets: &mut Sockets,
     arrivals: &mut mpsc::Receiver<Arrival>,
     clock: &Clock,
--- /dev/null
+++ b/lab/src/drill.rs
@@ -0,0 +1,365 @@
+//! Drills: a fleet, a load, and a script of troubles by the second, as TOML. Times in them are seconds.
+//!
+//! [`Drill::named`] has the built-in ones; `kind:NAME` is one for a single kind of trouble.
+
+use anyhow::{Context, Result, bail, ensure};
+use border::ProxyTerms;
+use border::routes::{Route, Routes};
+use frostthread::host::{GradeTerms, TenantTerms, Terms};
+use iax2::Limits;
+use serde::{Deserialize, Serialize};
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Drill {
+    pub name: String,
+    pub seed: u64,
+    /// How long callers begin conversations.
+    pub seconds: f64,
+    pub fleet: Fleet,
+    pub load: Load,
+    #[serde(default)]
+    pub link: LinkFaults,
+    #[serde(default)]
+    pub list: ListTimes,
+    #[serde(default, rename = "grade")]
+    pub grades: Vec<Grade>,
+    #[serde(default, rename = "tenant")]
+    pub tenants: Vec<Tenant>,
+    #[serde(default, rename = "trouble")]
+    pub troubles: Vec<Trouble>,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fleet {
+    pub proxies: usize,
+    pub servers: usize,
+    /// Whether servers say how many set-ups they can take.
+    #[serde(default = "yes")]
+    pub reports: bool,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Load {
+    /// First tries a second, over all proxies.
+    pub rate: f64,
+    /// What that is of the servers' capacity when all is well: it sets how much work a set-up is.
+    pub of_capacity: f64,
+    /// How long a caller waits for a try.
+    pub patience: f64,
+    pub redials: u32,
+    /// The part of the refused who come back when they were told to.
+    pub honour: f64,
+}
+
+/// What happens to datagrams on the way, each way.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct LinkFaults {
+    pub loss: f64,
+    pub double: f64,
+    pub reorder: f64,
+}
+
+/// How late the list is.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListTimes {
+    pub notice: [f64; 2],
+    /// For a server that went silent without a word.
+    pub silent_notice: [f64; 2],
+    /// How long callers are still sent to a dead proxy.
+    pub front_notice: f64,
+}
+
+impl Default for ListTimes {
+    fn default() -> Self {
+        Self { notice: [0.3, 0.9], silent_notice: [3.0, 5.0], front_notice: 1.0 }
+    }
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Grade {
+    pub name: String,
+    pub share: f64,
+    pub quoted: f64,
+    pub limit: f64,
+    pub hold: f64,
+    pub earnings: f64,
+    pub late: f64,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    pub name: String,
+    pub share: f64,
+}
+
+/// One thing that goes wrong.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Trouble {
+    pub at: f64,
+    #[serde(rename = "for", default)]
+    pub lasts: f64,
+    #[serde(flatten)]
+    pub kind: Kind,
+}
+
+/// The kinds of trouble. `part` is of the servers or proxies, at least one.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Kind {
+    /// Machines go silent and come back cold.
+    Vanish { part: f64 },
+    /// Processors run so many times slower.
+    Slow { part: f64, factor: f64 },
+    /// Processors take set-ups and answer none.
+    Hang { part: f64 },
+    /// Reports are so many seconds late.
+    ReportLate { late: f64 },
+    /// Callers come so many times as often.
+    Burst { factor: f64 },
+    /// A few proxies get such a share of all conversations.
+    HotCaller { part: f64, share: f64 },
+    /// New processors take the place of the old ones, one after the other; `drain` seconds each.
+    Deploy { part: f64, drain: f64 },
+    /// The list is so many seconds later still.
+    DiscoveryStale { late: f64 },
+    /// Proxies are killed outright, and start again at the end.
+    BalancerCrash { part: f64 },
+    /// Servers restart together, within `within` seconds, and come back cold.
+    MassRestart { part: f64, within: f64 },
+    /// One tenant's callers hang up after such a share of the quoted time and dial on at once.
+    RetryAbuse { patience: f64, redials: u32 },
+    /// Proxies stand still for `stall` seconds again and again, `gap` apart.
+    BalancerStall { part: f64, stall: f64, gap: f64 },
+    /// Messages between proxies are lost.
+    PeerDown {},
+    /// Processors get slower and slower, up to so many times, then crash and come back cold.
+    Ageing { part: f64, factor: f64 },
+    /// Such a part of set-ups is ended by a fault.
+    Faulty { part: f64, share: f64 },
+    /// Servers have only so many lines.
+    Full { part: f64, lines: usize },
+}
+
+fn yes() -> bool {
+    true
+}
+
+/// What every deployment has agreed, in milliseconds or as multiples.
+pub const RELEASE: f64 = 300.0;
+pub const DRAIN_GRACE: f64 = 500.0;
+pub const REPEAT: f64 = 500.0;
+pub const COLD: f64 = 14_000.0;
+pub const COLD_FROM: f64 = 0.28;
+pub const FALL_MULTIPLE: f64 = 2.5;
+pub const FALL_SPAN: f64 = 1_000.0;
+pub const ANSWER_LEAD: f64 = 40.0;
+pub const OVER_SHARE: f64 = 0.2;
+
+/// Work beside a conversation's set-up, in set-ups.
+pub const ANSWER_WORK: f64 = 0.2;
+pub const RELEASE_WORK: f64 = 0.2;
+
+impl Drill {
+    pub fn read(source: &str) -> Result<Self> {
+        let mut drill: Self = toml::from_str(source)?;
+        if drill.grades.is_empty() {
+            drill.grades = usual_grades();
+        }
+        if drill.tenants.is_empty() {
+            drill.tenants = usual_tenants();
+        }
+        drill.check()?;
+        Ok(drill)
+    }
+
+    /// A built-in drill, or a file.
+    pub fn named(name: &str) -> Result<Self> {
+        if let Some(kind) = name.strip_prefix("kind:") {
+            return Self::of_kind(kind);
+        }
+        match name {
+            "bad-day" => Self::read(include_str!("../drills/bad-day.toml")),
+            "calm" => Self::read(include_str!("../drills/calm.toml")),
+            file => Self::read(&std::fs::read_to_string(file).with_context(|| format!("drill {file}"))?),
+        }
+    }
+
+    fn of_kind(name: &str) -> Result<Self> {
+        let mut drill = Self::read(include_str!("../drills/calm.toml"))?;
+        let (lasts, kind) = match name {
+            "vanish" => (8.0, Kind::Vanish { part: 0.12 }),
+            "slow" => (14.0, Kind::Slow { part: 0.4, factor: 3.0 }),
+            "hang" => (10.0, Kind::Hang { part: 0.15 }),
+            "report_late" => (14.0, Kind::ReportLate { late: 3.0 }),
+            "burst" => (6.0, Kind::Burst { factor: 1.7 }),
+            "hot_caller" => (14.0, Kind::HotCaller { part: 0.02, share: 0.2 }),
+            "deploy" => (14.0, Kind::Deploy { part: 0.28, drain: 2.0 }),
+            "discovery_stale" => (14.0, Kind::DiscoveryStale { late: 4.0 }),
+            "balancer_crash" => (4.0, Kind::BalancerCrash { part: 0.35 }),
+            "mass_restart" => (2.0, Kind::MassRestart { part: 0.36, within: 0.4 }),
+            "retry_abuse" => (14.0, Kind::RetryAbuse { patience: 0.4, redials: 8 }),
+            "balancer_stall" => (14.0, Kind::BalancerStall { part: 0.8, stall: 1.8, gap: 3.0 }),
+            "peer_down" => (14.0, Kind::PeerDown {}),
+            "ageing" => (10.0, Kind::Ageing { part: 0.3, factor: 12.0 }),
+            other => bail!("no kind of trouble is called {other:?}"),
+        };
+        drill.name = format!("kind:{name}");
+        drill.troubles = vec![Trouble { at: 6.0, lasts, kind }];
+        Ok(drill)
+    }
+
+    pub fn check(&self) -> Result<()> {
+        ensure!(
+            (1..=2000).contains(&self.fleet.proxies),
+            "fleet.proxies: {}, wanted 1 to 2000",
+            self.fleet.proxies
+        );
+        ensure!(
+            (1..=200).contains(&self.fleet.servers),
+            "fleet.servers: {}, wanted 1 to 200",
+            self.fleet.servers
+        );
+        ensure!(self.seconds > 0.0 && self.seconds <= 3600.0, "seconds: {}, wanted up to 3600", self.seconds);
+        ensure!(self.load.rate > 0.0 && self.load.rate <= 1e5, "load.rate: {}", self.load.rate);
+        ensure!((0.01..=5.0).contains(&self.load.of_capacity), "load.of_capacity: {}", self.load.of_capacity);
+        let LinkFaults { loss, double, reorder } = self.link;
+        ensure!(
+            [loss, double, reorder].iter().all(|p| (0.0..1.0).contains(p)),
+            "link: parts from 0 to 1 wanted"
+        );
+        Ok(())
+    }
+
+    /// Milliseconds of work that a set-up is on average, from the load that is planned.
+    pub fn setup_work(&self) -> f64 {
+        let each = self.load.rate / self.fleet.servers as f64 / self.load.of_capacity;
+        1000.0 / each / (1.0 + ANSWER_WORK + RELEASE_WORK)
+    }
+
+    /// Conversations a second that one server can carry when all is well.
+    pub fn server_capacity(&self) -> f64 {
+        self.load.rate / self.fleet.servers as f64 / self.load.of_capacity
+    }
+
+    /// The pools of a drill: one a server, and as many as there will be.
+    pub fn pools(&self) -> u16 {
+        self.fleet.servers as u16
+    }
+
+    /// The called number that stands for a grade and a pool of first choice.
+    pub fn called(&self, grade: usize, pool: u16, line: u32) -> String {
+        format!("{grade}{pool:03}{line:04}")
+    }
+
+    /// What each proxy of the drill runs by.
+    pub fn proxy_terms(&self) -> ProxyTerms {
+        let pools: Vec<u16> = (0..self.pools()).collect();
+        let grade = |g: &Grade| GradeTerms {
+            quoted: g.quoted * 1000.0,
+            limit: g.limit * 1000.0,
+            hold: g.hold * 1000.0,
+            earnings: g.earnings,
+            late: g.late,
+            repeatable: true,
+            pools: pools.clone(),
+        };
+        let capacity = self.load.rate / self.load.of_capacity;
+        let tenant = |t: &Tenant| TenantTerms { quota: t.share * capacity };
+        let routes = (0..self.grades.len()).flat_map(|grade| {
+            let prefix = move |pool| format!("{grade}{pool:03}");
+            pools.iter().map(move |&pool| Route { context: String::new(), prefix: prefix(pool), grade, pool })
+        });
+        let tenants = self.tenants.iter().enumerate().map(|(i, t)| (t.name.clone(), i));
+        let limits = Limits { resend: REPEAT, ..Limits::default() };
+        ProxyTerms {
+            terms: Terms {
+                proxies: self.fleet.proxies as u32,
+                grades: self.grades.iter().map(grade).collect(),
+                tenants: self.tenants.iter().map(tenant).collect(),
+                over_share: OVER_SHARE,
+                max_shots: 4,
+                longest_advice: Some(2000.0),
+                may_cancel: true,
+                may_probe: true,
+                release: RELEASE,
+                repeat: REPEAT,
+                cold: COLD,
+                fall_multiple: FALL_MULTIPLE,
+                fall_span: FALL_SPAN,
+            },
+            routes: Routes::new(routes, tenants),
+            patience: self.grades.iter().map(|g| g.limit * 1000.0).collect(),
+            answer_lead: ANSWER_LEAD,
+            callers: limits,
+            servers: limits,
+        }
+    }
+
+    /// The same as a settings file of the daemon.
+    pub fn settings(&self, name: &str, state: &str, callers: &str, feed: &str) -> String {
+        let terms = self.proxy_terms().terms;
+        let mut file = format!(
+            "[proxy]\nname = {name:?}\nproxies = {}\nstate = {state:?}\n\n[listen]\ncallers = {callers:?}\n\
+             receive_buffer = 4194304\n\n[pool]\nfeed = {feed:?}\n\n[iax2]\nresend = \"{REPEAT} ms\"\n\n\
+             [stop]\nstanding = \"1 s\"\n\n[rules]\nmax_shots = {}\nrelease = \"{RELEASE} ms\"\ncold = \"{COLD} ms\"\n\
+             fall_multiple = {FALL_MULTIPLE:?}\nfall_span = \"{FALL_SPAN} ms\"\nlongest_advice = \"2 s\"\n\
+             over_share = {OVER_SHARE:?}\nanswer_lead = \"{ANSWER_LEAD} ms\"\n",
+            self.fleet.proxies, terms.max_shots,
+        );
+        let pools: Vec<String> = (0..self.pools()).map(|pool| pool.to_string()).collect();
+        let ms = |seconds: f64| (seconds * 1000.0).round();
+        for g in &self.grades {
+            file += &format!(
+                "\n[[grade]]\nname = {:?}\nquoted = \"{} ms\"\nlimit = \"{} ms\"\nhold = \"{} ms\"\nearnings = {:?}\n\
+                 late = {:?}\npools = [{}]\n",
+                g.name,
+                ms(g.quoted),
+                ms(g.limit),
+                ms(g.hold),
+                g.earnings,
+                g.late,
+                pools.join(", "),
+            );
+        }
+        for (tenant, terms) in self.tenants.iter().zip(&terms.tenants) {
+            file += &format!("\n[[tenant]]\nname = {:?}\nquota = {:?}\n", tenant.name, terms.quota);
+        }
+        for (grade, g) in self.grades.iter().enumerate() {
+            for pool in 0..self.pools() {
+                let name = &g.name;
+                file +=
+                    &format!("\n[[route]]\nprefix = \"{grade}{pool:03}\"\ngrade = {name:?}\npool = {pool}\n");
+            }
+        }
+        file
+    }
+}
+
+fn usual_grades() -> Vec<Grade> {
+    let grade = |name: &str, share, quoted, hold, earnings| Grade {
+        name: name.to_owned(),
+        share,
+        quoted,
+        limit: 9.0,
+        hold,
+        earnings,
+        late: 0.2,
+    };
+    vec![
+        grade("open", 0.6, 2.0, 5.0, 1.0),
+        grade("slot", 0.17, 2.0, 7.0, 2.0),
+        grade("seat", 0.23, 1.5, 4.0, 1.0),
+    ]
+}
+
+fn usual_tenants() -> Vec<Tenant> {
+    let tenant = |name: &str, share| Tenant { name: name.to_owned(), share };
+    vec![tenant("north", 0.44), tenant("middle", 0.34), tenant("south", 0.22)]
+}
--- /dev/null
+++ b/lab/src/report.rs
@@ -0,0 +1,191 @@
+//! What a drill came to: the rules with counts, and the share of earnings that stood within the quoted time,
+//! beside what capacity alone allowed.
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use tabled::{Table, Tabled, settings::Style};
+
+use crate::drill::Drill;
+use crate::witness::Verdict;
+use crate::world::World;
+
+/// What the five rules are called in a summary.
+pub const RULES: [&str; 5] =
+    ["one answer, in time", "never two shots", "drains kept", "cold not pushed over", "release awaited"];
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Rule {
+    pub rule: &'static str,
+    #[serde(flatten)]
+    pub verdict: Verdict,
+}
+
+#[derive(Clone, Debug, Serialize)]
+pub struct Summary {
+    pub drill: String,
+    pub routing: String,
+    pub virtual_clock: bool,
+    pub seed: u64,
+    pub proxies: usize,
+    pub servers: usize,
+    pub people: usize,
+    pub tries: usize,
+    pub rules: Vec<Rule>,
+    pub unknowable: u64,
+    pub cold_peak: f64,
+    /// Earnings within the quoted time over earnings offered, and with what stood later.
+    pub served: f64,
+    pub earned: f64,
+    /// What capacity alone would have let through.
+    pub bound: f64,
+    pub worst_ten_seconds: f64,
+    /// By grade and by tenant.
+    pub grades: Vec<(String, f64)>,
+    pub tenants: Vec<(String, f64)>,
+    pub cut: usize,
+    pub setups: u64,
+    pub setups_again: u64,
+    /// From a caller's first try until it stood, in milliseconds.
+    pub delay_median: f64,
+    pub delay_p99: f64,
+    /// By second of the first try: offered and served.
+    pub by_second: Vec<(f64, f64)>,
+    pub fallen_servers: usize,
+}
+
+impl Summary {
+    pub fn of(world: &World, routing: &str, virtual_clock: bool) -> Self {
+        let drill = &world.drill;
+        let seconds = drill.seconds.ceil() as usize;
+        let mut by_second = vec![(0.0, 0.0); seconds.max(1)];
+        let mut grades = vec![(0.0, 0.0); drill.grades.len()];
+        let mut tenants = vec![(0.0, 0.0); drill.tenants.len()];
+        let mut demand: Vec<Vec<f64>> = vec![Vec::new(); by_second.len()];
+        let (mut offered, mut served, mut earned) = (0.0, 0.0, 0.0);
+        let mut delays = Histogram::<u64>::new_with_bounds(1, 600_000, 3).expect("fixed bounds");
+        let mut cut = 0;
+        for person in &world.callers.people {
+            let (worth, got) = world.callers.earned(drill, person, false);
+            let in_time = if got == worth { got } else { 0.0 };
+            let second = ((person.first_at / 1000.0) as usize).min(by_second.len() - 1);
+            for slot in [&mut by_second[second], &mut grades[person.grade], &mut tenants[person.tenant]] {
+                slot.0 += worth;
+                slot.1 += in_time;
+            }
+            demand[second].push(worth);
+            (offered, served, earned) = (offered + worth, served + in_time, earned + got);
+            cut += usize::from(person.cut);
+            if let Some(at) = person.stood_at {
+                delays.saturating_record((at - person.first_at).max(1.0) as u64);
+            }
+        }
+        let part = |(offered, served): &(f64, f64)| if *offered > 0.0 { served / offered } else { 1.0 };
+        let ten = |window: &[(f64, f64)]| {
+            part(&window.iter().fold((0.0, 0.0), |sum, slot| (sum.0 + slot.0, sum.1 + slot.1)))
+        };
+        let named = |names: Vec<&String>, slots: &[(f64, f64)]| {
+            names.into_iter().cloned().zip(slots.iter().map(part)).collect()
+        };
+        let rules = RULES.iter().zip(&world.witness.verdicts);
+        Self {
+            drill: drill.name.clone(),
+            routing: routing.to_owned(),
+            virtual_clock,
+            seed: drill.seed,
+            proxies: drill.fleet.proxies,
+            servers: drill.fleet.servers,
+            people: world.callers.people.len(),
+            tries: world.callers.tries.iter().filter(|t| t.at.is_finite()).count(),
+            rules: rules.map(|(rule, verdict)| Rule { rule, verdict: verdict.clone() }).collect(),
+            unknowable: world.witness.unknowable,
+            cold_peak: world.witness.cold_peak,
+            served: served / offered,
+            earned: earned / offered,
+            bound: bound(drill, &demand, &world.capacity) / offered,
+            worst_ten_seconds: by_second.windows(10.min(by_second.len())).map(ten).fold(1.0, f64::min),
+            grades: named(drill.grades.iter().map(|g| &g.name).collect(), &grades),
+            tenants: named(drill.tenants.iter().map(|t| &t.name).collect(), &tenants),
+            cut,
+            setups: world.witness.setups,
+            setups_again: world.witness.copies,
+            delay_median: delays.value_at_quantile(0.5) as f64,
+            delay_p99: delays.value_at_quantile(0.99) as f64,
+            by_second,
+            fallen_servers: world.servers.iter().filter(|s| s.central.fallen).count(),
+        }
+    }
+
+    pub fn broken(&self) -> u64 {
+        self.rules.iter().map(|rule| rule.verdict.broken).sum()
+    }
+
+    /// The rules with their counts, and the first breaks in full.
+    pub fn print_rules(&self) {
+        #[derive(Tabled)]
+        struct Row {
+            rule: &'static str,
+            checked: u64,
+            broken: u64,
+        }
+        let rows = self.rules.iter().map(|r| Row {
+            rule: r.rule,
+            checked: r.verdict.checked,
+            broken: r.verdict.broken,
+        });
+        println!("{}", Table::new(rows).with(Style::sharp()));
+        for rule in &self.rules {
+            for told in &rule.verdict.told {
+                println!("BROKEN, {}: {told}", rule.rule);
+            }
+        }
+    }
+}
+
+/// Earnings that capacity lets through, second by second, best earners first. Nothing is carried over from
+/// one second to the next, and a set-up under way when its server fails counts as served: an estimate, not a
+/// proof.
+fn bound(drill: &Drill, demand: &[Vec<f64>], capacity: &[f64]) -> f64 {
+    let all = drill.load.rate / drill.load.of_capacity;
+    let second = |(i, worths): (usize, &Vec<f64>)| {
+        let mut worths = worths.clone();
+        worths.sort_by(|a, b| b.total_cmp(a));
+        let room = capacity.get(i).copied().unwrap_or(all);
+        worths.into_iter().take(room.ceil() as usize).sum::<f64>()
+    };
+    demand.iter().enumerate().map(second).sum()
+}
+
+/// The same drill with one routing beside the other.
+pub fn print_beside(summaries: &[Summary]) {
+    #[derive(Tabled)]
+    struct Row {
+        routing: String,
+        served: String,
+        with_late: String,
+        bound: String,
+        worst_10_s: String,
+        worst_grade: String,
+        delay_p50: String,
+        delay_p99: String,
+        set_ups: u64,
+        cut: usize,
+        fallen: usize,
+        rules_broken: u64,
+    }
+    let percent = |part: f64| format!("{:.1}%", part * 100.0);
+    let rows = summaries.iter().map(|s| Row {
+        routing: s.routing.clone(),
+        served: percent(s.served),
+        with_late: percent(s.earned),
+        bound: percent(s.bound),
+        worst_10_s: percent(s.worst_ten_seconds),
+        worst_grade: percent(s.grades.iter().map(|g| g.1).fold(1.0, f64::min)),
+        delay_p50: format!("{:.0} ms", s.delay_median),
+        delay_p99: format!("{:.0} ms", s.delay_p99),
+        set_ups: s.setups,
+        cut: s.cut,
+        fallen: s.fallen_servers,
+        rules_broken: s.broken(),
+    });
+    println!("{}", Table::new(rows).with(Style::sharp()));
+}
--- a/proxy/src/border.rs
+++ b/proxy/src/border.rs
@@ -19,6 +19,7 @@
 use slotmap::SecondaryMap;
 
 use crate::causes;
+use crate::decisions::Decisions;
 use crate::hints::Hints;
 use crate::pool::{News, PoolList, Unfit};
 use crate::routes::Routes;
@@ -95,9 +96,9 @@
     now: f64,
 }
 
-/// One border proxy.
-pub struct BorderProxy {
-    module: Proxy,
+/// One border proxy, with what decides for it.
+pub struct BorderProxy<D = Proxy> {
+    module: D,
     hands: Hands,
     routes: Routes,
     patience: Vec<f64>,
@@ -195,6 +196,14 @@
 
 impl BorderProxy {
     pub fn new(terms: ProxyTerms, seed: u64, now: f64) -> Self {
+        let module = Proxy::new(terms.terms.clone(), seed, now);
+        Self::deciding(module, terms, seed, now)
+    }
+}
+
+impl<D: Decisions> BorderProxy<D> {
+    /// A proxy for which something else decides.
+    pub fn deciding(module: D, terms: ProxyTerms, seed: u64, now: f64) -> Self {
         Self {
             routes: terms.routes,
             patience: terms.patience,
@@ -215,7 +224,7 @@
                 tally: Tally::default(),
                 now,
             },
-            module: Proxy::new(terms.terms, seed, now),
+            module,
             number_key: (seed, !seed),
             stopping: false,
         }
@@ -401,7 +410,7 @@
             Ending::Reset => tally.reset += 1,
             _ => {}
         }
-        handle.ended(&mut self.module, ending, false, &mut self.hands);
+        self.module.ended(handle, ending, false, &mut self.hands);
     }
 
     fn hear_callers(&mut self, waited: f64) {
@@ -470,7 +479,7 @@
         }
         self.hands.conversations[index] = Some(conversation);
         self.hands.by_caller.insert(caller, handle);
-        handle.place(&mut self.module);
+        self.module.place(handle);
     }
 
     /// A caller that dials again is known by its own number and the one it calls: many call the same.
@@ -497,10 +506,10 @@
         let ending = if conversation.stands { Ending::Ok } else { Ending::Cancelled };
         let out = conversation.shot.is_some();
         if !conversation.stands {
-            handle.left(&mut self.module);
+            self.module.left(handle);
         }
         if out {
-            handle.ended(&mut self.module, ending, true, &mut self.hands);
+            self.module.ended(handle, ending, true, &mut self.hands);
         }
     }
 
@@ -554,7 +563,7 @@
                 self.hands.tally.stood += 1;
                 self.hands.callers.answer(now, caller, &Elements::new());
                 self.module.reported(server, Hints::read(&elements).report());
-                handle.stood(&mut self.module);
+                self.module.stood(handle);
             }
             Happening::Media(media) if conversation.stands => self.hands.callers.media(now, caller, &media),
             Happening::Ended(end) => self.shot_ended(handle, server, &end),
@@ -577,6 +586,6 @@
         let cut = ending != Ending::Ok;
         *(if cut { &mut self.hands.tally.cut } else { &mut self.hands.tally.cleared }) += 1;
         self.hands.close(handle, if cut { causes::CUT } else { cause::NORMAL_CLEARING }, None);
-        handle.ended(&mut self.module, ending, true, &mut self.hands);
+        self.module.ended(handle, ending, true, &mut self.hands);
     }
 }
--- /dev/null
+++ b/proxy/src/decisions.rs
@@ -0,0 +1,52 @@
+//! What a border proxy asks its decisions. [`frostthread::Proxy`] is the one that users run; baselines and
+//! deliberately broken ones, which live in the laboratory, stand in for it there.
+
+use frostthread::Proxy;
+use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, View};
+
+/// The calls of [`frostthread::Proxy`] and its handles; see there for each.
+pub trait Decisions {
+    fn at(&mut self, now: f64);
+    fn listed(&mut self, lines: &[Listed], whole: bool, host: &mut impl Host);
+    fn reported(&mut self, server: Server, report: Report);
+    fn take(&mut self, call: &Call) -> Handle;
+    fn place(&mut self, handle: Handle);
+    fn stood(&mut self, handle: Handle);
+    fn ended(&mut self, handle: Handle, ending: Ending, finished: bool, host: &mut impl Host);
+    fn left(&mut self, handle: Handle);
+    fn settle(&mut self, host: &mut impl Host);
+    fn view(&self, server: Server) -> Option<View>;
+}
+
+impl Decisions for Proxy {
+    fn at(&mut self, now: f64) {
+        self.at(now);
+    }
+    fn listed(&mut self, lines: &[Listed], whole: bool, host: &mut impl Host) {
+        self.listed(lines, whole, host);
+    }
+    fn reported(&mut self, server: Server, report: Report) {
+        self.reported(server, report);
+    }
+    fn take(&mut self, call: &Call) -> Handle {
+        self.take(call)
+    }
+    fn place(&mut self, handle: Handle) {
+        handle.place(self);
+    }
+    fn stood(&mut self, handle: Handle) {
+        handle.stood(self);
+    }
+    fn ended(&mut self, handle: Handle, ending: Ending, finished: bool, host: &mut impl Host) {
+        handle.ended(self, ending, finished, host);
+    }
+    fn left(&mut self, handle: Handle) {
+        handle.left(self);
+    }
+    fn settle(&mut self, host: &mut impl Host) {
+        self.settle(host);
+    }
+    fn view(&self, server: Server) -> Option<View> {
+        self.view(server)
+    }
+}
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -8,9 +8,11 @@
 
 mod border;
 pub mod causes;
+mod decisions;
 pub mod hints;
 pub mod pool;
 pub mod routes;
 pub mod status;
 
 pub use border::{BorderProxy, Outbound, ProxyTerms, Side};
+pub use decisions::Decisions;
