A wake that another event overtakes is not lost

Change: the border proxy keeps the latest wake asked for, and takes it for past just as the module does.

--- a/proxy/src/border.rs
+++ b/proxy/src/border.rs
@@ -178,7 +178,8 @@
     }
 
     fn wake(&mut self, at: f64) {
-        self.wake = self.wake.min(at);
+        // The module asks again only once it has taken the former time for past: this one replaces it.
+        self.wake = at;
     }
 
     fn probe(&mut self, server: Server) {
@@ -288,9 +289,6 @@
                 self.ended(handle, Ending::TimedOut);
             }
         }
-        if self.hands.wake <= now {
-            self.hands.wake = f64::INFINITY;
-        }
     }
 
     /// To be called when all that has come at one time is told.
@@ -399,6 +397,10 @@
 
     fn at(&mut self, now: f64) {
         self.hands.now = now;
+        // As the module does: whatever comes at that time or later stands for the wake.
+        if self.hands.wake <= now {
+            self.hands.wake = f64::INFINITY;
+        }
         self.module.at(now);
     }
 
