Drills on sockets: border proxies as processes against stand-ins on loopback

Need: the proof of the running border proxy, with the same world as in simulated time. Change: lab drives proxies as processes (killed outright, stopped and resumed, ended by SIGTERM, which must exit 0), stand-in sockets that close and open again, a list feed over TCP; baselines run the same shell with another decider.

--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -1,6 +1,351 @@
-//! placeholder
-use crate::{baseline::Routing, drill::Drill, world::World};
-use anyhow::{Result, bail};
-pub fn run(_: Drill, _: Routing) -> Result<World> {
-    bail!("not yet")
+//! Plays a drill on sockets: border proxies as processes of their own, stand-ins, callers and list feed in
+//! this one, all on the loopback address with ports from the kernel.
+
+use std::collections::HashMap;
+use std::fs::{self, File};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use anyhow::{Context, Result, bail, ensure};
+use bytes::{Bytes, BytesMut};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde::Deserialize;
+use socket2::{Domain, Protocol, Socket, Type};
+use tempfile::TempDir;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
+
+use crate::baseline::Routing;
+use crate::drill::Drill;
+use crate::world::{Out, Place, World};
+
+/// How far the clock at which a datagram is read may lie from when it passed.
+const SLACK: f64 = 20.0;
+const RECEIVE_BUFFER: usize = 4 << 20;
+/// A proxy that is not ready by then fails the drill.
+const READY_WAIT: Duration = Duration::from_secs(15);
+/// A proxy that has not stopped by then is killed.
+const STOP_WAIT: Duration = Duration::from_secs(6);
+const LARGEST: usize = 65_536;
+
+enum Come {
+    Datagram(Place, SocketAddr, Bytes),
+    Subscribed(usize, OwnedWriteHalf),
+    Ready(usize, SocketAddr),
+    Resume(usize),
+}
+
+#[derive(Deserialize)]
+struct Ready {
+    callers: SocketAddr,
+}
+
+struct Listening {
+    socket: Arc<UdpSocket>,
+    reader: JoinHandle<()>,
+}
+
+struct Seat {
+    state: PathBuf,
+    feed: SocketAddr,
+    callers: Option<SocketAddr>,
+    child: Option<Child>,
+    subscriber: Option<OwnedWriteHalf>,
+}
+
+struct Run {
+    world: World,
+    routing: Routing,
+    began: Instant,
+    places: HashMap<Place, Listening>,
+    addresses: HashMap<usize, SocketAddr>,
+    seats: Vec<Seat>,
+    come: mpsc::UnboundedSender<Come>,
+    comes: mpsc::UnboundedReceiver<Come>,
+    _folder: TempDir,
+}
+
+fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))?;
+    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER);
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    UdpSocket::from_std(socket.into())
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
+}
+
+/// Plays the drill to its end.
+pub fn run(drill: Drill, routing: Routing) -> Result<World> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut run = Run::begin(drill, routing).await?;
+        run.play().await?;
+        run.end().await
+    })
+}
+
+/// The program that runs a border proxy, beside this one.
+fn program() -> Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let folder = own.parent().context("this program has no folder")?;
+    // A test's program lies one folder deeper than the binaries.
+    let found = [folder, folder.parent().unwrap_or(folder)].map(|f| f.join("frostthread"));
+    found.into_iter().find(|path| path.exists()).context("frostthread is not built beside this program")
+}
+
+impl Run {
+    async fn begin(drill: Drill, routing: Routing) -> Result<Self> {
+        let (come, comes) = mpsc::unbounded_channel();
+        let folder = tempfile::tempdir()?;
+        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?.as_secs_f64() * 1000.0;
+        let proxies = drill.fleet.proxies;
+        let mut run = Self {
+            world: World::new(drill, SLACK, unix),
+            routing,
+            began: Instant::now(),
+            places: HashMap::new(),
+            addresses: HashMap::new(),
+            seats: Vec::new(),
+            come,
+            comes,
+            _folder: folder,
+        };
+        run.open(Place::Callers, loopback())?;
+        for server in 0..run.world.servers.len() {
+            run.add_server(server)?;
+        }
+        for proxy in 0..proxies {
+            let state = run._folder.path().join(format!("proxy-{proxy}"));
+            fs::create_dir(&state)?;
+            let feed = TcpListener::bind(loopback()).await?;
+            let address = feed.local_addr()?;
+            tokio::spawn(subscribers(feed, proxy, run.come.clone()));
+            run.seats.push(Seat { state, feed: address, callers: None, child: None, subscriber: None });
+            run.start(proxy)?;
+        }
+        let deadline = Instant::now() + READY_WAIT;
+        while run.seats.iter().any(|seat| seat.callers.is_none() || seat.subscriber.is_none()) {
+            ensure!(Instant::now() < deadline, "proxies were not ready: {}", run.last_words());
+            if let Ok(Some(come)) = tokio::time::timeout(Duration::from_millis(100), run.comes.recv()).await {
+                run.take(come).await;
+            }
+        }
+        // The day begins when all are there.
+        run.began = Instant::now();
+        Ok(run)
+    }
+
+    fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn last_words(&self) -> String {
+        let words = self.seats.iter().filter_map(|seat| fs::read_to_string(seat.state.join("log")).ok());
+        words.filter_map(|log| log.lines().last().map(str::to_owned)).collect::<Vec<_>>().join("; ")
+    }
+
+    fn open(&mut self, place: Place, address: SocketAddr) -> Result<SocketAddr> {
+        let socket = Arc::new(bind(address)?);
+        let address = socket.local_addr()?;
+        let reader = tokio::spawn(read(socket.clone(), place, self.come.clone()));
+        self.places.insert(place, Listening { socket, reader });
+        Ok(address)
+    }
+
+    fn add_server(&mut self, server: usize) -> Result<()> {
+        let address = self.open(Place::Server(server), loopback())?;
+        self.addresses.insert(server, address);
+        self.world.settle_server(server, address);
+        Ok(())
+    }
+
+    fn start(&mut self, proxy: usize) -> Result<()> {
+        let seat = &mut self.seats[proxy];
+        let (config, ready) = (seat.state.join("settings.toml"), seat.state.join("ready.json"));
+        let _ = fs::remove_file(&ready);
+        let callers = seat.callers.unwrap_or(loopback()).to_string();
+        let state = seat.state.to_str().context("a path that is no text")?;
+        let settings =
+            self.world.drill.settings(&format!("p{proxy}"), state, &callers, &seat.feed.to_string());
+        fs::write(&config, settings)?;
+        let mut command = if self.routing == Routing::Ours {
+            let mut command = Command::new(program()?);
+            command.args(["run", "--config"]);
+            command
+        } else {
+            let mut command = Command::new(std::env::current_exe()?);
+            command.args(["proxy", "--routing", &self.routing.to_string(), "--config"]);
+            command
+        };
+        let log = File::options().create(true).append(true).open(seat.state.join("log"))?;
+        command.arg(&config).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
+        seat.child = Some(command.spawn()?);
+        tokio::spawn(await_ready(ready, proxy, self.come.clone()));
+        Ok(())
+    }
+
+    async fn play(&mut self) -> Result<()> {
+        let end = self.world.end();
+        loop {
+            let now = self.now();
+            if now >= end {
+                return Ok(());
+            }
+            self.world.turn(now);
+            self.carry_out().await?;
+            let wait = (self.world.due().min(end) - self.now()).max(0.0);
+            let first = tokio::time::timeout(Duration::from_secs_f64(wait / 1000.0), self.comes.recv()).await;
+            let mut next = first.ok().flatten();
+            while let Some(come) = next {
+                self.take(come).await;
+                next = self.comes.try_recv().ok();
+            }
+        }
+    }
+
+    async fn take(&mut self, come: Come) {
+        match come {
+            Come::Datagram(place, from, bytes) => {
+                let now = self.now();
+                self.world.arrive(now, place, from, bytes);
+            }
+            Come::Subscribed(proxy, writer) => {
+                self.seats[proxy].subscriber = Some(writer);
+                let news = self.world.whole_list(proxy);
+                self.tell(proxy, &news.write()).await;
+            }
+            Come::Ready(proxy, address) => {
+                self.seats[proxy].callers = Some(address);
+                self.world.settle_proxy(proxy, address);
+            }
+            Come::Resume(proxy) => self.signal(proxy, Signal::SIGCONT),
+        }
+    }
+
+    async fn tell(&mut self, proxy: usize, line: &str) {
+        let seat = &mut self.seats[proxy];
+        if let Some(subscriber) = &mut seat.subscriber
+            && subscriber.write_all(line.as_bytes()).await.is_err()
+        {
+            seat.subscriber = None;
+        }
+    }
+
+    fn signal(&self, proxy: usize, signal: Signal) {
+        if let Some(id) = self.seats[proxy].child.as_ref().and_then(Child::id) {
+            let _ = kill(Pid::from_raw(id as i32), signal);
+        }
+    }
+
+    async fn carry_out(&mut self) -> Result<()> {
+        while let Some(out) = self.world.out() {
+            match out {
+                Out::Datagram { from, to, bytes } => {
+                    if let Some(place) = self.places.get(&from) {
+                        // What finds no room is lost, as datagrams are.
+                        let _ = place.socket.try_send_to(&bytes, to);
+                    }
+                }
+                Out::List { proxy, news } => self.tell(proxy, &news.write()).await,
+                Out::Down { server } => {
+                    if let Some(place) = self.places.remove(&Place::Server(server)) {
+                        place.reader.abort();
+                        let _ = place.reader.await;
+                    }
+                }
+                Out::Up { server } => {
+                    let address = self.addresses[&server];
+                    self.open(Place::Server(server), address)?;
+                }
+                Out::Added { server } => self.add_server(server)?,
+                Out::Kill { proxy } => {
+                    self.seats[proxy].subscriber = None;
+                    if let Some(mut child) = self.seats[proxy].child.take() {
+                        child.kill().await?;
+                    }
+                }
+                Out::Start { proxy } => self.start(proxy)?,
+                Out::Stall { proxy, span } => {
+                    self.signal(proxy, Signal::SIGSTOP);
+                    let come = self.come.clone();
+                    tokio::spawn(async move {
+                        tokio::time::sleep(Duration::from_secs_f64(span / 1000.0)).await;
+                        let _ = come.send(Come::Resume(proxy));
+                    });
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Asks the proxies to stop, and looks whether they do so in order.
+    async fn end(mut self) -> Result<World> {
+        let now = self.now();
+        self.world.witness.close(now);
+        for proxy in 0..self.seats.len() {
+            self.signal(proxy, Signal::SIGCONT);
+            self.signal(proxy, Signal::SIGTERM);
+        }
+        for seat in &mut self.seats {
+            let Some(child) = &mut seat.child else { continue };
+            match tokio::time::timeout(STOP_WAIT, child.wait()).await {
+                Ok(status) if status.as_ref().is_ok_and(|status| status.success()) => {}
+                Ok(status) => {
+                    let log = fs::read_to_string(seat.state.join("log")).unwrap_or_default();
+                    bail!("a proxy ended with {status:?}: {}", log.lines().last().unwrap_or_default());
+                }
+                Err(_) => {
+                    child.kill().await?;
+                    bail!("a proxy did not stop within {STOP_WAIT:?} of being asked to");
+                }
+            }
+        }
+        Ok(self.world)
+    }
+}
+
+async fn read(socket: Arc<UdpSocket>, place: Place, come: mpsc::UnboundedSender<Come>) {
+    let mut buffer = BytesMut::new();
+    loop {
+        buffer.reserve(LARGEST);
+        // A refusal tells of a proxy that is down; its callers and servers find out by themselves.
+        let Ok((_, from)) = socket.recv_buf_from(&mut buffer).await else { continue };
+        if come.send(Come::Datagram(place, from, buffer.split().freeze())).is_err() {
+            return;
+        }
+    }
+}
+
+/// Takes a proxy's subscriptions; what it asks for first is read and answered with the whole list.
+async fn subscribers(listener: TcpListener, proxy: usize, come: mpsc::UnboundedSender<Come>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let (from, to) = stream.into_split();
+        let mut asked = String::new();
+        if BufReader::new(from).read_line(&mut asked).await.is_ok_and(|read| read > 0) {
+            let _ = come.send(Come::Subscribed(proxy, to));
+        }
+    }
+}
+
+async fn await_ready(file: PathBuf, proxy: usize, come: mpsc::UnboundedSender<Come>) {
+    let look = |file: &Path| -> Option<Ready> { serde_json::from_str(&fs::read_to_string(file).ok()?).ok() };
+    for _ in 0..READY_WAIT.as_millis() / 10 {
+        if let Some(ready) = look(&file) {
+            let _ = come.send(Come::Ready(proxy, ready.callers));
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
 }
