A refused connection closes its line; after silence the next shot goes elsewhere

Cause: on sockets a dead process is told at once, and one conversation spent all its shots there within a millisecond; after a time-out the first choice took the next shot too while its line was wide. Change: NoConnection narrows the line to single shots; after a time-out or refusal the others go first while one passes. Guards any server that refuses or is silent; may hurt where only the answer was lost.

--- /dev/null
+++ b/daemon/tests/settings.rs
@@ -0,0 +1,48 @@
+//! Settings: the example passes, and all that is wrong with a file is told at once.
+
+use daemon::settings::{self, EXAMPLE};
+use rstest::rstest;
+
+#[test]
+fn the_example_is_fit_to_run() {
+    let plan = settings::read(EXAMPLE).expect("fit");
+    assert_eq!(plan.terms.terms.grades.len(), 2);
+    assert_eq!(plan.terms.terms.release, 300.0);
+    assert_eq!(plan.terms.terms.longest_advice, Some(2000.0));
+    assert_eq!(plan.terms.patience, [3000.0, 9000.0]);
+    assert_eq!(plan.terms.routes.find("", "255"), Some((1, 1)));
+    assert_eq!(plan.terms.routes.tenant("north", ""), Some(0));
+}
+
+#[test]
+fn five_faults_are_told_at_once_each_with_its_line_and_key() {
+    let file = EXAMPLE
+        .replace("proxies = 4", "proxies = 0")
+        .replace("feed =", "feeds =")
+        .replace("cancel = true", "cancel = 3")
+        .replace("quoted = \"2 s\"", "quoted = \"2 parsecs\"")
+        .replace("pool = 1", "pool = 9");
+    let faults = settings::read(&file).expect_err("unfit");
+    let told: Vec<(usize, &str)> = faults.iter().map(|fault| (fault.line, &fault.key[..])).collect();
+    let line = |text: &str| file.lines().position(|line| line.starts_with(text)).expect("there") + 1;
+    for (start, key) in [
+        ("proxies = 0", "proxy.proxies"),
+        ("feeds", "pool.feeds"),
+        ("cancel = 3", "rules.cancel"),
+        ("quoted = \"2 parsecs\"", "grade[0].quoted"),
+    ] {
+        assert!(told.contains(&(line(start), key)), "{key} in {told:?}");
+    }
+    let pool = faults.iter().find(|fault| fault.key == "route[1].pool").expect("told");
+    assert_eq!((&pool.found[..], &pool.wanted[..]), ("9", "one of the pools of grade slot"));
+}
+
+#[rstest]
+#[case::no_toml("[proxy", "TOML")]
+#[case::nothing("", "a table")]
+#[case::quoted_over_limit(&EXAMPLE.replace("limit = \"9 s\"", "limit = \"1 s\""), "at most limit, 1000 ms")]
+#[case::two_of_a_name(&EXAMPLE.replace("name = \"slot\"", "name = \"open\""), "a name of its own")]
+fn what_is_wanted_is_told(#[case] file: &str, #[case] wanted: &str) {
+    let faults = settings::read(file).expect_err("unfit");
+    assert!(faults.iter().any(|fault| fault.wanted == wanted), "{faults:?}");
+}
--- /dev/null
+++ b/lab/tests/rules.rs
@@ -0,0 +1,154 @@
+//! The witness catches a proxy that breaks a rule, and lets one that keeps them pass; one seed, one course.
+
+use bytes::Bytes;
+use iax2::element::{self, Elements};
+use iax2::frame::{Full, iax, kind};
+use lab::baseline::{Broken, Routing};
+use lab::drill::Drill;
+use lab::report::Summary;
+use lab::simulated;
+use lab::witness::{ServerFacts, Witness};
+use lab::world::World;
+use rstest::rstest;
+
+fn play(name: &str, seconds: f64, routing: Routing, broken: Broken) -> World {
+    let mut drill = Drill::named(name).expect("a drill");
+    drill.seconds = seconds;
+    simulated::run(drill, routing, broken).expect("played")
+}
+
+fn broken_rules(world: &World) -> Vec<usize> {
+    let verdicts = world.witness.verdicts.iter().enumerate();
+    verdicts.filter(|(_, verdict)| verdict.broken > 0).map(|(i, _)| i + 1).collect()
+}
+
+#[test]
+fn ours_keeps_all_rules_on_the_bad_day_and_one_seed_gives_one_course() {
+    let first = Summary::of(&play("bad-day", 30.0, Routing::Ours, Broken::default()), "ours", true);
+    let again = Summary::of(&play("bad-day", 30.0, Routing::Ours, Broken::default()), "ours", true);
+    let text = |summary: &Summary| serde_json::to_string(summary).expect("plain data");
+    assert_eq!(first.broken(), 0, "{}", text(&first));
+    assert!(first.rules.iter().all(|rule| rule.verdict.checked > 100), "{}", text(&first));
+    assert_eq!(text(&first), text(&again));
+}
+
+#[rstest]
+fn ours_keeps_all_rules_in_each_kind_of_trouble(
+    #[values(
+        "vanish",
+        "slow",
+        "hang",
+        "report_late",
+        "burst",
+        "hot_caller",
+        "deploy",
+        "discovery_stale",
+        "balancer_crash",
+        "mass_restart",
+        "retry_abuse",
+        "balancer_stall",
+        "peer_down",
+        "ageing"
+    )]
+    kind: &str,
+) {
+    let world = play(&format!("kind:{kind}"), 16.0, Routing::Ours, Broken::default());
+    assert_eq!(broken_rules(&world), [0usize; 0], "{:?}", world.witness.verdicts);
+}
+
+#[test]
+fn a_proxy_that_forgets_a_caller_breaks_the_first_rule() {
+    let broken = Broken { forgets: true, ..Broken::default() };
+    let world = play("kind:mass_restart", 16.0, Routing::Random, broken);
+    assert!(broken_rules(&world).contains(&1));
+}
+
+#[test]
+fn a_proxy_that_ignores_the_list_breaks_the_third_rule() {
+    let broken = Broken { ignores_list: true, ..Broken::default() };
+    let world = play("kind:deploy", 20.0, Routing::Random, broken);
+    assert!(broken_rules(&world).contains(&3));
+}
+
+#[test]
+fn a_proxy_that_shoots_at_the_youngest_breaks_the_fourth_rule() {
+    let broken = Broken { loves_cold: true, ..Broken::default() };
+    let world = play("kind:mass_restart", 16.0, Routing::Random, broken);
+    assert!(broken_rules(&world).contains(&4));
+}
+
+#[test]
+fn a_proxy_that_skips_the_release_breaks_the_fifth_rule() {
+    let broken = Broken { skips_release: true, ..Broken::default() };
+    let world = play("kind:hang", 16.0, Routing::Random, broken);
+    assert!(broken_rules(&world).contains(&5));
+}
+
+/// A proxy's NEW to a server for a try, under a call number of its own.
+fn new(source: u16, number: usize) -> Bytes {
+    let mut body = bytes::BytesMut::new();
+    let version = Elements::new().with_u16(element::VERSION, element::PROTOCOL_VERSION);
+    version.with(element::CALLING_NAME, format!("try {number}")).write(&mut body);
+    let body = body.freeze();
+    let full = Full {
+        source,
+        dest: 0,
+        again: false,
+        timestamp: 1,
+        oseq: 0,
+        iseq: 0,
+        kind: kind::IAX,
+        subclass: iax::NEW,
+        body,
+    };
+    full.write().freeze()
+}
+
+#[test]
+fn two_shots_out_for_one_break_the_second_rule_but_a_copy_does_not() {
+    let (proxy, caller) =
+        ("127.0.0.1:9".parse().expect("an address"), "127.0.0.1:8".parse().expect("an address"));
+    let facts = ServerFacts { name: "central-0", started: f64::NEG_INFINITY, capacity: 10.0 };
+    let mut witness = Witness::new(0.0);
+    witness.from_caller(0.0, caller, &new(1, 5), |_| (0, 3000.0));
+    witness.to_server(10.0, 0, proxy, &new(2, 5), &facts);
+    witness.to_server(510.0, 0, proxy, &new(2, 5), &facts);
+    assert_eq!((witness.broken_rules(), witness.copies), (0, 1));
+    witness.to_server(600.0, 1, proxy, &new(3, 5), &facts);
+    assert_eq!(witness.verdicts[1].broken, 1);
+    assert!(witness.verdicts[1].told[0].contains("two shots out"), "told with its datagrams");
+}
+
+#[test]
+fn answered_twice_breaks_the_first_rule() {
+    let proxy = "127.0.0.1:9".parse().expect("an address");
+    let mut witness = Witness::new(0.0);
+    witness.from_caller(0.0, proxy, &new(1, 5), |_| (0, 3000.0));
+    let end = |oseq, subclass| {
+        let body = Bytes::new();
+        let full = Full {
+            source: 4,
+            dest: 1,
+            again: false,
+            timestamp: 9,
+            oseq,
+            iseq: 1,
+            kind: kind::IAX,
+            subclass,
+            body,
+        };
+        full.write().freeze()
+    };
+    witness.to_caller(20.0, proxy, &end(0, iax::REJECT), |_| Some(5));
+    witness.to_caller(520.0, proxy, &end(0, iax::REJECT), |_| Some(5));
+    assert_eq!(witness.verdicts[0].broken, 0, "a copy of the same answer");
+    witness.to_caller(600.0, proxy, &end(1, iax::HANGUP), |_| Some(5));
+    assert_eq!(witness.verdicts[0].broken, 1);
+}
+
+#[test]
+fn a_file_with_an_unknown_key_is_told() {
+    let error =
+        Drill::read("name = \"x\"\nseed = 1\nseconds = 1\nsecnods = 2").expect_err("unfit").to_string();
+    assert!(error.contains("secnods"), "{error}");
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -102,6 +102,8 @@
     worth: f64,
     shots: u32,
     shot: Option<Shot>,
+    /// Where its latest shot found nobody, or no answer.
+    failed_at: Option<usize>,
     stands: bool,
     /// Answered for good; kept only until its shot's end is told.
     over: bool,
@@ -474,6 +476,7 @@
             worth,
             shots: 0,
             shot: None,
+            failed_at: None,
             stands: false,
             over: false,
             rest_until: f64::NEG_INFINITY,
@@ -622,6 +625,11 @@
         let conversation = &self.conversations[handle.key()];
         let all = 0..self.centrals.len();
         let mut passing: Vec<usize> = all.clone().filter(|&i| self.passes(i, conversation, false)).collect();
+        // Departure: after a shot that found nobody or no answer the others go first. Guards against spending
+        // all shots at one silent server whose line is still wide; hurts where the answer alone was lost.
+        if passing.len() > 1 {
+            passing.retain(|&i| conversation.failed_at != Some(i));
+        }
         let pool = |i: usize| self.centrals[i].as_ref().expect("passes").pool;
         if let Some(&first) = passing.iter().find(|&&i| pool(i) == conversation.first) {
             return Some(first);
@@ -896,7 +904,18 @@
             && conversation.until > now
             && (!ran || proxy.grades[conversation.grade].repeatable);
         if let Some(shot) = shot.filter(|_| !stands) {
+            if matches!(ending, Ending::TimedOut | Ending::NoConnection) {
+                conversation.failed_at = Some(shot.server);
+            }
             let age = now - shot.at;
+            // Departure: nobody listens there, which its network tells at once, not after a wait that would fill
+            // the line: closed but for single shots, lest one conversation spends all its shots in an instant.
+            // Holds for any refusal before the processor; hurts where one is told for a server that is up.
+            if ending == Ending::NoConnection
+                && let Some(central) = &mut proxy.centrals[shot.server]
+            {
+                central.allowance = LEAST_OUT / f64::from(proxy.terms.proxies);
+            }
             match ending {
                 Ending::Ok | Ending::Cancelled | Ending::Busy => {
                     proxy.answered(shot.server, self, Some(age), limit, 0.0)
