--- a/lab/src/callers.rs
+++ b/lab/src/callers.rs
@@ -136,7 +136,7 @@
             }
             self.plans.pop();
             match plan {
-                Plan::Arrive => self.arrive(now, drill),
+                Plan::Arrive => self.arrive(at.0, now, drill),
                 Plan::Dial(person) => self.dial(now, drill, person),
                 Plan::GiveUp(number) => {
                     let Try { leg, over, person, .. } = self.tries[number];
@@ -182,10 +182,11 @@
         }
     }
 
-    fn arrive(&mut self, now: f64, drill: &Drill) {
+    fn arrive(&mut self, planned: f64, now: f64, drill: &Drill) {
         let busy = if now < self.mood.burst.0 { self.mood.burst.1 } else { 1.0 };
         let gap: f64 = Exp1.sample(&mut self.chance);
-        let next = now + gap * 1000.0 / (drill.load.rate * busy);
+        // From the time planned: a drill that is late to look offers no less.
+        let next = planned + gap * 1000.0 / (drill.load.rate * busy);
         if next < drill.seconds * 1000.0 {
             self.plan(next, Plan::Arrive);
         }
@@ -300,6 +301,11 @@
         self.plan(now + wait, Plan::Dial(person));
     }
 
+    /// Conversations that stand at present.
+    pub fn standing(&self) -> usize {
+        self.tries.iter().filter(|t| t.at == f64::INFINITY && !t.over).count()
+    }
+
     /// What a person's conversation could earn, with what it did. Tenants over their share are worth less.
     pub fn earned(&self, drill: &Drill, person: &Person, over_share: bool) -> (f64, f64) {
         let grade = &drill.grades[person.grade];
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -10,6 +10,7 @@
 use lab::drill::Drill;
 use lab::report::{self, Summary};
 use lab::{simulated, sockets};
+use tabled::{Table, Tabled, settings::Style};
 
 #[derive(Parser)]
 #[command(
@@ -26,6 +27,17 @@
 enum Command {
     /// Play a drill: bad-day, calm, kind:NAME or a file; exit code 1 if a rule broke
     Drill(DrillLine),
+    /// Measure one proxy on sockets beside callers that go straight to the server
+    Load {
+        /// Set-ups a second; several are tried in turn
+        #[arg(long, default_values_t = [100.0, 400.0, 800.0])]
+        rate: Vec<f64>,
+        #[arg(long, default_value_t = 8.0)]
+        seconds: f64,
+        /// How long conversations stand, in seconds
+        #[arg(long, default_value_t = 60.0)]
+        hold: f64,
+    },
     /// Run a border proxy with a baseline in place of the module
     #[command(hide = true)]
     Proxy {
@@ -64,6 +76,7 @@
 fn main() -> ExitCode {
     let done = match Line::parse().command {
         Command::Drill(line) => drill(&line),
+        Command::Load { rate, seconds, hold } => load(&rate, seconds, hold),
         Command::Proxy { routing, config } => proxy(routing, &config),
     };
     match done {
@@ -113,6 +126,55 @@
     Ok(if ours.broken() > 0 { ExitCode::FAILURE } else { ExitCode::SUCCESS })
 }
 
+/// One proxy, one server with next to no work: what the proxy adds to a set-up, and what it costs.
+fn load(rates: &[f64], seconds: f64, hold: f64) -> Result<ExitCode> {
+    #[derive(Tabled)]
+    struct Row {
+        rate: f64,
+        stood: String,
+        straight_p50: String,
+        straight_p99: String,
+        proxy_p50: String,
+        proxy_p99: String,
+        added_p99: String,
+        cpu: String,
+        memory_each: String,
+    }
+    let mut rows = Vec::new();
+    for &rate in rates {
+        let mut drill = Drill::named("calm")?;
+        (drill.fleet.proxies, drill.fleet.servers) = (1, 1);
+        (drill.load.rate, drill.load.of_capacity, drill.seconds) = (rate, 0.05, seconds);
+        drill.grades.iter_mut().for_each(|grade| grade.hold = hold);
+        drill.check()?;
+        let straight = sockets::play(drill.clone(), None)?;
+        let ours = sockets::play(drill, Some(Routing::Ours))?;
+        let summary = Summary::of(&ours.world, "ours", false);
+        let plain = Summary::of(&straight.world, "straight", false);
+        let standing = ours.world.callers.standing().max(1) as f64;
+        let cost = ours.costs[0];
+        rows.push(Row {
+            rate,
+            stood: format!("{:.1}%", summary.served * 100.0),
+            straight_p50: format!("{:.0} ms", plain.delay_median),
+            straight_p99: format!("{:.0} ms", plain.delay_p99),
+            proxy_p50: format!("{:.0} ms", summary.delay_median),
+            proxy_p99: format!("{:.0} ms", summary.delay_p99),
+            added_p99: format!("{:.0} ms", summary.delay_p99 - plain.delay_p99),
+            cpu: format!("{:.0} us a set-up", cost.cpu * 1000.0 / summary.people as f64),
+            memory_each: format!(
+                "{:.1} KiB of {standing}",
+                (cost.memory[1] - cost.memory[0]) / standing / 1024.0
+            ),
+        });
+    }
+    println!("{}", Table::new(rows).with(Style::sharp()));
+    println!(
+        "delays are from a caller's NEW to its ANSWER, the lab's own link of 1 to 2 ms each way in them"
+    );
+    Ok(ExitCode::SUCCESS)
+}
+
 fn proxy(routing: Routing, config: &std::path::Path) -> Result<ExitCode> {
     let source = std::fs::read_to_string(config)?;
     let plan = daemon::settings::read(&source).map_err(|faults| anyhow::anyhow!("{faults:?}"))?;
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -64,7 +64,8 @@
 
 struct Run {
     world: World,
-    routing: Routing,
+    routing: Option<Routing>,
+    costs: Vec<Cost>,
     began: Instant,
     places: HashMap<Place, Listening>,
     addresses: HashMap<usize, SocketAddr>,
@@ -86,8 +87,29 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
+/// What a proxy's process has cost, as the system tells it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// Processor time in milliseconds.
+    pub cpu: f64,
+    /// Resident memory in bytes, when the day began and when it ended.
+    pub memory: [f64; 2],
+}
+
+/// A drill that was played.
+pub struct Played {
+    pub world: World,
+    pub costs: Vec<Cost>,
+}
+
 /// Plays the drill to its end.
 pub fn run(drill: Drill, routing: Routing) -> Result<World> {
+    Ok(play(drill, Some(routing))?.world)
+}
+
+/// Plays the drill to its end, with what the proxies cost. Without a routing there are none: callers go
+/// straight to the first server.
+pub fn play(drill: Drill, routing: Option<Routing>) -> Result<Played> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let mut run = Run::begin(drill, routing).await?;
@@ -96,6 +118,16 @@
     })
 }
 
+/// Processor time and resident memory of a process; 0 where the system does not tell.
+fn cost(id: u32) -> (f64, f64) {
+    // The kernel counts in hundredths of a second and in pages of 4 KiB on the machines that this runs on.
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let fields: Vec<f64> =
+        stat.rsplit(") ").next().unwrap_or_default().split(' ').map(|f| f.parse().unwrap_or(0.0)).collect();
+    let field = |i: usize| fields.get(i).copied().unwrap_or(0.0);
+    ((field(11) + field(12)) * 10.0, field(21) * 4096.0)
+}
+
 /// The program that runs a border proxy, beside this one.
 fn program() -> Result<PathBuf> {
     let own = std::env::current_exe()?;
@@ -106,7 +138,7 @@
 }
 
 impl Run {
-    async fn begin(drill: Drill, routing: Routing) -> Result<Self> {
+    async fn begin(drill: Drill, routing: Option<Routing>) -> Result<Self> {
         let (come, comes) = mpsc::unbounded_channel();
         let folder = tempfile::tempdir()?;
         let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?.as_secs_f64() * 1000.0;
@@ -114,6 +146,7 @@
         let mut run = Self {
             world: World::new(drill, SLACK, unix),
             routing,
+            costs: Vec::new(),
             began: Instant::now(),
             places: HashMap::new(),
             addresses: HashMap::new(),
@@ -126,6 +159,13 @@
         for server in 0..run.world.servers.len() {
             run.add_server(server)?;
         }
+        if routing.is_none() {
+            run.world.whole_list(0);
+            let server = run.addresses[&0];
+            (0..proxies).for_each(|proxy| run.world.settle_proxy(proxy, server));
+            run.began = Instant::now();
+            return Ok(run);
+        }
         for proxy in 0..proxies {
             let state = run._folder.path().join(format!("proxy-{proxy}"));
             fs::create_dir(&state)?;
@@ -142,6 +182,10 @@
                 run.take(come).await;
             }
         }
+        for seat in &run.seats {
+            let (cpu, memory) = seat.child.as_ref().and_then(Child::id).map_or((0.0, 0.0), cost);
+            run.costs.push(Cost { cpu, memory: [memory, memory] });
+        }
         // The day begins when all are there.
         run.began = Instant::now();
         Ok(run)
@@ -180,13 +224,14 @@
         let settings =
             self.world.drill.settings(&format!("p{proxy}"), state, &callers, &seat.feed.to_string());
         fs::write(&config, settings)?;
-        let mut command = if self.routing == Routing::Ours {
+        let routing = self.routing.context("no proxies in this drill")?;
+        let mut command = if routing == Routing::Ours {
             let mut command = Command::new(program()?);
             command.args(["run", "--config"]);
             command
         } else {
             let mut command = Command::new(std::env::current_exe()?);
-            command.args(["proxy", "--routing", &self.routing.to_string(), "--config"]);
+            command.args(["proxy", "--routing", &routing.to_string(), "--config"]);
             command
         };
         let log = File::options().create(true).append(true).open(seat.state.join("log"))?;
@@ -291,9 +336,13 @@
     }
 
     /// Asks the proxies to stop, and looks whether they do so in order.
-    async fn end(mut self) -> Result<World> {
+    async fn end(mut self) -> Result<Played> {
         let now = self.now();
         self.world.witness.close(now);
+        for (seat, spent) in self.seats.iter().zip(&mut self.costs) {
+            let (cpu, memory) = seat.child.as_ref().and_then(Child::id).map_or((0.0, 0.0), cost);
+            *spent = Cost { cpu: cpu - spent.cpu, memory: [spent.memory[0], memory] };
+        }
         for proxy in 0..self.seats.len() {
             self.signal(proxy, Signal::SIGCONT);
             self.signal(proxy, Signal::SIGTERM);
@@ -312,7 +361,7 @@
                 }
             }
         }
-        Ok(self.world)
+        Ok(Played { world: self.world, costs: self.costs })
     }
 }
 
