Gossip without I/O: members, signed statements, what to believe, a hard cap of bytes

Need: no centre advises; each proxy alone learns far too slowly of a silent server at full size.

Change: package gossip: membership after SWIM and Lifeguard, each member's signed statement of what it saw, a rule of belief that bears a stated number of liars, a budget with priorities, keys with rotation, replay windows, anti-entropy.

--- /dev/null
+++ b/gossip/src/budget.rs
@@ -0,0 +1,73 @@
+//! Shares out a hard cap of bytes a second among background work by priority. Nothing in it is about gossip.
+//!
+//! Ask [`Budget::take`] before each piece of work; what is refused waits for a later beat. Any one second,
+//! wherever it begins, holds at most the cap: the bucket holds [`BURST`] of it and fills with the rest.
+
+/// The part of the cap that can be spent at once.
+const BURST: f64 = 0.25;
+
+/// What the work is for; the first goes first. Each may only spend while so much of the bucket is left, so that
+/// the less urgent cannot starve the more urgent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Priority {
+    /// Answers that somebody waits for.
+    Answer,
+    /// News that changes what is decided.
+    News,
+    /// The regular look at others.
+    Probe,
+    /// What repairs losses over a longer time.
+    Repair,
+}
+
+impl Priority {
+    /// The part of a full bucket that must be left for more urgent work.
+    fn leaves(self) -> f64 {
+        match self {
+            Self::Answer => 0.0,
+            Self::News => 0.1,
+            Self::Probe => 0.25,
+            Self::Repair => 0.5,
+        }
+    }
+}
+
+/// A bucket of bytes.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    cap: f64,
+    level: f64,
+    at: f64,
+    refused: u64,
+}
+
+impl Budget {
+    /// `cap` is in bytes a second.
+    pub fn new(cap: f64, now: f64) -> Self {
+        Self { cap, level: cap * BURST, at: now, refused: 0 }
+    }
+
+    fn fill(&mut self, now: f64) {
+        let passed = (now - self.at).max(0.0) / 1000.0;
+        self.level = (self.level + passed * self.cap * (1.0 - BURST)).min(self.cap * BURST);
+        self.at = self.at.max(now);
+    }
+
+    /// Takes so many bytes, or none.
+    pub fn take(&mut self, now: f64, bytes: usize, priority: Priority) -> bool {
+        self.fill(now);
+        let left = self.level - bytes as f64;
+        let granted = left >= self.cap * BURST * priority.leaves();
+        if granted {
+            self.level = left;
+        } else {
+            self.refused += 1;
+        }
+        granted
+    }
+
+    /// How often work was refused.
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+}
--- /dev/null
+++ b/gossip/src/keys.rs
@@ -0,0 +1,118 @@
+//! Who may speak, and how it is proved.
+//!
+//! Each member has an Ed25519 key of its own; the [`Roster`] names the public keys of all that belong to the
+//! fleet. What a member says is signed with its own key, so that a liar can lie only as itself. A fleet key
+//! (keyed BLAKE3) around it turns outsiders away at next to no cost; during a rotation the old one and the
+//! new one are accepted, and the first is used.
+
+use std::collections::BTreeMap;
+
+use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
+use thiserror::Error;
+
+/// Bytes of a signature, and of the fleet's tag.
+pub const SIGNATURE: usize = 64;
+pub const TAG: usize = 16;
+
+/// A member, by the first eight bytes of the hash of its public key.
+pub type Id = u64;
+
+#[derive(Debug, Error, PartialEq, Eq)]
+pub enum Unfit {
+    #[error("member {0}: its public key is no Ed25519 key")]
+    Key(String),
+    #[error("member {0} has the same key as {1}")]
+    Twice(String, String),
+    #[error("no fleet key is given")]
+    NoFleetKey,
+}
+
+pub fn id_of(key: &[u8; 32]) -> Id {
+    let hash = blake3::hash(key);
+    u64::from_le_bytes(hash.as_bytes()[..8].try_into().expect("eight bytes"))
+}
+
+/// All who belong to the fleet.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    members: BTreeMap<Id, (String, VerifyingKey)>,
+}
+
+impl Roster {
+    pub fn new<'a>(members: impl IntoIterator<Item = (&'a str, [u8; 32])>) -> Result<Self, Unfit> {
+        let mut roster = Self::default();
+        for (name, bytes) in members {
+            let key = VerifyingKey::from_bytes(&bytes).ok().filter(|key| !key.is_weak());
+            let key = key.ok_or_else(|| Unfit::Key(name.to_owned()))?;
+            if let Some((other, _)) = roster.members.insert(id_of(&bytes), (name.to_owned(), key)) {
+                return Err(Unfit::Twice(name.to_owned(), other));
+            }
+        }
+        Ok(roster)
+    }
+
+    pub fn name(&self, id: Id) -> Option<&str> {
+        self.members.get(&id).map(|(name, _)| &name[..])
+    }
+
+    pub fn contains(&self, id: Id) -> bool {
+        self.members.contains_key(&id)
+    }
+
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Whether the member said this.
+    pub fn said(&self, id: Id, bytes: &[u8], signature: &[u8; SIGNATURE]) -> bool {
+        let Some((_, key)) = self.members.get(&id) else { return false };
+        key.verify_strict(bytes, &Signature::from_bytes(signature)).is_ok()
+    }
+}
+
+/// A member's own key, and the fleet's.
+pub struct Secrets {
+    own: SigningKey,
+    fleet: Vec<[u8; 32]>,
+}
+
+impl Secrets {
+    /// `fleet` holds the key in use first, then those that are still accepted.
+    pub fn new(own: [u8; 32], fleet: Vec<[u8; 32]>) -> Result<Self, Unfit> {
+        if fleet.is_empty() {
+            return Err(Unfit::NoFleetKey);
+        }
+        Ok(Self { own: SigningKey::from_bytes(&own), fleet })
+    }
+
+    pub fn public(&self) -> [u8; 32] {
+        self.own.verifying_key().to_bytes()
+    }
+
+    pub fn id(&self) -> Id {
+        id_of(&self.public())
+    }
+
+    pub fn sign(&self, bytes: &[u8]) -> [u8; SIGNATURE] {
+        self.own.sign(bytes).to_bytes()
+    }
+
+    /// The fleet's tag over the bytes.
+    pub fn tag(&self, bytes: &[u8]) -> [u8; TAG] {
+        Self::tag_by(&self.fleet[0], bytes)
+    }
+
+    fn tag_by(key: &[u8; 32], bytes: &[u8]) -> [u8; TAG] {
+        blake3::keyed_hash(key, bytes).as_bytes()[..TAG].try_into().expect("as many bytes")
+    }
+
+    /// Whether the tag is the fleet's, by any accepted key; takes the same time wherever it differs.
+    pub fn tagged(&self, bytes: &[u8], tag: &[u8; TAG]) -> bool {
+        let same = |key| Self::tag_by(key, bytes).iter().zip(tag).fold(0, |diff, (a, b)| diff | (a ^ b)) == 0;
+        self.fleet.iter().fold(false, |any, key| any | same(key))
+    }
+}
--- /dev/null
+++ b/gossip/src/statements.rs
@@ -0,0 +1,162 @@
+//! What each member says, and what to believe of it. No I/O.
+//!
+//! The latest statement of each author counts, by incarnation and version: whatever order, loss or doubling
+//! statements come in, two stores that have seen the same ones hold the same ([`Statements::merge`]).
+//!
+//! **Believing.** A server's life is believed silent when at least `liars + 1` members accuse it, and not more
+//! than `liars` members had an answer from it after the moment at which `liars + 1` of the accusations had
+//! begun. So of at most `liars` who lie, all together can neither get a server shunned that no honest member
+//! accuses, nor save one that nobody honest hears from. docs/gossip.md has the proof.
+
+use std::collections::BTreeMap;
+
+use crate::keys::Id;
+use crate::wire::{Kind, Life, Signed, Statement};
+
+/// Two clocks' readings of one moment lie within this many milliseconds, after the quickest way seen.
+const CLOCK_SLACK: f64 = 500.0;
+
+struct Held {
+    statement: Statement,
+    signed: Signed,
+    /// The author's clock 0 on this proxy's clock, by the quickest way that any of its statements came.
+    epoch: f64,
+    /// How often it may still be passed on unasked.
+    passes: u32,
+    came: f64,
+}
+
+/// All statements that this member holds.
+#[derive(Default)]
+pub struct Statements {
+    held: BTreeMap<Id, Held>,
+}
+
+/// A server's life that somebody accuses.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Accused {
+    pub life: Life,
+    pub accusers: usize,
+    /// Members that had an answer after enough accusations had begun.
+    pub vouchers: usize,
+    /// Since when, on this proxy's clock.
+    pub since: f64,
+    pub believed: bool,
+}
+
+impl Statements {
+    fn key(statement: &Statement) -> (u64, u32) {
+        (statement.incarnation, statement.version)
+    }
+
+    /// Whether the statement says more than what is held of its author.
+    pub fn newer(&self, statement: &Statement) -> bool {
+        self.held.get(&statement.author).is_none_or(|held| Self::key(statement) > Self::key(&held.statement))
+    }
+
+    /// Takes a statement whose signature is proved, if it is newer. Gives whether it was.
+    pub fn merge(&mut self, now: f64, statement: Statement, signed: Signed, passes: u32) -> bool {
+        let epoch = now - f64::from(statement.clock);
+        let former = self.held.get(&statement.author);
+        if !self.newer(&statement) {
+            return false;
+        }
+        let same_life = former.filter(|held| held.statement.incarnation == statement.incarnation);
+        // An author's clock may run slow, or be lied about: what it says of the past is never ahead of now.
+        let epoch = same_life.map_or(epoch, |held| held.epoch.min(epoch));
+        self.held.insert(statement.author, Held { statement, signed, epoch, passes, came: now });
+        true
+    }
+
+    pub fn get(&self, author: Id) -> Option<&Statement> {
+        self.held.get(&author).map(|held| &held.statement)
+    }
+
+    pub fn signed(&self, author: Id) -> Option<&Signed> {
+        self.held.get(&author).map(|held| &held.signed)
+    }
+
+    pub fn forget(&mut self, author: Id) {
+        self.held.remove(&author);
+    }
+
+    pub fn authors(&self) -> impl Iterator<Item = &Statement> {
+        self.held.values().map(|held| &held.statement)
+    }
+
+    /// What of the authors from `from` on is held, in order of ids: at most so many.
+    pub fn digests(&self, from: Id, most: usize) -> Vec<(Id, u64, u32)> {
+        let held = self.held.range(from..).take(most);
+        held.map(|(&id, held)| (id, held.statement.incarnation, held.statement.version)).collect()
+    }
+
+    /// Authors from `from` to `to` of whom the peer has nothing, or an older statement.
+    pub fn wanted_by(&self, from: Id, to: Id, have: &[(Id, u64, u32)]) -> Vec<Id> {
+        if from > to {
+            return Vec::new();
+        }
+        let has = |id: Id| have.iter().find(|h| h.0 == id).map(|h| (h.1, h.2));
+        let held = self.held.range(from..=to);
+        held.filter(|(id, held)| has(**id).is_none_or(|has| has < Self::key(&held.statement)))
+            .map(|(&id, _)| id)
+            .collect()
+    }
+
+    /// Whether the peer has something that is newer than what is held here.
+    pub fn lacks(&self, have: &[(Id, u64, u32)]) -> bool {
+        let held = |id: &Id| self.held.get(id).map(|held| Self::key(&held.statement));
+        have.iter()
+            .any(|(id, incarnation, version)| held(id).is_none_or(|held| held < (*incarnation, *version)))
+    }
+
+    /// Authors whose statements are still to be passed on: accusations of what is not believed yet first, then
+    /// what was passed on least.
+    pub fn fresh(&self, liars: usize) -> Vec<Id> {
+        let believed: Vec<Life> =
+            self.accused(liars, f64::INFINITY).into_iter().filter(|a| a.believed).map(|a| a.life).collect();
+        let mut fresh: Vec<(bool, u32, Id)> = Vec::new();
+        for (&id, held) in self.held.iter().filter(|(_, held)| held.passes > 0) {
+            let urgent = |c: &crate::wire::Claim| (c.kind == Kind::Silent) != believed.contains(&c.life);
+            fresh.push((!held.statement.claims.iter().any(urgent), u32::MAX - held.passes, id));
+        }
+        fresh.sort_unstable();
+        fresh.into_iter().map(|(_, _, id)| id).collect()
+    }
+
+    /// The statement was passed on once more.
+    pub fn passed(&mut self, author: Id) {
+        if let Some(held) = self.held.get_mut(&author) {
+            held.passes = held.passes.saturating_sub(1);
+        }
+    }
+
+    /// Servers' lives that anybody accuses. `liars` is how many may lie; statements older than `aged` are
+    /// passed over (infinity for none).
+    pub fn accused(&self, liars: usize, fresh_since: f64) -> Vec<Accused> {
+        let fresh = |held: &&Held| fresh_since == f64::INFINITY || held.came >= fresh_since;
+        let mut begun: BTreeMap<Life, Vec<f64>> = BTreeMap::new();
+        for held in self.held.values().filter(fresh).filter(|held| !held.statement.leaves) {
+            for claim in held.statement.claims.iter().filter(|claim| claim.kind == Kind::Silent) {
+                begun.entry(claim.life).or_default().push(held.epoch + f64::from(claim.at));
+            }
+        }
+        let mut all = Vec::new();
+        for (life, mut begun) in begun {
+            begun.sort_by(f64::total_cmp);
+            let since = begun[liars.min(begun.len() - 1)];
+            let vouches = |held: &&Held| {
+                let mut claims = held.statement.claims.iter();
+                claims.any(|c| {
+                    c.life == life
+                        && c.kind == Kind::Answering
+                        && held.epoch + f64::from(c.at) > since + CLOCK_SLACK
+                })
+            };
+            let vouchers = self.held.values().filter(vouches).count();
+            let accusers = begun.len();
+            let believed = accusers > liars && vouchers <= liars;
+            all.push(Accused { life, accusers, vouchers, since, believed });
+        }
+        all
+    }
+}
--- /dev/null
+++ b/gossip/src/wire.rs
@@ -0,0 +1,211 @@
+//! The form of datagrams: a packet in postcard's compact encoding, its sender's signature, the fleet's tag.
+//!
+//! [`Packet::seal`] and [`open`] are the two ways. What is opened has bounded lists and a sender that is
+//! proved; nothing else of it is.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::keys::{Id, Roster, SIGNATURE, Secrets, TAG};
+
+pub const VERSION: u8 = 1;
+/// Bytes of the largest datagram, which fits any path without being cut up.
+pub const LARGEST: usize = 1200;
+/// The longest lists.
+pub const MOST_CLAIMS: usize = 24;
+const MOST_RUMOURS: usize = 32;
+const MOST_STATEMENTS: usize = 16;
+const MOST_DIGESTS: usize = 64;
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Dropped {
+    #[error("shorter than any packet")]
+    Short,
+    #[error("longer than any packet")]
+    Oversized,
+    #[error("not tagged by the fleet")]
+    Tag,
+    #[error("field version: not known")]
+    Version,
+    #[error("body: not of its form")]
+    Form,
+    #[error("field from: no member of the fleet")]
+    Stranger,
+    #[error("signature: not its sender's")]
+    Signature,
+    #[error("field counter: seen before")]
+    Replayed,
+}
+
+/// What is claimed of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// Shots have gone unanswered since.
+    Silent,
+    /// A shot was answered then.
+    Answering,
+}
+
+/// One life of a server: a hash of its name, and when its process started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Life {
+    pub server: u64,
+    pub started: u64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    pub life: Life,
+    pub kind: Kind,
+    /// On its author's clock, in milliseconds since it began.
+    pub at: u32,
+    /// How many shots it rests on.
+    pub shots: u16,
+}
+
+/// All that a member says at present. A later one replaces it, so that what is no longer in it is withdrawn.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Statement {
+    pub author: Id,
+    /// Grows with each life of the member, and when it refutes its own death.
+    pub incarnation: u64,
+    pub version: u32,
+    pub address: SocketAddr,
+    /// The author's clock when it said this.
+    pub clock: u32,
+    /// It is about to go.
+    pub leaves: bool,
+    pub claims: Vec<Claim>,
+}
+
+/// A statement as it travels, whoever passes it on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Signed {
+    pub body: Vec<u8>,
+    pub signature: Vec<u8>,
+}
+
+impl Signed {
+    pub fn new(statement: &Statement, secrets: &Secrets) -> Self {
+        let body = postcard::to_stdvec(statement).expect("plain data");
+        let signature = secrets.sign(&body).to_vec();
+        Self { body, signature }
+    }
+
+    /// The statement, if its author said it and its lists are bounded.
+    pub fn open(&self, roster: &Roster) -> Option<Statement> {
+        let signature: &[u8; SIGNATURE] = self.signature.as_slice().try_into().ok()?;
+        let (statement, rest) = postcard::take_from_bytes::<Statement>(&self.body).ok()?;
+        let fit = rest.is_empty() && statement.claims.len() <= MOST_CLAIMS;
+        (fit && roster.said(statement.author, &self.body, signature)).then_some(statement)
+    }
+
+    pub fn size(&self) -> usize {
+        self.body.len() + SIGNATURE + 4
+    }
+}
+
+/// How a member is thought of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Standing {
+    Alive,
+    Suspect,
+    Dead,
+}
+
+/// A word on a member, by whoever sends the packet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Rumour {
+    pub of: Id,
+    pub incarnation: u64,
+    pub standing: Standing,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    Ping {
+        nonce: u64,
+    },
+    /// Answers a ping; `of` is who was reached.
+    Ack {
+        nonce: u64,
+        of: Id,
+    },
+    /// Please ping that one for me.
+    PingFor {
+        nonce: u64,
+        target: Id,
+    },
+    /// What the sender has of the authors from `from` to `to`: send what is newer. `asks` when the peer may
+    /// show what it has in turn.
+    Compare {
+        from: Id,
+        to: Id,
+        have: Vec<(Id, u64, u32)>,
+        asks: bool,
+    },
+    /// Nothing but what is carried along.
+    Carry,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Packet {
+    pub version: u8,
+    pub from: Id,
+    pub incarnation: u64,
+    /// Grows with each packet of an incarnation.
+    pub counter: u64,
+    pub message: Message,
+    pub rumours: Vec<Rumour>,
+    pub statements: Vec<Signed>,
+}
+
+impl Packet {
+    pub fn seal(&self, secrets: &Secrets) -> Vec<u8> {
+        let mut bytes = postcard::to_stdvec(self).expect("plain data");
+        let signature = secrets.sign(&bytes);
+        bytes.extend(signature);
+        let tag = secrets.tag(&bytes);
+        bytes.extend(tag);
+        bytes
+    }
+
+    /// Bytes that a packet with these parts has at the most, beside what it carries.
+    pub fn overhead(message: &Message, rumours: usize) -> usize {
+        let digests = if let Message::Compare { have, .. } = message { have.len() * 25 } else { 0 };
+        80 + SIGNATURE + TAG + digests + rumours * 21
+    }
+}
+
+/// Takes a datagram apart, cheapest check first.
+pub fn open(datagram: &[u8], secrets: &Secrets, roster: &Roster) -> Result<Packet, Dropped> {
+    if datagram.len() > LARGEST {
+        return Err(Dropped::Oversized);
+    }
+    let (signed, tag) = datagram.split_last_chunk::<TAG>().ok_or(Dropped::Short)?;
+    let (body, signature) = signed.split_last_chunk::<SIGNATURE>().ok_or(Dropped::Short)?;
+    if !secrets.tagged(signed, tag) {
+        return Err(Dropped::Tag);
+    }
+    if body.first() != Some(&VERSION) {
+        return Err(Dropped::Version);
+    }
+    let (packet, rest) = postcard::take_from_bytes::<Packet>(body).map_err(|_| Dropped::Form)?;
+    let digests = if let Message::Compare { have, .. } = &packet.message { have.len() } else { 0 };
+    let bounded = packet.rumours.len() <= MOST_RUMOURS
+        && packet.statements.len() <= MOST_STATEMENTS
+        && digests <= MOST_DIGESTS;
+    if !rest.is_empty() || !bounded {
+        return Err(Dropped::Form);
+    }
+    if !roster.contains(packet.from) {
+        return Err(Dropped::Stranger);
+    }
+    if !roster.said(packet.from, body, signature) {
+        return Err(Dropped::Signature);
+    }
+    Ok(packet)
+}
--- /dev/null
+++ b/gossip/tests/fleet/mod.rs
@@ -0,0 +1,209 @@
+//! A fleet of members and some servers on a virtual clock: datagrams are lost by chance, servers answer or don't.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use gossip::keys::{Roster, Secrets};
+use gossip::wire::Life;
+use gossip::{GossipTerms, Node};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+pub const CAP: f64 = 16_000.0;
+pub const BEAT: f64 = 200.0;
+const TICK: f64 = 10.0;
+
+pub fn address(member: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (member >> 8) as u8, member as u8], 7000))
+}
+
+pub fn life(server: u64) -> Life {
+    Life { server, started: 1 }
+}
+
+pub fn secret(member: usize) -> [u8; 32] {
+    let mut key = [7; 32];
+    key[..8].copy_from_slice(&(member as u64 + 1).to_le_bytes());
+    key
+}
+
+pub fn secrets(member: usize) -> Secrets {
+    Secrets::new(secret(member), vec![[9; 32]]).expect("a key")
+}
+
+pub fn roster(members: usize) -> Roster {
+    let names: Vec<String> = (0..members).map(|m| format!("p{m}")).collect();
+    let keys = (0..members).map(|m| secrets(m).public());
+    Roster::new(names.iter().map(|n| &n[..]).zip(keys)).expect("sound keys")
+}
+
+pub fn node(member: usize, members: usize, liars: usize, now: f64, unix: f64) -> Node {
+    let terms = GossipTerms {
+        address: address(member),
+        seeds: vec![address(0), address(1), address(2)],
+        cap: CAP,
+        beat: BEAT,
+        liars,
+        resend: 500.0,
+    };
+    Node::new(terms, secrets(member), roster(members), member as u64, now, unix)
+}
+
+pub struct Fleet {
+    pub nodes: Vec<Option<Node>>,
+    pub servers: u64,
+    /// From when on a server is silent.
+    pub silent: BTreeMap<u64, f64>,
+    /// What a liar says: that all servers are silent, or that all answer.
+    pub accusers: Vec<usize>,
+    pub praisers: Vec<usize>,
+    pub loss: f64,
+    /// Members that hear nothing of those on the other side.
+    pub cut: Option<usize>,
+    pub now: f64,
+    pub stalled: BTreeMap<usize, f64>,
+    chance: Pcg64Mcg,
+    coming: BTreeMap<(u64, u64), (usize, usize, Vec<u8>)>,
+    answers: VecDeque<(f64, usize, u64)>,
+    sent: Vec<VecDeque<(f64, usize)>>,
+    count: u64,
+    /// The most bytes that any member sent in any second.
+    pub most: usize,
+    /// When each member first believed a server silent.
+    pub believed: BTreeMap<(usize, u64), f64>,
+    /// Shots a second that each member has at each server.
+    pub rate: f64,
+}
+
+impl Fleet {
+    pub fn new(members: usize, servers: u64, liars: usize, loss: f64, seed: u64) -> Self {
+        Self {
+            nodes: (0..members).map(|m| Some(node(m, members, liars, 0.0, 1e12))).collect(),
+            servers,
+            silent: BTreeMap::new(),
+            accusers: Vec::new(),
+            praisers: Vec::new(),
+            loss,
+            cut: None,
+            now: 0.0,
+            stalled: BTreeMap::new(),
+            chance: Pcg64Mcg::seed_from_u64(seed),
+            coming: BTreeMap::new(),
+            answers: VecDeque::new(),
+            sent: vec![VecDeque::new(); members],
+            count: 0,
+            most: 0,
+            believed: BTreeMap::new(),
+            rate: 0.4,
+        }
+    }
+
+    fn member_at(to: SocketAddr) -> usize {
+        let SocketAddr::V4(v4) = to else { unreachable!() };
+        usize::from(v4.ip().octets()[2]) << 8 | usize::from(v4.ip().octets()[3])
+    }
+
+    pub fn run(&mut self, span: f64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += TICK;
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now;
+        while let Some((_, member, server)) = self.answers.pop_front_if(|answer| answer.0 <= now) {
+            if let Some(node) = &mut self.nodes[member] {
+                node.evidence.answered(now, life(server));
+            }
+        }
+        for member in 0..self.nodes.len() {
+            for server in 0..self.servers {
+                if self.chance.random::<f64>() < self.rate * TICK / 1000.0 {
+                    self.shoot(member, server);
+                }
+            }
+        }
+        let due = (now * 1000.0) as u64;
+        let arrived = self.coming.range(..=(due, u64::MAX)).map(|(&key, _)| key).collect::<Vec<_>>();
+        for key in arrived {
+            let (from, to, bytes) = self.coming.remove(&key).expect("just seen");
+            if self.stalled.get(&to).is_some_and(|&until| now < until) {
+                let later = (self.stalled[&to] * 1000.0) as u64;
+                self.coming.insert((later, key.1), (from, to, bytes));
+            } else if let Some(node) = &mut self.nodes[to] {
+                node.receive(now, address(from), &bytes);
+            }
+        }
+        for member in 0..self.nodes.len() {
+            if self.stalled.get(&member).is_some_and(|&until| now < until) {
+                continue;
+            }
+            let Some(node) = &mut self.nodes[member] else { continue };
+            if node.due() <= now {
+                node.turn(now);
+            }
+            for accused in node.accused(now).into_iter().filter(|accused| accused.believed) {
+                self.believed.entry((member, accused.life.server)).or_insert(now);
+            }
+            let mut out = Vec::new();
+            while let Some(outgoing) = node.outgoing() {
+                out.push(outgoing);
+            }
+            for outgoing in out {
+                self.send(member, Self::member_at(outgoing.peer), outgoing.bytes);
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
+        let now = self.now;
+        let sent = &mut self.sent[from];
+        sent.push_back((now, bytes.len()));
+        while sent.front().is_some_and(|s| s.0 <= now - 1000.0) {
+            sent.pop_front();
+        }
+        self.most = self.most.max(sent.iter().map(|s| s.1).sum());
+        let across = self.cut.is_some_and(|cut| (from < cut) != (to < cut));
+        if !across && self.chance.random::<f64>() >= self.loss {
+            self.count += 1;
+            let at = now + 3.0 + 20.0 * self.chance.random::<f64>();
+            self.coming.insert(((at * 1000.0) as u64, self.count), (from, to, bytes));
+        }
+    }
+
+    fn shoot(&mut self, member: usize, server: u64) {
+        let now = self.now;
+        let silent = self.silent.get(&server).is_some_and(|&since| now >= since);
+        let Some(node) = &mut self.nodes[member] else { return };
+        node.evidence.shot(now, life(server));
+        if self.praisers.contains(&member) {
+            node.evidence.answered(now, life(server));
+        } else if !silent && !self.accusers.contains(&member) {
+            let delay = 30.0 + 60.0 * self.chance.random::<f64>();
+            let place = self.answers.iter().position(|a| a.0 > now + delay).unwrap_or(self.answers.len());
+            self.answers.insert(place, (now + delay, member, server));
+        }
+    }
+
+    /// Honest members that are there and do not believe the server silent by now.
+    pub fn unaware(&self, server: u64) -> Vec<usize> {
+        let liar = |m: &usize| self.accusers.contains(m) || self.praisers.contains(m);
+        let there = (0..self.nodes.len()).filter(|&m| self.nodes[m].is_some() && !liar(&m));
+        there.filter(|&m| !self.believed.contains_key(&(m, server))).collect()
+    }
+
+    /// How long after `since` honest members came to believe it: in order.
+    pub fn took(&self, server: u64, since: f64) -> Vec<f64> {
+        let mut took: Vec<f64> =
+            self.believed.iter().filter(|((_, s), _)| *s == server).map(|(_, at)| at - since).collect();
+        took.sort_by(f64::total_cmp);
+        took
+    }
+
+    /// Members of whom a member thinks that they are there.
+    pub fn alive(&self, member: usize) -> usize {
+        self.nodes[member].as_ref().map_or(0, |node| node.members.alive())
+    }
+}
--- /dev/null
+++ b/gossip/tests/stories.rs
@@ -0,0 +1,299 @@
+//! Stories of a fleet that gossips: silent servers, liars, losses, partitions, restarts.
+
+mod fleet;
+
+use fleet::{BEAT, CAP, Fleet, life, node, roster, secrets};
+use gossip::budget::{Budget, Priority};
+use gossip::members::better;
+use gossip::statements::Statements;
+use gossip::wire::{self, Claim, Dropped, Kind, Message, Packet, Signed, Standing, Statement};
+use proptest::prelude::*;
+use rstest::rstest;
+
+#[test]
+fn all_find_each_other_through_seeds_though_all_start_at_once() {
+    let mut fleet = Fleet::new(60, 0, 1, 0.3, 1);
+    fleet.run(15_000.0);
+    let alive: Vec<usize> = (0..60).map(|m| fleet.alive(m)).collect();
+    assert!(alive.iter().all(|&n| n == 60), "{alive:?}");
+    assert!(fleet.most as f64 <= CAP, "{} bytes in a second", fleet.most);
+}
+
+#[test]
+fn a_silent_server_is_known_everywhere_in_five_seconds_and_no_other_is_believed_silent() {
+    let mut fleet = Fleet::new(100, 6, 2, 0.3, 2);
+    fleet.accusers = vec![50];
+    fleet.run(15_000.0);
+    let since = fleet.now;
+    fleet.silent.insert(3, since);
+    fleet.run(8_000.0);
+    assert_eq!(fleet.unaware(3), [0usize; 0]);
+    let took = fleet.took(3, since);
+    println!(
+        "median {} worst {} of {}, most {} bytes",
+        took[took.len() / 2],
+        took[took.len() - 1],
+        took.len(),
+        fleet.most
+    );
+    assert!(took[took.len() - 1] <= 5_000.0, "{took:?}");
+    assert!(fleet.believed.keys().all(|(_, server)| *server == 3), "no healthy one");
+    assert!(fleet.most as f64 <= CAP, "{} bytes in a second", fleet.most);
+}
+
+#[rstest]
+#[case::as_many_as_borne(2, false)]
+#[case::more_than_borne_with_nobody_to_vouch(3, true)]
+fn liars_are_borne_up_to_the_bound(#[case] liars: usize, #[case] believed: bool) {
+    let mut fleet = Fleet::new(20, 2, 2, 0.1, 3);
+    fleet.accusers = (0..liars).collect();
+    // Nobody else has anything to do with the servers: nobody can vouch.
+    let rate = std::mem::replace(&mut fleet.rate, 0.0);
+    fleet.run(6_000.0);
+    for liar in 0..liars {
+        let now = fleet.now;
+        fleet.nodes[liar].as_mut().expect("there").evidence.shot(now, life(0));
+    }
+    fleet.run(6_000.0);
+    assert_eq!(fleet.believed.keys().any(|(m, _)| *m >= liars), believed);
+    assert!(rate > 0.0);
+}
+
+#[test]
+fn more_liars_than_borne_do_not_get_a_server_shunned_that_answers() {
+    let mut fleet = Fleet::new(40, 3, 2, 0.3, 4);
+    fleet.run(8_000.0);
+    fleet.accusers = (0..10).collect();
+    fleet.rate = 3.0;
+    fleet.run(15_000.0);
+    let believers = fleet.believed.keys().filter(|(m, _)| *m >= 10).count();
+    // What a member believes for an instant, before the first answers are told, is what is counted here.
+    let now: usize = (10..40)
+        .map(|m| {
+            fleet.nodes[m].as_ref().expect("there").accused(fleet.now).iter().filter(|a| a.believed).count()
+        })
+        .sum();
+    assert_eq!(now, 0, "{believers} had believed it for a moment");
+}
+
+#[test]
+fn liars_that_praise_a_dead_server_do_not_save_it() {
+    let mut fleet = Fleet::new(40, 3, 2, 0.3, 5);
+    fleet.praisers = vec![7, 8];
+    fleet.run(8_000.0);
+    fleet.silent.insert(1, fleet.now);
+    fleet.run(8_000.0);
+    assert_eq!(fleet.unaware(1), [0usize; 0]);
+}
+
+#[test]
+fn a_server_that_answers_again_is_believed_again() {
+    let mut fleet = Fleet::new(40, 3, 2, 0.3, 6);
+    fleet.run(8_000.0);
+    fleet.silent.insert(1, fleet.now);
+    fleet.run(8_000.0);
+    fleet.silent.clear();
+    fleet.run(6_000.0);
+    let believers = (0..40)
+        .filter(|&m| fleet.nodes[m].as_ref().expect("there").accused(fleet.now).iter().any(|a| a.believed));
+    assert_eq!(believers.count(), 0);
+}
+
+#[test]
+fn a_member_that_vanishes_is_found_dead_and_one_that_stalls_is_not() {
+    let mut fleet = Fleet::new(30, 0, 1, 0.1, 7);
+    fleet.run(10_000.0);
+    fleet.nodes[4] = None;
+    for _ in 0..5 {
+        fleet.stalled.insert(9, fleet.now + 2_000.0);
+        fleet.run(6_000.0);
+    }
+    fleet.run(20_000.0);
+    let alive: Vec<usize> = (0..30).filter(|&m| m != 4).map(|m| fleet.alive(m)).collect();
+    assert!(alive.iter().all(|&n| n == 29), "{alive:?}");
+}
+
+#[test]
+fn two_halves_cut_apart_find_each_other_again() {
+    let mut fleet = Fleet::new(30, 0, 1, 0.1, 8);
+    fleet.run(10_000.0);
+    fleet.cut = Some(15);
+    fleet.run(30_000.0);
+    assert!(fleet.alive(0) < 30, "each half takes the other for dead");
+    fleet.cut = None;
+    fleet.run(40_000.0);
+    let alive: Vec<usize> = (0..30).map(|m| fleet.alive(m)).collect();
+    assert!(alive.iter().all(|&n| n == 30), "{alive:?}");
+}
+
+#[rstest]
+#[case::later(2e12)]
+#[case::with_its_clock_an_hour_back(1e12 - 3_600_000.0)]
+fn a_member_that_restarts_is_heard_again(#[case] unix: f64) {
+    let mut fleet = Fleet::new(20, 2, 1, 0.1, 9);
+    fleet.run(8_000.0);
+    let now = fleet.now;
+    fleet.nodes[5] = Some(node(5, 20, 1, now, unix));
+    fleet.run(15_000.0);
+    let heard = |m: usize| {
+        let node = fleet.nodes[m].as_ref().expect("there");
+        let of = secrets(5).id();
+        node.statements().find(|s| s.author == of).map(|s| s.clock)
+    };
+    assert!(
+        heard(0).is_some_and(|clock| f64::from(clock) < 16_000.0),
+        "its new life's clock: {:?}",
+        heard(0)
+    );
+    assert_eq!(fleet.alive(0), 20);
+}
+
+#[test]
+fn thirty_of_a_hundred_restarted_at_once_stay_within_the_cap() {
+    let mut fleet = Fleet::new(100, 4, 2, 0.3, 10);
+    fleet.run(12_000.0);
+    let now = fleet.now;
+    (0..30).for_each(|m| fleet.nodes[m] = Some(node(m, 100, 2, now, 2e12)));
+    fleet.silent.extend([(0, now), (1, now)]);
+    fleet.run(15_000.0);
+    assert!(fleet.most as f64 <= CAP, "{} bytes in a second", fleet.most);
+    assert_eq!((fleet.unaware(0).len(), fleet.unaware(1).len()), (0, 0));
+}
+
+fn statement(author: usize, incarnation: u64, version: u32) -> (Statement, Signed) {
+    let claim = Claim { life: life(1), kind: Kind::Silent, at: version, shots: 1 };
+    let statement = Statement {
+        author: secrets(author).id(),
+        incarnation,
+        version,
+        address: fleet::address(author),
+        clock: 5_000,
+        leaves: false,
+        claims: vec![claim],
+    };
+    let signed = Signed::new(&statement, &secrets(author));
+    (statement, signed)
+}
+
+fn packet(from: usize, counter: u64, statements: Vec<Signed>) -> Vec<u8> {
+    let message = Message::Ping { nonce: 5 };
+    let from_id = secrets(from).id();
+    Packet { version: 1, from: from_id, incarnation: 1, counter, message, rumours: Vec::new(), statements }
+        .seal(&secrets(from))
+}
+
+#[test]
+fn what_a_liar_signs_in_anothers_name_is_dropped() {
+    let mut node = node(0, 3, 0, 0.0, 1.0);
+    let (mut forged, _) = statement(1, 9, 1);
+    forged.claims.clear();
+    let signed = Signed::new(&forged, &secrets(2));
+    node.receive(10.0, fleet::address(2), &packet(2, 1, vec![signed]));
+    assert_eq!(node.counts().bad_statements, 1);
+    assert!(node.statements().all(|s| s.author != secrets(1).id()));
+}
+
+#[test]
+fn a_packet_seen_before_is_dropped_and_one_out_of_order_is_not() {
+    let mut node = node(0, 3, 0, 0.0, 1.0);
+    for counter in [1, 5, 3, 3, 5] {
+        node.receive(10.0, fleet::address(1), &packet(1, counter, Vec::new()));
+    }
+    assert_eq!(node.counts().replayed, 2);
+}
+
+#[test]
+fn what_is_wrong_with_a_packet_is_told_apart() {
+    let (own, all) = (secrets(0), roster(3));
+    let good = packet(1, 1, Vec::new());
+    assert!(wire::open(&good, &own, &all).is_ok());
+    assert_eq!(wire::open(&good[..60], &own, &all), Err(Dropped::Short));
+    assert_eq!(wire::open(&[0; 1300], &own, &all), Err(Dropped::Oversized));
+    let mut touched = good.clone();
+    touched[3] ^= 1;
+    assert_eq!(wire::open(&touched, &own, &all), Err(Dropped::Tag));
+    assert_eq!(wire::open(&packet(8, 1, Vec::new()), &own, &all), Err(Dropped::Stranger));
+    let other = gossip::keys::Secrets::new(fleet::secret(1), vec![[1; 32]]).expect("a key");
+    assert_eq!(wire::open(&good, &other, &all), Err(Dropped::Tag), "another fleet's");
+    let both = gossip::keys::Secrets::new(fleet::secret(1), vec![[1; 32], [9; 32]]).expect("a key");
+    assert!(wire::open(&good, &both, &all).is_ok(), "the old key is accepted during a rotation");
+}
+
+/// All orders of a few rumours on one member, each also doubled: one view.
+#[test]
+fn every_order_of_rumours_gives_the_same_view() {
+    use Standing::{Alive, Dead, Suspect};
+    let words = [(1, Alive), (1, Suspect), (1, Dead), (2, Alive), (2, Suspect)];
+    let wanted = (2, Suspect);
+    let mut orders = vec![Vec::new()];
+    for word in words {
+        orders = orders
+            .into_iter()
+            .flat_map(|order: Vec<_>| {
+                (0..=order.len()).map(move |at| {
+                    let mut longer = order.clone();
+                    longer.insert(at, word);
+                    longer
+                })
+            })
+            .collect();
+    }
+    assert_eq!(orders.len(), 120);
+    for order in orders {
+        let doubled = order.iter().chain(&order).copied();
+        assert_eq!(doubled.reduce(better), Some(wanted), "{order:?}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn statements_in_any_order_leave_the_same_store(order in proptest::collection::vec(0usize..12, 1..40)) {
+        let all: Vec<(Statement, Signed)> =
+            (0..12).map(|i| statement(i % 3, 1 + (i / 6) as u64, 1 + (i / 3 % 2) as u32)).collect();
+        let store = |order: &mut dyn Iterator<Item = usize>| {
+            let mut store = Statements::default();
+            for i in order {
+                let (said, signed) = all[i].clone();
+                store.merge(0.0, said, signed, 1);
+            }
+            store.digests(0, 99)
+        };
+        let mut sorted = order.clone();
+        sorted.sort_unstable();
+        prop_assert_eq!(store(&mut order.iter().copied()), store(&mut sorted.into_iter()));
+    }
+
+    #[test]
+    fn arbitrary_datagrams_are_dropped(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        prop_assert!(wire::open(&bytes, &secrets(0), &roster(1)).is_err());
+    }
+
+    #[test]
+    fn arbitrary_bodies_of_a_member_do_no_harm(body in proptest::collection::vec(any::<u8>(), 0..200)) {
+        let mut bytes = body;
+        bytes.insert(0, wire::VERSION);
+        let signature = secrets(1).sign(&bytes);
+        bytes.extend(signature);
+        let tag = secrets(1).tag(&bytes);
+        bytes.extend(tag);
+        let mut node = node(0, 2, 0, 0.0, 1.0);
+        node.receive(1.0, fleet::address(1), &bytes);
+        node.turn(BEAT);
+    }
+
+    #[test]
+    fn no_second_holds_more_than_the_cap(asks in proptest::collection::vec((0u32..400, 1usize..1200, 0usize..4), 1..300)) {
+        let mut budget = Budget::new(CAP, 0.0);
+        let mut now = 0.0;
+        let mut spent: Vec<(f64, usize)> = Vec::new();
+        for (gap, bytes, priority) in asks {
+            now += f64::from(gap);
+            let priority = [Priority::Answer, Priority::News, Priority::Probe, Priority::Repair][priority];
+            if budget.take(now, bytes, priority) {
+                spent.push((now, bytes));
+                let second: usize = spent.iter().filter(|s| s.0 > now - 1000.0).map(|s| s.1).sum();
+                prop_assert!(second as f64 <= CAP);
+            }
+        }
+    }
+}
