Proxies gossip in drills: evidence in, suspicions to the module; belief weighs vouchers

Need: suspicions shared between proxies must reach the decisions, and must not shun servers that are merely jammed.

Change: the border proxy carries a gossip node, keeps evidence for it and brings what is believed to Proxy::suspected; the module gives a suspected server single trial shots until it answers here (three stories). Belief now weighs accusers against vouchers, waits until these can have spoken, and speaks up only as often as is of use; known statements are not proved again.

--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -57,6 +57,7 @@
 /// The sockets, and what waits for room in them.
 struct Sockets {
     callers: Arc<UdpSocket>,
+    peers: Option<Arc<UdpSocket>>,
     servers: HashMap<SocketAddr, Arc<UdpSocket>>,
     from: SocketAddr,
     receive_buffer: Option<usize>,
@@ -102,6 +103,10 @@
     fn try_send(&mut self, out: &Outbound) -> bool {
         let sent = match out.side {
             Side::Callers => self.callers.try_send_to(&out.bytes, out.peer),
+            Side::Peers => match &self.peers {
+                Some(socket) => socket.try_send_to(&out.bytes, out.peer),
+                None => return true,
+            },
             Side::Servers => match self.of_server(out.peer) {
                 Ok(socket) => socket.try_send(&out.bytes),
                 Err(error) => Err(error),
@@ -209,6 +214,7 @@
     tokio::spawn(listen(callers.clone(), Side::Callers, None, arrivals_in.clone()));
     let mut sockets = Sockets {
         callers,
+        peers: None,
         servers: HashMap::new(),
         from: plan.servers,
         receive_buffer: plan.receive_buffer,
@@ -241,6 +247,10 @@
             match sockets.backlog.front().map(|out| (out.side, out.peer)) {
                 None => std::future::pending().await,
                 Some((Side::Callers, _)) => sockets.callers.writable().await,
+                Some((Side::Peers, _)) => match &sockets.peers {
+                    Some(socket) => socket.writable().await,
+                    None => Ok(()),
+                },
                 Some((Side::Servers, peer)) => match sockets.servers.get(&peer) {
                     Some(socket) => socket.writable().await,
                     None => Ok(()),
--- a/gossip/src/evidence.rs
+++ b/gossip/src/evidence.rs
@@ -7,8 +7,9 @@
 
 use crate::wire::{Claim, Kind, Life, MOST_CLAIMS};
 
-/// A shot without any answer is a ground after this many resend gaps: two copies have gone out by then.
-const SILENT_AFTER: f64 = 1.6;
+/// A shot without any answer is a ground after this many resend gaps: two copies have gone out by then, and a
+/// server that is merely jammed has mostly answered.
+const SILENT_AFTER: f64 = 3.0;
 /// And no more after so many, counted from the last shot.
 const AGED: f64 = 40.0;
 
--- a/gossip/src/node.rs
+++ b/gossip/src/node.rs
@@ -28,6 +28,9 @@
 const VOUCH_BEATS: f64 = 50.0;
 /// Statements older than this many beats accuse nobody any more.
 const AGED_BEATS: f64 = 75.0;
+/// An accusation is believed so many beats after it began at the earliest: it has to reach those who had
+/// answers meanwhile, and their word has to come back.
+const RIPE_BEATS: f64 = 10.0;
 /// Late by so many beats, the member takes itself for stalled.
 const STALL_BEATS: f64 = 3.0;
 /// Another life under this member's own key is told of at most once in so many beats.
@@ -195,7 +198,8 @@
 
     /// Servers that are accused, and whether it is believed.
     pub fn accused(&self, now: f64) -> Vec<Accused> {
-        self.statements.accused(self.terms.liars, now - AGED_BEATS * self.terms.beat)
+        let ripe = now - RIPE_BEATS * self.terms.beat;
+        self.statements.accused(self.terms.liars, now - AGED_BEATS * self.terms.beat, ripe)
     }
 
     /// What the members say, for operators to look at.
@@ -216,10 +220,11 @@
     /// States anew what this member has to say.
     fn say(&mut self, now: f64) {
         let accused = self.accused(now);
-        let since = |life: Life| accused.iter().find(|a| a.life == life).map(|a| a.since);
+        let since = |life: Life| self.to_vouch(&accused, life);
         // Evidence is kept on the proxy's clock, statements count from the life's begin.
         let window = VOUCH_BEATS * self.terms.beat;
         let mut claims = self.evidence.claims(now, since, window);
+        claims.retain(|claim| self.to_accuse(&accused, claim));
         for claim in &mut claims {
             claim.at = claim.at.saturating_sub(self.began.max(0.0) as u32);
         }
@@ -239,6 +244,27 @@
         self.statements.merge(now, statement, signed, passes);
     }
 
+    /// Since when the server is accused, if this member's word for it is wanted: as many as outweigh those who
+    /// accuse are enough, and those who spoke up stand by it.
+    fn to_vouch(&self, accused: &[Accused], life: Life) -> Option<f64> {
+        let of = accused.iter().find(|of| of.life == life)?;
+        let spoke = self.said.as_ref().is_some_and(|(said, _)| {
+            said.iter().any(|claim| claim.life == life && claim.kind == wire::Kind::Answering)
+        });
+        (spoke || of.vouchers <= of.accusers + self.terms.liars).then_some(of.since)
+    }
+
+    /// Whether one more accusation is of use: a whole fleet's would only fill the cap.
+    fn to_accuse(&self, accused: &[Accused], claim: &wire::Claim) -> bool {
+        let said = |(said, _): &(Vec<wire::Claim>, f64)| {
+            said.iter().any(|former| former.life == claim.life && former.kind == wire::Kind::Silent)
+        };
+        let enough = 4 * (self.terms.liars + 1);
+        claim.kind == wire::Kind::Answering
+            || self.said.as_ref().is_some_and(said)
+            || accused.iter().find(|of| of.life == claim.life).is_none_or(|of| of.accusers < enough)
+    }
+
     /// Whether what it has to say is another than what it said.
     fn changed(&self, now: f64) -> bool {
         let Some((said, at)) = &self.said else { return true };
@@ -247,8 +273,9 @@
             return true;
         }
         let accused = self.accused(now);
-        let since = |life: Life| accused.iter().find(|a| a.life == life).map(|a| a.since);
-        let claims = self.evidence.claims(now, since, VOUCH_BEATS * self.terms.beat);
+        let since = |life: Life| self.to_vouch(&accused, life);
+        let mut claims = self.evidence.claims(now, since, VOUCH_BEATS * self.terms.beat);
+        claims.retain(|claim| self.to_accuse(&accused, claim));
         let same = |a: &wire::Claim, b: &wire::Claim| a.life == b.life && a.kind == b.kind;
         claims.len() != said.len() || !claims.iter().zip(said).all(|(a, b)| same(a, b))
     }
@@ -416,9 +443,13 @@
         }
         self.members.seen(now, packet.from);
         for signed in &packet.statements {
-            match signed.open(&self.roster) {
-                Some(statement) => self.take(now, statement, signed.clone()),
-                None => self.counts.bad_statements += 1,
+            // Most are known already: only what would be new is worth the proof.
+            match signed.read() {
+                Some(known) if !self.statements.newer(&known) => {}
+                Some(statement) if signed.proved(&statement, &self.roster) => {
+                    self.take(now, statement, signed.clone())
+                }
+                _ => self.counts.bad_statements += 1,
             }
         }
         for rumour in &packet.rumours {
--- a/gossip/src/statements.rs
+++ b/gossip/src/statements.rs
@@ -3,23 +3,24 @@
 //! The latest statement of each author counts, by incarnation and version: whatever order, loss or doubling
 //! statements come in, two stores that have seen the same ones hold the same ([`Statements::merge`]).
 //!
-//! **Believing.** A server's life is believed silent when at least `liars + 1` members accuse it, and not more
-//! than `liars` members had an answer from it after the moment at which `liars + 1` of the accusations had
-//! begun. So of at most `liars` who lie, all together can neither get a server shunned that no honest member
-//! accuses, nor save one that nobody honest hears from. docs/gossip.md has the proof.
+//! **Believing.** A server's life is believed silent when more members accuse it than `liars` and all those
+//! together that had an answer after the first `liars + 1` accusations had begun. So at most `liars` who lie
+//! cannot get a server shunned unless more honest members accuse it than vouch for it; and they cannot save one
+//! that more than twice as many honest members accuse and none vouches for. docs/gossip.md has the proof.
 
 use std::collections::BTreeMap;
 
 use crate::keys::Id;
 use crate::wire::{Kind, Life, Signed, Statement};
 
-/// Two clocks' readings of one moment lie within this many milliseconds, after the quickest way seen.
-const CLOCK_SLACK: f64 = 500.0;
+/// An author's clock is known too late by as much as its quickest statement was on its way: milliseconds.
+const WAY: f64 = 1_500.0;
 
 struct Held {
     statement: Statement,
     signed: Signed,
-    /// The author's clock 0 on this proxy's clock, by the quickest way that any of its statements came.
+    /// The author's clock 0 on this proxy's clock, by the quickest way that any of its statements came: never
+    /// earlier than it was.
     epoch: f64,
     /// How often it may still be passed on unasked.
     passes: u32,
@@ -112,8 +113,12 @@
     /// Authors whose statements are still to be passed on: accusations of what is not believed yet first, then
     /// what was passed on least.
     pub fn fresh(&self, liars: usize) -> Vec<Id> {
-        let believed: Vec<Life> =
-            self.accused(liars, f64::INFINITY).into_iter().filter(|a| a.believed).map(|a| a.life).collect();
+        let believed: Vec<Life> = self
+            .accused(liars, f64::INFINITY, f64::INFINITY)
+            .into_iter()
+            .filter(|a| a.believed)
+            .map(|a| a.life)
+            .collect();
         let mut fresh: Vec<(bool, u32, Id)> = Vec::new();
         for (&id, held) in self.held.iter().filter(|(_, held)| held.passes > 0) {
             let urgent = |c: &crate::wire::Claim| (c.kind == Kind::Silent) != believed.contains(&c.life);
@@ -132,7 +137,9 @@
 
     /// Servers' lives that anybody accuses. `liars` is how many may lie; statements older than `aged` are
     /// passed over (infinity for none).
-    pub fn accused(&self, liars: usize, fresh_since: f64) -> Vec<Accused> {
+    ///
+    /// Accusations that began after `ripe` are not believed yet: those who had answers are to be heard first.
+    pub fn accused(&self, liars: usize, fresh_since: f64, ripe: f64) -> Vec<Accused> {
         let fresh = |held: &&Held| fresh_since == f64::INFINITY || held.came >= fresh_since;
         let mut begun: BTreeMap<Life, Vec<f64>> = BTreeMap::new();
         for held in self.held.values().filter(fresh).filter(|held| !held.statement.leaves) {
@@ -144,17 +151,16 @@
         for (life, mut begun) in begun {
             begun.sort_by(f64::total_cmp);
             let since = begun[liars.min(begun.len() - 1)];
+            // Each voucher itself holds its answer against when the accusations began, as far as it knows, and
+            // takes its word back; until that has come, what it says of the time is checked here.
             let vouches = |held: &&Held| {
                 let mut claims = held.statement.claims.iter();
-                claims.any(|c| {
-                    c.life == life
-                        && c.kind == Kind::Answering
-                        && held.epoch + f64::from(c.at) > since + CLOCK_SLACK
-                })
+                let after = |at: u32| held.epoch + f64::from(at) > since + WAY;
+                claims.any(|claim| claim.life == life && claim.kind == Kind::Answering && after(claim.at))
             };
-            let vouchers = self.held.values().filter(vouches).count();
+            let vouchers = self.held.values().filter(fresh).filter(vouches).count();
             let accusers = begun.len();
-            let believed = accusers > liars && vouchers <= liars;
+            let believed = accusers > liars + vouchers && since <= ripe;
             all.push(Accused { life, accusers, vouchers, since, believed });
         }
         all
--- a/gossip/src/wire.rs
+++ b/gossip/src/wire.rs
@@ -95,12 +95,16 @@
         Self { body, signature }
     }
 
-    /// The statement, if its author said it and its lists are bounded.
-    pub fn open(&self, roster: &Roster) -> Option<Statement> {
-        let signature: &[u8; SIGNATURE] = self.signature.as_slice().try_into().ok()?;
+    /// The statement, if its lists are bounded; not yet proved to be its author's.
+    pub fn read(&self) -> Option<Statement> {
         let (statement, rest) = postcard::take_from_bytes::<Statement>(&self.body).ok()?;
-        let fit = rest.is_empty() && statement.claims.len() <= MOST_CLAIMS;
-        (fit && roster.said(statement.author, &self.body, signature)).then_some(statement)
+        (rest.is_empty() && statement.claims.len() <= MOST_CLAIMS).then_some(statement)
+    }
+
+    /// Whether the author said it.
+    pub fn proved(&self, statement: &Statement, roster: &Roster) -> bool {
+        let signature: Option<&[u8; SIGNATURE]> = self.signature.as_slice().try_into().ok();
+        signature.is_some_and(|signature| roster.said(statement.author, &self.body, signature))
     }
 
     pub fn size(&self) -> usize {
--- a/lab/src/baseline.rs
+++ b/lab/src/baseline.rs
@@ -6,7 +6,7 @@
 
 use border::Decisions;
 use frostthread::Proxy;
-use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, State, Terms, View};
+use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, State, Suspicion, Terms, View};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -155,6 +155,8 @@
 
     fn reported(&mut self, _server: Server, _report: Report) {}
 
+    fn suspected(&mut self, _server: Server, _suspicion: Option<Suspicion>) {}
+
     fn take(&mut self, call: &Call) -> Handle {
         let kept = Kept {
             until: self.now + call.remaining,
@@ -283,6 +285,9 @@
     fn reported(&mut self, server: Server, report: Report) {
         pass_on!(self, reported(server, report));
     }
+    fn suspected(&mut self, server: Server, suspicion: Option<Suspicion>) {
+        pass_on!(self, suspected(server, suspicion));
+    }
     fn take(&mut self, call: &Call) -> Handle {
         pass_on!(self, take(call))
     }
--- a/lab/src/drill.rs
+++ b/lab/src/drill.rs
@@ -22,6 +22,8 @@
     pub link: LinkFaults,
     #[serde(default)]
     pub list: ListTimes,
+    #[serde(default)]
+    pub gossip: GossipPlay,
     #[serde(default, rename = "grade")]
     pub grades: Vec<Grade>,
     #[serde(default, rename = "tenant")]
@@ -63,6 +65,27 @@
     pub reorder: f64,
 }
 
+/// Whether proxies gossip, and over what.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GossipPlay {
+    pub on: bool,
+    /// The part of messages between proxies that is lost.
+    pub loss: f64,
+    /// Of how many members it is borne that they lie.
+    pub liars_borne: usize,
+    /// Bytes a proxy a second.
+    pub cap: f64,
+    /// Seconds between a proxy's looks at others.
+    pub beat: f64,
+}
+
+impl Default for GossipPlay {
+    fn default() -> Self {
+        Self { on: false, loss: 0.0, liars_borne: 2, cap: 16_000.0, beat: 0.2 }
+    }
+}
+
 /// How late the list is.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -258,6 +281,14 @@
         format!("{grade}{pool:03}{line:04}")
     }
 
+    /// When messages between proxies are all lost: from and until, in milliseconds.
+    pub fn peers_down(&self, now: f64) -> bool {
+        let down = |t: &Trouble| {
+            matches!(t.kind, Kind::PeerDown {}) && (t.at..t.at + t.lasts).contains(&(now / 1000.0))
+        };
+        self.troubles.iter().any(down)
+    }
+
     /// What each proxy of the drill runs by.
     pub fn proxy_terms(&self) -> ProxyTerms {
         let pools: Vec<u16> = (0..self.pools()).collect();
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -68,6 +68,11 @@
     /// Play it again with another routing: random, round-robin or least-out
     #[arg(long)]
     against: Vec<Routing>,
+    /// Let proxies gossip (virtual only), and lose such a part of their messages
+    #[arg(long)]
+    gossip: bool,
+    #[arg(long, default_value_t = 0.0)]
+    gossip_loss: f64,
     /// One JSON object in place of tables
     #[arg(long)]
     json: bool,
@@ -96,6 +101,10 @@
     drill.load.rate = line.rate.unwrap_or(drill.load.rate);
     drill.seconds = line.seconds.unwrap_or(drill.seconds);
     drill.seed = line.seed.unwrap_or(drill.seed);
+    if line.gossip {
+        drill.gossip.on = true;
+        drill.gossip.loss = line.gossip_loss;
+    }
     drill.check()?;
     let mut summaries = Vec::new();
     for routing in std::iter::once(Routing::Ours).chain(line.against.iter().copied()) {
--- a/lab/src/simulated.rs
+++ b/lab/src/simulated.rs
@@ -9,12 +9,14 @@
 use border::pool::{News, PoolList};
 use border::{BorderProxy, ProxyTerms, Side};
 use bytes::Bytes;
+use gossip::keys::{Roster, Secrets};
+use gossip::{GossipTerms, Node};
 use ordered_float::OrderedFloat;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::baseline::{Broken, Decider, Routing};
-use crate::drill::Drill;
+use crate::drill::{Drill, REPEAT};
 use crate::world::{Out, Place, World};
 
 /// From a stand-in's socket to a proxy's, or back; the link adds its own.
@@ -52,6 +54,8 @@
     coming: HashMap<u64, Come>,
     count: u64,
     now: f64,
+    roster: Roster,
+    gossiped: u64,
 }
 
 fn address(kind: u8, index: usize) -> SocketAddr {
@@ -69,11 +73,29 @@
 const PROXY: u8 = 2;
 const PROXY_BACK: u8 = 3;
 const SERVER: u8 = 4;
+const PEERS: u8 = 5;
+/// The way between two proxies, on average.
+const PEER_WAY: f64 = 10.0;
+
+/// A member's keys in a drill: made up, and known to all.
+pub fn secrets(member: usize) -> Secrets {
+    let mut own = [0x5f; 32];
+    own[..8].copy_from_slice(&(member as u64).to_le_bytes());
+    Secrets::new(own, vec![[0xf7; 32]]).expect("a fleet key")
+}
+
+/// All members of a drill.
+pub fn roster(members: usize) -> Roster {
+    let names: Vec<String> = (0..members).map(|member| format!("p{member}")).collect();
+    let keys = (0..members).map(|member| secrets(member).public());
+    Roster::new(names.iter().map(String::as_str).zip(keys)).expect("keys of their own")
+}
 
 /// Plays the drill to its end.
 pub fn run(drill: Drill, routing: Routing, broken: Broken) -> Result<World> {
     let proxies = drill.fleet.proxies;
     let terms = drill.proxy_terms();
+    let gossips = drill.gossip.on;
     let mut chance = Pcg64Mcg::seed_from_u64(drill.seed ^ 0x5eed);
     let mut world = World::new(drill, 0.001, EPOCH);
     for server in 0..world.servers.len() {
@@ -92,11 +114,14 @@
         coming: HashMap::new(),
         count: 0,
         now: 0.0,
+        roster: if gossips { roster(proxies) } else { Roster::default() },
+        gossiped: 0,
     };
     (0..proxies).for_each(|proxy| run.start(proxy));
     run.play();
     let now = run.now;
     run.world.witness.close(now);
+    run.world.gossiped = run.gossiped;
     Ok(run.world)
 }
 
@@ -111,6 +136,9 @@
         let seed = self.chance.random();
         let module = Decider::new(self.routing, self.broken, self.terms.terms.clone(), seed, self.now);
         let mut core = Core::deciding(module, self.terms.clone(), seed, self.now);
+        if self.world.drill.gossip.on {
+            core.join(self.node(proxy));
+        }
         let seat = &mut self.seats[proxy];
         if let Ok(news) = PoolList::from_cache(&seat.cache) {
             core.listed(self.now, EPOCH + self.now, &news).expect("its own list");
@@ -122,6 +150,27 @@
         self.list(proxy, &news);
     }
 
+    /// The proxy's gossip: keys of its own, made from its place in the fleet.
+    fn node(&mut self, proxy: usize) -> Node {
+        let play = self.world.drill.gossip;
+        let terms = GossipTerms {
+            address: address(PEERS, proxy),
+            seeds: (0..3).map(|seed| address(PEERS, seed)).collect(),
+            cap: play.cap,
+            beat: play.beat * 1000.0,
+            liars: play.liars_borne,
+            resend: REPEAT,
+        };
+        Node::new(
+            terms,
+            secrets(proxy),
+            self.roster.clone(),
+            self.chance.random(),
+            self.now,
+            EPOCH + self.now,
+        )
+    }
+
     fn list(&mut self, proxy: usize, news: &News) {
         let now = self.now;
         let seat = &mut self.seats[proxy];
@@ -154,6 +203,20 @@
         for out in sent {
             let what = match out.side {
                 Side::Callers => Come::World(Place::Callers, address(PROXY, proxy), out.bytes),
+                Side::Peers => {
+                    self.gossiped += out.bytes.len() as u64;
+                    let to = index(out.peer);
+                    let lost = self.chance.random::<f64>() < self.world.drill.gossip.loss;
+                    if !lost && !self.world.drill.peers_down(now) {
+                        let at = now + PEER_WAY * (0.2 + 1.8 * self.chance.random::<f64>());
+                        let life = self.seats[to].life;
+                        self.come(
+                            at,
+                            Come::Proxy(to, life, at, Side::Peers, address(PEERS, proxy), out.bytes),
+                        );
+                    }
+                    continue;
+                }
                 Side::Servers => {
                     let server = index(out.peer);
                     if !self.world.servers[server].up {
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -122,6 +122,8 @@
     epoch: f64,
     /// Capacity of all servers, second by second, as it was.
     pub capacity: Vec<f64>,
+    /// Bytes that proxies sent each other.
+    pub gossiped: u64,
     now: f64,
 }
 
@@ -158,6 +160,7 @@
             addresses: vec![None; drill.fleet.proxies],
             epoch,
             capacity: Vec::new(),
+            gossiped: 0,
             now: 0.0,
             chance: own(),
             drill,
--- a/proxy/src/border.rs
+++ b/proxy/src/border.rs
@@ -11,7 +11,10 @@
 
 use bytes::Bytes;
 use frostthread::Proxy;
-use frostthread::host::{Call, Ending, Handle, Host, Server, State, Terms};
+use frostthread::host::{Call, Ending, Handle, Host, Server, State, Suspicion, Terms};
+use gossip::Node;
+use gossip::evidence::Evidence;
+use gossip::wire::Life;
 use iax2::element::{self, Elements};
 use iax2::{End, Endpoint, Happening, Leg, Limits, cause};
 use ordered_float::OrderedFloat;
@@ -36,11 +39,13 @@
     element::FORMAT,
 ];
 
-/// Which socket a datagram is of: callers' or servers'.
+/// Which socket a datagram is of.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Side {
     Callers,
     Servers,
+    /// Other border proxies, where there is gossip.
+    Peers,
 }
 
 /// A datagram to be sent.
@@ -94,6 +99,9 @@
     notes: VecDeque<String>,
     tally: Tally,
     now: f64,
+    gossip: Option<Node>,
+    /// Gossip may have changed what is suspected.
+    gossiped: bool,
 }
 
 /// One border proxy, with what decides for it.
@@ -137,6 +145,13 @@
         }
     }
 
+    /// Keeps what was seen of a server as evidence, where there is gossip.
+    fn witness(&mut self, server: Server, keep: impl FnOnce(&mut Evidence, Life)) {
+        if let Some((node, life)) = self.gossip.as_mut().zip(self.pool.life(server)) {
+            keep(&mut node.evidence, life);
+        }
+    }
+
     /// Calls a shot off; gives whether there was one.
     fn hang_up_shot(&mut self, handle: Handle, code: u8) -> bool {
         let now = self.now;
@@ -156,6 +171,7 @@
             return self.unheard.push_back((handle, Ending::Moot));
         };
         self.tally.shots += 1;
+        self.witness(server, |evidence, life| evidence.shot(now, life));
         self.by_server.insert(leg, handle);
         self.conversation(handle).expect("just there").shot = Some(Shot { leg, server });
         self.time_outs.push(Reverse((OrderedFloat(now + time_out), leg)));
@@ -224,6 +240,8 @@
                 notes: VecDeque::new(),
                 tally: Tally::default(),
                 now,
+                gossip: None,
+                gossiped: false,
             },
             module,
             number_key: (seed, !seed),
@@ -231,6 +249,23 @@
         }
     }
 
+    /// Lets the proxy gossip with others of its fleet.
+    pub fn join(&mut self, node: Node) {
+        self.hands.gossip = Some(node);
+    }
+
+    /// Its gossip, where there is any.
+    pub fn gossip(&self) -> Option<&Node> {
+        self.hands.gossip.as_ref()
+    }
+
+    /// Tells the others that it goes.
+    pub fn leave(&mut self, now: f64) {
+        if let Some(node) = &mut self.hands.gossip {
+            node.leave(now);
+        }
+    }
+
     /// A datagram of one of the sockets. `arrived` is when it is thought to have come, before `now` where
     /// this proxy was late to look.
     pub fn receive(&mut self, now: f64, arrived: f64, side: Side, peer: SocketAddr, datagram: &Bytes) {
@@ -244,6 +279,12 @@
                 self.hands.servers.receive(now, peer, datagram);
                 self.hear_servers();
             }
+            Side::Peers => {
+                if let Some(node) = &mut self.hands.gossip {
+                    node.receive(now, peer, datagram);
+                    self.hands.gossiped = true;
+                }
+            }
         }
     }
 
@@ -253,6 +294,7 @@
         match side {
             Side::Callers => self.hands.callers.refused(now, peer),
             Side::Servers => self.hands.servers.refused(now, peer),
+            Side::Peers => {}
         }
         self.hear_callers(0.0);
         self.hear_servers();
@@ -276,6 +318,10 @@
         self.at(now);
         self.hands.callers.turn(now);
         self.hands.servers.turn(now);
+        if let Some(node) = self.hands.gossip.as_mut().filter(|node| node.due() <= now) {
+            node.turn(now);
+            self.hands.gossiped = true;
+        }
         self.hear_callers(0.0);
         self.hear_servers();
         while let Some(Reverse((at, leg))) = self.hands.time_outs.peek().copied() {
@@ -293,6 +339,9 @@
 
     /// To be called when all that has come at one time is told.
     pub fn settle(&mut self) {
+        if std::mem::take(&mut self.hands.gossiped) {
+            self.suspect();
+        }
         loop {
             self.module.settle(&mut self.hands);
             // Each of these uses up a shot of its conversation, so there is an end to it.
@@ -303,11 +352,23 @@
         }
     }
 
+    /// Brings what is believed of servers to whoever decides.
+    fn suspect(&mut self) {
+        let Some(node) = &self.hands.gossip else { return };
+        let accused = node.accused(self.hands.now);
+        for server in self.hands.pool.servers() {
+            let Some(life) = self.hands.pool.life(server) else { continue };
+            let of = accused.iter().find(|accused| accused.life == life && accused.believed);
+            self.module.suspected(server, of.map(|of| Suspicion { strength: 1.0, since: of.since }));
+        }
+    }
+
     /// When [`BorderProxy::turn`] is next wanted.
     pub fn due(&self) -> f64 {
         let hands = &self.hands;
         let time_out = hands.time_outs.peek().map(|Reverse((at, _))| at.0);
-        let legs = [hands.callers.due(), hands.servers.due(), time_out];
+        let node = hands.gossip.as_ref().map(Node::due);
+        let legs = [hands.callers.due(), hands.servers.due(), time_out, node];
         legs.into_iter().flatten().fold(hands.wake, f64::min)
     }
 
@@ -315,11 +376,10 @@
     pub fn outbound(&mut self) -> Option<Outbound> {
         let hands = &mut self.hands;
         let of = |side| move |d: iax2::Datagram| Outbound { side, peer: d.peer, bytes: d.bytes };
-        hands
-            .servers
-            .datagram()
-            .map(of(Side::Servers))
-            .or_else(|| hands.callers.datagram().map(of(Side::Callers)))
+        let peers = |d: gossip::Outgoing| Outbound { side: Side::Peers, peer: d.peer, bytes: d.bytes.into() };
+        let servers = hands.servers.datagram().map(of(Side::Servers));
+        let legs = servers.or_else(|| hands.callers.datagram().map(of(Side::Callers)));
+        legs.or_else(|| hands.gossip.as_mut().and_then(Node::outgoing).map(peers))
     }
 
     /// The next line for the log.
@@ -498,6 +558,9 @@
         let now = self.hands.now;
         if let Some(shot) = &conversation.shot {
             self.hands.servers.end(now, shot.leg, &Elements::new().with_cause(cause::NORMAL_CLEARING));
+            if !conversation.stands {
+                self.hands.witness(shot.server, Evidence::called_off);
+            }
         }
         if conversation.stands {
             self.hands.tally.cleared += 1;
@@ -521,6 +584,8 @@
                 Happening::Pong { peer, elements } => {
                     self.hands.tally.pongs += 1;
                     if let Some(server) = self.hands.pool.at(peer) {
+                        let now = self.hands.now;
+                        self.hands.witness(server, |evidence, life| evidence.answered(now, life));
                         self.module.reported(server, Hints::read(&elements).report());
                     }
                 }
@@ -544,6 +609,12 @@
         let Some(conversation) = self.hands.conversation(handle) else { return };
         let caller = conversation.caller;
         let Some(server) = conversation.shot.as_ref().map(|shot| shot.server) else { return };
+        let silence =
+            [End::Silent { heard: false }, End::Silent { heard: true }, End::Refused].map(Happening::Ended);
+        if !silence.contains(&happening) {
+            self.hands.witness(server, |evidence, life| evidence.answered(now, life));
+        }
+        let Some(conversation) = self.hands.conversation(handle) else { return };
         match happening {
             Happening::Accepted(elements) => {
                 let first = !std::mem::replace(&mut conversation.accepted, true);
--- a/proxy/src/decisions.rs
+++ b/proxy/src/decisions.rs
@@ -2,13 +2,14 @@
 //! deliberately broken ones, which live in the laboratory, stand in for it there.
 
 use frostthread::Proxy;
-use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, View};
+use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, Suspicion, View};
 
 /// The calls of [`frostthread::Proxy`] and its handles; see there for each.
 pub trait Decisions {
     fn at(&mut self, now: f64);
     fn listed(&mut self, lines: &[Listed], whole: bool, host: &mut impl Host);
     fn reported(&mut self, server: Server, report: Report);
+    fn suspected(&mut self, server: Server, suspicion: Option<Suspicion>);
     fn take(&mut self, call: &Call) -> Handle;
     fn place(&mut self, handle: Handle);
     fn stood(&mut self, handle: Handle);
@@ -28,6 +29,9 @@
     fn reported(&mut self, server: Server, report: Report) {
         self.reported(server, report);
     }
+    fn suspected(&mut self, server: Server, suspicion: Option<Suspicion>) {
+        self.suspected(server, suspicion);
+    }
     fn take(&mut self, call: &Call) -> Handle {
         self.take(call)
     }
--- a/proxy/src/pool.rs
+++ b/proxy/src/pool.rs
@@ -5,10 +5,13 @@
 //! the form.
 
 use std::collections::{BTreeMap, HashMap};
+use std::hash::Hasher;
 use std::net::SocketAddr;
 
 use frostthread::host::{Listed, Server, State};
+use gossip::wire::Life;
 use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
 use thiserror::Error;
 
 /// Bytes of the longest line that is read.
@@ -147,6 +150,15 @@
         self.by_address.get(&address).copied()
     }
 
+    /// The server's present life, by which proxies speak of it to each other. A name and start of their own keep
+    /// what was said of an earlier process, or of another machine at the same address, apart.
+    pub fn life(&self, server: Server) -> Option<Life> {
+        let known = self.known.get(self.name(server))?;
+        let mut hasher = SipHasher13::new();
+        hasher.write(known.entry.name.as_bytes());
+        Some(Life { server: hasher.finish(), started: known.entry.started.unwrap_or(0.0) as u64 })
+    }
+
     /// All servers ever listed, in the order of their indices.
     pub fn servers(&self) -> impl Iterator<Item = Server> {
         (0..self.names.len() as u32).map(Server)
--- a/proxy/tests/stories.rs
+++ b/proxy/tests/stories.rs
@@ -178,7 +178,9 @@
 fn nothing_new_goes_to_a_server_that_drains() {
     let mut story = Story::new();
     story.list(2, vec![entry(0, Readiness::Draining, None)]);
-    (0..5).for_each(|_| drop(story.call("1555", 3000)));
+    for _ in 0..5 {
+        story.call("1555", 3000);
+    }
     assert!(story.offered.iter().all(|(server, ..)| *server == 1));
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,7 +12,9 @@
 use rand_pcg::Pcg64Mcg;
 use slab::Slab;
 
-use crate::host::{Call, Ending, GradeTerms, Handle, Host, Listed, Report, Server, State, Terms, View};
+use crate::host::{
+    Call, Ending, GradeTerms, Handle, Host, Listed, Report, Server, State, Suspicion, Terms, View,
+};
 
 /// Bins of a central server's histogram of set-up delay / time limit.
 const BINS: usize = 50;
@@ -168,6 +170,10 @@
     rate: f64,
     told_rate: f64,
     best_rate: f64,
+    /// Others' word that it is silent, when it was last heard from here, and no shot before this meanwhile.
+    suspicion: Option<Suspicion>,
+    heard: f64,
+    trial: f64,
 }
 
 /// The decisions of one border proxy.
@@ -221,6 +227,9 @@
             rate: 0.0,
             told_rate: f64::NEG_INFINITY,
             best_rate: f64::MIN_POSITIVE,
+            suspicion: None,
+            heard: f64::NEG_INFINITY,
+            trial: f64::NEG_INFINITY,
         }
     }
 
@@ -431,6 +440,30 @@
         }
     }
 
+    /// Others' word on a central server, or that they have taken it back.
+    pub fn suspected(&mut self, server: Server, suspicion: Option<Suspicion>) {
+        let gap = self.trial_gap();
+        let Some(Some(central)) = self.centrals.get_mut(server.0 as usize) else { return };
+        if central.suspicion.is_none() && suspicion.is_some() {
+            central.trial = self.now + gap * self.rng.random::<f64>();
+        }
+        central.suspicion = suspicion;
+    }
+
+    fn trial_gap(&self) -> f64 {
+        f64::from(self.terms.proxies) * self.standing
+    }
+
+    /// Departure: while enough others say that a central server is silent, and nothing was heard from it here
+    /// since, it gets single trial shots, at times drawn by chance so that the fleet tries it about once a
+    /// standing delay. Guards against each proxy learning of a silent one by shots of its own; holds for any
+    /// cause that leaves shots unanswered. Hurts where their way to it is broken and this proxy's is not:
+    /// until one answer here, which ends it at once.
+    fn shunned(&self, central: &Central) -> bool {
+        let silent = |s: Suspicion| s.strength >= 1.0 && central.heard <= s.since;
+        central.suspicion.is_some_and(silent) && self.now < central.trial
+    }
+
     /// What this proxy makes of a central server, for operators to look at.
     pub fn view(&self, server: Server) -> Option<View> {
         let central = self.centrals.get(server.0 as usize)?.as_ref()?;
@@ -611,6 +644,7 @@
             && self.has_room(central, conversation.worth)
             && if again { self.recovers(central) } else { self.passes_quantile(central, grade) }
             && !self.too_cold(central)
+            && !self.shunned(central)
     }
 
     /// Departure: the draw goes by free lines too, so that all that turn away from one central server do not
@@ -647,7 +681,7 @@
     }
 
     fn shoot(&mut self, handle: Handle, index: usize, host: &mut impl Host) {
-        let now = self.now;
+        let (now, gap) = (self.now, self.trial_gap());
         let conversation = &mut self.conversations[handle.key()];
         let grade = &self.grades[conversation.grade];
         let left = conversation.until - now;
@@ -662,6 +696,9 @@
         central.out.push(Out { handle, at: now, overtaken: false, cancelled: false });
         central.sent.push_back(now);
         central.dither = self.rng.random();
+        if central.suspicion.is_some() {
+            central.trial = now + gap * (0.5 + self.rng.random::<f64>());
+        }
         host.shoot(handle, Server(index as u32), time_out);
     }
 
@@ -877,6 +914,7 @@
         let limit = proxy.grades[conversation.grade].limit;
         proxy.answered(index, self, Some(delay), limit, 0.0);
         if let Some(central) = &mut proxy.centrals[index] {
+            central.heard = proxy.now;
             central.out.iter_mut().filter(|out| out.at < sent).for_each(|out| out.overtaken = true);
         }
         if let Some(number) = number {
@@ -906,10 +944,14 @@
         if let Some(shot) = shot.filter(|_| !stands) {
             if matches!(ending, Ending::TimedOut | Ending::NoConnection) {
                 conversation.failed_at = Some(shot.server);
+            } else if let Some(central) =
+                proxy.centrals[shot.server].as_mut().filter(|_| ending != Ending::Cancelled)
+            {
+                central.heard = now;
             }
             let age = now - shot.at;
-            // Departure: nobody listens there, which its network tells at once, not after a wait that would fill
-            // the line: closed but for single shots, lest one conversation spends all its shots in an instant.
+            // Departure: nobody listens there, which its network tells at once, not after a wait that would
+            // fill the line: closed but for single shots, lest one conversation spends all in an instant.
             // Holds for any refusal before the processor; hurts where one is told for a server that is up.
             if ending == Ending::NoConnection
                 && let Some(central) = &mut proxy.centrals[shot.server]
--- a/src/host.rs
+++ b/src/host.rs
@@ -113,6 +113,15 @@
     Moot,
 }
 
+/// Others' word that a central server answers nobody.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Suspicion {
+    /// From 1 on enough of them say so.
+    pub strength: f64,
+    /// Since when, by what they say.
+    pub since: f64,
+}
+
 /// What a proxy makes of a central server at present.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct View {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -4,7 +4,7 @@
 
 use fake::{Story, line, terms};
 use frostthread::choice::{Histogram, quantile_after};
-use frostthread::host::{Ending, Report, Server, State, Terms};
+use frostthread::host::{Ending, Report, Server, State, Suspicion, Terms};
 use rstest::rstest;
 
 #[test]
@@ -208,7 +208,9 @@
     let mut story = Story::with(2);
     let first = story.call(0, 0);
     story.ended(first, Ending::NoConnection);
-    (0..6).for_each(|_| drop(story.call(0, 0)));
+    for _ in 0..6 {
+        story.call(0, 0);
+    }
     assert_eq!(story.shots_at(0), 1, "the others found it resting, though a line takes more at first");
 }
 
@@ -498,3 +500,53 @@
     assert!(story.host.cancelled.is_empty(), "it may still stand in line");
     assert_eq!(story.went(early), [0]);
 }
+
+fn suspect(story: &mut Story, strength: f64) {
+    let since = story.now;
+    story.proxy.suspected(Server(0), Some(Suspicion { strength, since }));
+}
+
+#[test]
+fn a_suspected_central_server_gets_single_trial_shots_far_apart() {
+    let mut story = Story::with(2);
+    suspect(&mut story, 1.0);
+    for _ in 0..60 {
+        let handle = story.call(0, 0);
+        story.pass(50.0);
+        if story.went(handle).last() == Some(&1) {
+            story.stood(handle);
+            story.ended(handle, Ending::Ok);
+        }
+    }
+    // Five proxies at a standing delay of 400 ms: each tries about once in 2 s.
+    assert!((1..=4).contains(&story.shots_at(0)), "{}", story.shots_at(0));
+    assert!(story.shots_at(1) > 30);
+}
+
+#[test]
+fn one_answer_here_outweighs_all_others_words() {
+    let mut story = Story::with(2);
+    suspect(&mut story, 9.0);
+    story.pass(1.0);
+    while story.shots_at(0) == 0 {
+        let handle = story.call(0, 0);
+        story.pass(40.0);
+        story.stood(handle);
+        story.ended(handle, Ending::Ok);
+    }
+    let before = story.shots_at(0);
+    (0..5).for_each(|_| story.answer(0, 50.0));
+    assert_eq!(story.shots_at(0), before + 5);
+}
+
+#[rstest]
+#[case::too_few_say_so(Some(0.5))]
+#[case::taken_back(None)]
+fn a_weak_word_or_one_taken_back_changes_nothing(#[case] strength: Option<f64>) {
+    let mut story = Story::with(2);
+    suspect(&mut story, 1.0);
+    let since = story.now;
+    story.proxy.suspected(Server(0), strength.map(|strength| Suspicion { strength, since }));
+    let handle = story.call(0, 0);
+    assert_eq!(story.went(handle), [0]);
+}
