--- /dev/null
+++ b/iax2/fuzz/fuzz_targets/datagrams.rs
@@ -0,0 +1,33 @@
+//! Feeds an endpoint whatever the fuzzer makes of datagrams, lets it answer and time pass; a panic or legs past
+//! the limit fail. Run with `cargo fuzz run datagrams` in `iax2/`.
+
+#![no_main]
+
+use bytes::Bytes;
+use iax2::{Elements, Endpoint, Happening, Limits};
+use libfuzzer_sys::fuzz_target;
+
+fuzz_target!(|data: &[u8]| {
+    let limits = Limits { legs: 20, ..Limits::default() };
+    let mut end = Endpoint::new(limits, 1);
+    let peer = "127.0.0.1:4569".parse().expect("an address");
+    let mut now = 0.0;
+    end.call(now, peer, &Elements::new());
+    // A length byte, a time byte, and so many bytes of a datagram.
+    let mut rest = data;
+    while let [length, step, after @ ..] = rest {
+        let (datagram, more) = after.split_at(usize::from(*length).min(after.len()));
+        rest = more;
+        now += f64::from(*step) * 20.0;
+        end.receive(now, peer, &Bytes::copy_from_slice(datagram));
+        end.turn(now);
+        while let Some((leg, happening)) = end.happening() {
+            if matches!(happening, Happening::Offered { .. }) {
+                end.accept(now, leg, &Elements::new());
+                end.answer(now, leg, &Elements::new());
+            }
+        }
+        while end.datagram().is_some() {}
+        assert!(end.legs() <= 20);
+    }
+});
