--- a/daemon/src/again.rs
+++ b/daemon/src/again.rs
@@ -7,6 +7,10 @@
 
 use rand::Rng;
 
+/// The first bound and the longest, in milliseconds, of a connection that has no wishes of its own.
+const FIRST: f64 = 100.0;
+const LONGEST: f64 = 5_000.0;
+
 /// The waits of one connection, in milliseconds.
 #[derive(Clone, Debug)]
 pub struct Again {
@@ -15,6 +19,12 @@
     failures: u32,
 }
 
+impl Default for Again {
+    fn default() -> Self {
+        Self::new(FIRST, LONGEST)
+    }
+}
+
 impl Again {
     pub fn new(first: f64, longest: f64) -> Self {
         Self { first, longest: longest.max(first), failures: 0 }
--- a/daemon/src/feed.rs
+++ b/daemon/src/feed.rs
@@ -13,9 +13,6 @@
 
 use crate::again::Again;
 
-/// Gaps between tries, in milliseconds.
-const FIRST_GAP: f64 = 100.0;
-const LONGEST_GAP: f64 = 5_000.0;
 /// A feed that does not answer the call for a connection.
 const CONNECT_WAIT: Duration = Duration::from_secs(3);
 
@@ -28,7 +25,7 @@
     mut have: watch::Receiver<Option<u64>>,
 ) {
     let mut chance = Pcg64Mcg::seed_from_u64(seed);
-    let mut again = Again::new(FIRST_GAP, LONGEST_GAP);
+    let mut again = Again::default();
     loop {
         let since = Instant::now();
         let broke = subscription(feed, &news, &mut have).await;
--- a/gossip/src/keys.rs
+++ b/gossip/src/keys.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use ed25519_dalek::{Signature, Signer, SigningKey, VerifyingKey};
+use subtle::ConstantTimeEq;
 use thiserror::Error;
 
 /// Bytes of a signature, and of the fleet's tag.
@@ -112,7 +113,7 @@
 
     /// Whether the tag is the fleet's, by any accepted key; takes the same time wherever it differs.
     pub fn tagged(&self, bytes: &[u8], tag: &[u8; TAG]) -> bool {
-        let same = |key| Self::tag_by(key, bytes).iter().zip(tag).fold(0, |diff, (a, b)| diff | (a ^ b)) == 0;
+        let same = |key| bool::from(Self::tag_by(key, bytes)[..].ct_eq(&tag[..]));
         self.fleet.iter().fold(false, |any, key| any | same(key))
     }
 }
--- a/gossip/tests/stories.rs
+++ b/gossip/tests/stories.rs
@@ -48,7 +48,7 @@
     let mut fleet = Fleet::new(20, 2, 2, 0.1, 3);
     fleet.accusers = (0..liars).collect();
     // Nobody else has anything to do with the servers: nobody can vouch.
-    let rate = std::mem::replace(&mut fleet.rate, 0.0);
+    fleet.rate = 0.0;
     fleet.run(6_000.0);
     for liar in 0..liars {
         let now = fleet.now;
@@ -56,7 +56,6 @@
     }
     fleet.run(6_000.0);
     assert_eq!(fleet.believed.keys().any(|(m, _)| *m >= liars), believed);
-    assert!(rate > 0.0);
 }
 
 #[test]
--- a/lab/src/callers.rs
+++ b/lab/src/callers.rs
@@ -17,7 +17,7 @@
 use rand_pcg::Pcg64Mcg;
 use slotmap::SecondaryMap;
 
-use crate::drill::{Drill, OVER_SHARE, REPEAT};
+use crate::drill::{Drill, REPEAT};
 
 /// Without advice a caller dials again after about this long.
 const OWN_WAIT: f64 = 800.0;
@@ -306,10 +306,10 @@
         self.tries.iter().filter(|t| t.at == f64::INFINITY && !t.over).count()
     }
 
-    /// What a person's conversation could earn, with what it did. Tenants over their share are worth less.
-    pub fn earned(&self, drill: &Drill, person: &Person, over_share: bool) -> (f64, f64) {
+    /// What a person's conversation could earn, with what it did. Shares of tenants are not counted here.
+    pub fn earned(&self, drill: &Drill, person: &Person) -> (f64, f64) {
         let grade = &drill.grades[person.grade];
-        let worth = grade.earnings * if over_share { OVER_SHARE } else { 1.0 };
+        let worth = grade.earnings;
         let part = match person.stood_at {
             Some(at) if !person.cut && at - person.first_at <= grade.quoted * 1000.0 => 1.0,
             Some(at) if !person.cut && at - person.first_at <= grade.limit * 1000.0 => grade.late,
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -65,7 +65,7 @@
         let mut delays = Histogram::<u64>::new_with_bounds(1, 600_000, 3).expect("fixed bounds");
         let mut cut = 0;
         for person in &world.callers.people {
-            let (worth, got) = world.callers.earned(drill, person, false);
+            let (worth, got) = world.callers.earned(drill, person);
             let in_time = if got == worth { got } else { 0.0 };
             let second = ((person.first_at / 1000.0) as usize).min(by_second.len() - 1);
             for slot in [&mut by_second[second], &mut grades[person.grade], &mut tenants[person.tenant]] {
--- a/lab/src/witness.rs
+++ b/lab/src/witness.rs
@@ -217,16 +217,9 @@
     }
 
     /// A datagram comes to the callers, before the link does anything to it.
-    pub fn to_caller(
-        &mut self,
-        now: f64,
-        from: SocketAddr,
-        bytes: &Bytes,
-        numbers: impl Fn(u16) -> Option<usize>,
-    ) {
+    pub fn to_caller(&mut self, now: f64, bytes: &Bytes, numbers: impl Fn(u16) -> Option<usize>) {
         let Ok(Frame::Full(full)) = frame::read(bytes) else { return };
         let Some(number) = numbers(full.dest) else { return };
-        let _ = from;
         self.trace(number, now, format!("proxy: {}", say(&full)));
         let Some(asked) = self.asked.get_mut(&number) else { return };
         asked.taken = true;
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -260,7 +260,7 @@
         match at {
             Place::Callers => {
                 let legs = &self.callers;
-                self.witness.to_caller(now, from, &bytes, |dest| legs.try_at(from, dest));
+                self.witness.to_caller(now, &bytes, |dest| legs.try_at(from, dest));
             }
             Place::Server(server) => {
                 let stand = &self.servers[server];
@@ -514,7 +514,7 @@
                     self.step(begin, Step::Stall { proxy, span, gap, until });
                 }
             }
-            // Proxies send each other nothing yet.
+            // Whoever carries the proxies' messages looks it up in the drill.
             Kind::PeerDown {} => {}
             Kind::Ageing { part, factor } => {
                 for server in self.some_servers(part) {
--- a/lab/tests/rules.rs
+++ b/lab/tests/rules.rs
@@ -139,10 +139,10 @@
         };
         full.write().freeze()
     };
-    witness.to_caller(20.0, proxy, &end(0, iax::REJECT), |_| Some(5));
-    witness.to_caller(520.0, proxy, &end(0, iax::REJECT), |_| Some(5));
+    witness.to_caller(20.0, &end(0, iax::REJECT), |_| Some(5));
+    witness.to_caller(520.0, &end(0, iax::REJECT), |_| Some(5));
     assert_eq!(witness.verdicts[0].broken, 0, "a copy of the same answer");
-    witness.to_caller(600.0, proxy, &end(1, iax::HANGUP), |_| Some(5));
+    witness.to_caller(600.0, &end(1, iax::HANGUP), |_| Some(5));
     assert_eq!(witness.verdicts[0].broken, 1);
 }
 
--- a/proxy/src/border.rs
+++ b/proxy/src/border.rs
@@ -113,7 +113,6 @@
     answer_lead: f64,
     /// The first wait after which a caller sends its NEW again.
     caller_resend: f64,
-    release: f64,
     number_key: (u64, u64),
     stopping: bool,
 }
@@ -226,7 +225,6 @@
             patience: terms.patience,
             answer_lead: terms.answer_lead,
             caller_resend: terms.callers.resend,
-            release: terms.terms.release,
             hands: Hands {
                 callers: Endpoint::new(terms.callers, seed),
                 servers: Endpoint::new(terms.servers, seed.rotate_left(32)),
@@ -254,18 +252,6 @@
         self.hands.gossip = Some(node);
     }
 
-    /// Its gossip, where there is any.
-    pub fn gossip(&self) -> Option<&Node> {
-        self.hands.gossip.as_ref()
-    }
-
-    /// Tells the others that it goes.
-    pub fn leave(&mut self, now: f64) {
-        if let Some(node) = &mut self.hands.gossip {
-            node.leave(now);
-        }
-    }
-
     /// A datagram of one of the sockets. `arrived` is when it is thought to have come, before `now` where
     /// this proxy was late to look.
     pub fn receive(&mut self, now: f64, arrived: f64, side: Side, peer: SocketAddr, datagram: &Bytes) {
@@ -450,11 +436,6 @@
         }
     }
 
-    /// How long a conversation rests after a time-out, reset or cancel.
-    pub fn release(&self) -> f64 {
-        self.release
-    }
-
     fn at(&mut self, now: f64) {
         self.hands.now = now;
         // As the module does: whatever comes at that time or later stands for the wake.
@@ -609,9 +590,7 @@
         let Some(conversation) = self.hands.conversation(handle) else { return };
         let caller = conversation.caller;
         let Some(server) = conversation.shot.as_ref().map(|shot| shot.server) else { return };
-        let silence =
-            [End::Silent { heard: false }, End::Silent { heard: true }, End::Refused].map(Happening::Ended);
-        if !silence.contains(&happening) {
+        if !matches!(happening, Happening::Ended(End::Silent { .. } | End::Refused)) {
             self.hands.witness(server, |evidence, life| evidence.answered(now, life));
         }
         let Some(conversation) = self.hands.conversation(handle) else { return };
