Stand-ins as programs, drills kept as pages, a full socket that holds up no other

Need: the stand-in server, callers, list and relay existed only inside drills, so that nobody could try a proxy by hand; a drill left nothing to look at; and one full socket buffer held up the datagrams of all sockets.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod again;
+pub mod backlog;
 pub mod control;
 pub mod feed;
 pub mod run;
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -1,7 +1,7 @@
 //! Drives one border proxy on sockets: datagrams, the pool list, the clock and signals in; datagrams out.
 //! Nothing is decided here.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::fs;
 use std::io::{self, ErrorKind, Write};
 use std::net::SocketAddr;
@@ -21,6 +21,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
+use crate::backlog::{self, Backlog};
 use crate::control::{self, Ask};
 use crate::feed;
 use crate::settings::Plan;
@@ -29,7 +30,7 @@
 const LARGEST: usize = 65_536;
 /// Arrivals that wait to be told; past that they wait in the sockets, and the kernel drops.
 const QUEUE: usize = 4096;
-/// Datagrams kept while a socket's buffer is full.
+/// Datagrams kept while sockets' buffers are full.
 const BACKLOG: usize = 4096;
 /// The loop looks at the clock at least this often, to know its own stalls.
 const BEAT: Duration = Duration::from_millis(50);
@@ -54,7 +55,7 @@
     SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).map_or(0.0, |span| span.as_secs_f64() * 1000.0)
 }
 
-/// The sockets, and what waits for room in them.
+/// The sockets.
 struct Sockets {
     callers: Arc<UdpSocket>,
     peers: Option<Arc<UdpSocket>>,
@@ -62,8 +63,6 @@
     from: SocketAddr,
     receive_buffer: Option<usize>,
     arrivals: mpsc::Sender<Arrival>,
-    backlog: VecDeque<Outbound>,
-    dropped: u64,
 }
 
 impl Sockets {
@@ -88,17 +87,6 @@
         Ok(&self.servers[&peer])
     }
 
-    /// Sends, or keeps for later what finds the socket's buffer full.
-    fn send(&mut self, out: Outbound) {
-        if !self.backlog.is_empty() || !self.try_send(&out) {
-            if self.backlog.len() < BACKLOG {
-                self.backlog.push_back(out);
-            } else {
-                self.dropped += 1;
-            }
-        }
-    }
-
     /// False where there was no room.
     fn try_send(&mut self, out: &Outbound) -> bool {
         let sent = match out.side {
@@ -127,11 +115,19 @@
         }
     }
 
-    fn flush(&mut self) {
-        while let Some(out) = self.backlog.pop_front() {
-            if !self.try_send(&out) {
-                return self.backlog.push_front(out);
-            }
+    /// Waits for room in a socket.
+    async fn room(&self, way: Option<backlog::Way>) -> io::Result<()> {
+        match way {
+            None => std::future::pending().await,
+            Some((Side::Callers, _)) => self.callers.writable().await,
+            Some((Side::Peers, _)) => match &self.peers {
+                Some(socket) => socket.writable().await,
+                None => Ok(()),
+            },
+            Some((Side::Servers, peer)) => match peer.and_then(|peer| self.servers.get(&peer)) {
+                Some(socket) => socket.writable().await,
+                None => Ok(()),
+            },
         }
     }
 }
@@ -219,9 +215,8 @@
         from: plan.servers,
         receive_buffer: plan.receive_buffer,
         arrivals: arrivals_in,
-        backlog: VecDeque::new(),
-        dropped: 0,
     };
+    let mut backlog = Backlog::new(BACKLOG);
 
     let (news_in, mut news) = mpsc::channel(16);
     let (have, have_out) = watch::channel(None);
@@ -243,20 +238,7 @@
     loop {
         let due = proxy.due().min(looked + BEAT.as_secs_f64() * 1000.0);
         let wait = Duration::from_secs_f64((due - clock.now()).max(0.0) / 1000.0);
-        let room = async {
-            match sockets.backlog.front().map(|out| (out.side, out.peer)) {
-                None => std::future::pending().await,
-                Some((Side::Callers, _)) => sockets.callers.writable().await,
-                Some((Side::Peers, _)) => match &sockets.peers {
-                    Some(socket) => socket.writable().await,
-                    None => Ok(()),
-                },
-                Some((Side::Servers, peer)) => match sockets.servers.get(&peer) {
-                    Some(socket) => socket.writable().await,
-                    None => Ok(()),
-                },
-            }
-        };
+        let room = sockets.room(backlog.first());
         let mut first = None;
         let mut asked = None;
         tokio::select! {
@@ -283,7 +265,7 @@
             _ = room => {}
             () = tokio::time::sleep(wait) => {}
         }
-        sockets.flush();
+        backlog.flush(|out| sockets.try_send(out));
         let now = clock.now();
         match asked {
             Some(Ask::Status(to)) => drop(to.send(Box::new(proxy.status()))),
@@ -315,7 +297,7 @@
         proxy.turn(now);
         proxy.settle();
         while let Some(out) = proxy.outbound() {
-            sockets.send(out);
+            backlog.send(out, |out| sockets.try_send(out));
         }
         while let Some(note) = proxy.note() {
             tracing::info!("module.note: {note}");
@@ -324,7 +306,7 @@
         if stop_at.is_some_and(|at| proxy.conversations() == 0 || now >= at) {
             let left = proxy.conversations();
             proxy.close_all(now);
-            return farewell(&mut proxy, &mut sockets, &mut arrivals, &clock, left).await;
+            return farewell(&mut proxy, &mut sockets, backlog, &mut arrivals, &clock, left).await;
         }
     }
 }
@@ -333,6 +315,7 @@
 async fn farewell(
     proxy: &mut BorderProxy<impl Decisions>,
     sockets: &mut Sockets,
+    mut backlog: Backlog,
     arrivals: &mut mpsc::Receiver<Arrival>,
     clock: &Clock,
     left: usize,
@@ -340,9 +323,9 @@
     let end = Instant::now() + FAREWELL;
     loop {
         while let Some(out) = proxy.outbound() {
-            sockets.send(out);
+            backlog.send(out, |out| sockets.try_send(out));
         }
-        sockets.flush();
+        backlog.flush(|out| sockets.try_send(out));
         tokio::select! {
             Some(arrival) = arrivals.recv() => {
                 if let Arrival::Datagram(side, peer, bytes) = arrival {
@@ -356,6 +339,6 @@
             break;
         }
     }
-    tracing::info!(closed = left, unsent = sockets.dropped, "proxy.stopped");
+    tracing::info!(closed = left, unsent = backlog.dropped(), "proxy.stopped");
     Ok(())
 }
--- /dev/null
+++ b/lab/src/alone.rs
@@ -0,0 +1,329 @@
+//! The stand-ins as programs of their own, for a proxy that somebody runs by hand: [`server`], [`list`],
+//! [`callers`], and a [`relay`] that loses, doubles, delays and reorders datagrams between any two of them.
+
+use std::collections::{HashMap, VecDeque};
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant, SystemTime};
+
+use anyhow::{Context, Result, ensure};
+use border::pool::{Entry, News, Readiness};
+use bytes::{Bytes, BytesMut};
+use hdrhistogram::Histogram;
+use iax2::Datagram;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::mpsc;
+
+use crate::callers::Callers;
+use crate::central::Central;
+use crate::drill::{Drill, LinkFaults};
+use crate::feed::Feed;
+use crate::link::Link;
+use crate::sockets::{LARGEST, bind};
+use crate::witness::{Verdict, Witness};
+
+/// How often a list's file is looked at for changes.
+const LOOK: Duration = Duration::from_millis(100);
+
+struct Watch {
+    began: Instant,
+    end: f64,
+}
+
+impl Watch {
+    fn new(seconds: Option<f64>) -> Self {
+        Self { began: Instant::now(), end: seconds.map_or(f64::INFINITY, |s| s * 1000.0) }
+    }
+
+    fn now(&self) -> f64 {
+        self.began.elapsed().as_secs_f64() * 1000.0
+    }
+
+    fn over(&self) -> bool {
+        self.now() >= self.end
+    }
+
+    /// Until then, or the end; an hour where neither is known.
+    fn wait(&self, due: f64) -> Duration {
+        let span = (due.min(self.end) - self.now()).clamp(0.0, 3_600_000.0);
+        Duration::from_secs_f64(span / 1000.0)
+    }
+}
+
+/// What comes to a socket before `due`.
+async fn arrival(
+    socket: &UdpSocket,
+    watch: &Watch,
+    due: f64,
+    buffer: &mut BytesMut,
+) -> Option<(SocketAddr, Bytes)> {
+    buffer.reserve(LARGEST);
+    // A refusal tells of an earlier datagram's peer, who is found missing by those who wait for it.
+    let (_, from) = tokio::time::timeout(watch.wait(due), socket.recv_buf_from(buffer)).await.ok()?.ok()?;
+    Some((from, buffer.split().freeze()))
+}
+
+async fn send(socket: &UdpSocket, mut next: impl FnMut() -> Option<Datagram>) {
+    while let Some(datagram) = next() {
+        // What the network refuses is lost, as datagrams are.
+        let _ = socket.send_to(&datagram.bytes, datagram.peer).await;
+    }
+}
+
+/// How a stand-in server behaves; times in seconds since its start.
+pub struct ServerPlay {
+    pub listen: SocketAddr,
+    pub name: String,
+    pub pool: u16,
+    /// Conversations a second that it carries when warm and well.
+    pub capacity: f64,
+    pub cold: bool,
+    pub slow: f64,
+    /// From when and for how long it takes set-ups and answers none.
+    pub hang: Option<(f64, f64)>,
+    /// From when on it says nothing at all.
+    pub silent: f64,
+    pub faulty: f64,
+    pub lines: Option<usize>,
+    pub reports: bool,
+    pub seconds: Option<f64>,
+}
+
+/// One stand-in server; its entry for the pool list is printed once it listens.
+pub async fn server(play: ServerPlay) -> Result<()> {
+    let socket = bind(play.listen).with_context(|| format!("listening at {}", play.listen))?;
+    let started = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?.as_secs_f64() * 1000.0;
+    let entry = Entry {
+        name: play.name,
+        address: socket.local_addr()?,
+        state: Readiness::Running,
+        pool: play.pool,
+        started: play.cold.then_some(started.floor()),
+    };
+    println!("{}", serde_json::to_string(&entry)?);
+    let watch = Watch::new(play.seconds);
+    let since = if play.cold { 0.0 } else { f64::NEG_INFINITY };
+    let chance = Pcg64Mcg::seed_from_u64(rand::rng().random());
+    let mut central = Central::new(Drill::work_at(play.capacity), since, play.reports, chance);
+    central.slow = (f64::INFINITY, play.slow);
+    central.faulty = (f64::INFINITY, play.faulty);
+    central.lines = play.lines.unwrap_or(usize::MAX);
+    let mut buffer = BytesMut::new();
+    while !watch.over() {
+        let arrived = arrival(&socket, &watch, central.due(), &mut buffer).await;
+        let now = watch.now();
+        if let Some((from, for_so_long)) = play.hang
+            && now >= from * 1000.0
+        {
+            central.hung_until = (from + for_so_long) * 1000.0;
+        }
+        if now >= play.silent * 1000.0 {
+            continue;
+        }
+        if let Some((from, bytes)) = arrived {
+            central.receive(now, from, &bytes);
+        }
+        central.turn(now);
+        send(&socket, || central.datagram()).await;
+    }
+    Ok(())
+}
+
+/// The entries of a list's file: one JSON object a line.
+fn entries(file: &Path) -> Result<Vec<Entry>> {
+    let text = fs::read_to_string(file).with_context(|| file.display().to_string())?;
+    let lines = text.lines().enumerate().filter(|(_, line)| !line.trim().is_empty());
+    let read = |(i, line): (usize, &str)| -> Result<Entry> {
+        serde_json::from_str(line).with_context(|| format!("{}, line {}", file.display(), i + 1))
+    };
+    let entries = lines.map(read).collect::<Result<Vec<Entry>>>()?;
+    News::read(&News { version: 1, whole: true, servers: entries.clone() }.write())?;
+    Ok(entries)
+}
+
+/// Serves the pool list that stands in a file, and its changes `late` seconds after the file has them.
+pub async fn list(listen: SocketAddr, file: &Path, late: f64, seconds: Option<f64>) -> Result<()> {
+    let listener = TcpListener::bind(listen).await.with_context(|| format!("listening at {listen}"))?;
+    println!("{}", serde_json::json!({ "feed": listener.local_addr()? }));
+    let watch = Watch::new(seconds);
+    let mut listed = entries(file)?;
+    let mut feed = Feed::new(1, &listed);
+    let (come, mut comes) = mpsc::unbounded_channel::<OwnedWriteHalf>();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let come = come.clone();
+            tokio::spawn(async move {
+                let (from, to) = stream.into_split();
+                let mut asked = String::new();
+                if BufReader::new(from).read_line(&mut asked).await.is_ok_and(|read| read > 0) {
+                    let _ = come.send(to);
+                }
+            });
+        }
+    });
+    let mut subscribers: Vec<OwnedWriteHalf> = Vec::new();
+    while !watch.over() {
+        let wait = watch.wait(watch.now() + LOOK.as_secs_f64() * 1000.0);
+        if let Ok(Some(mut fresh)) = tokio::time::timeout(wait, comes.recv()).await
+            && fresh.write_all(feed.whole(0).write().as_bytes()).await.is_ok()
+        {
+            subscribers.push(fresh);
+        }
+        let now = watch.now();
+        match entries(file) {
+            Ok(news) => {
+                for entry in changes(&listed, &news) {
+                    feed.change(&entry, |_| now + late * 1000.0);
+                }
+                listed = news;
+            }
+            // A file that is being written is read again at the next look.
+            Err(error) => eprintln!("list: {error:#}"),
+        }
+        for (_, news) in feed.deliver(now) {
+            let line = news.write();
+            let mut left = Vec::new();
+            for mut subscriber in subscribers.drain(..) {
+                if subscriber.write_all(line.as_bytes()).await.is_ok() {
+                    left.push(subscriber);
+                }
+            }
+            subscribers = left;
+        }
+    }
+    Ok(())
+}
+
+/// What has changed from one list to the next; who is no more in it is gone.
+fn changes(from: &[Entry], to: &[Entry]) -> Vec<Entry> {
+    let gone = from.iter().filter(|old| !to.iter().any(|new| new.name == old.name));
+    let gone = gone.map(|old| Entry { state: Readiness::Gone, ..old.clone() });
+    to.iter().filter(|new| !from.contains(new)).cloned().chain(gone).collect()
+}
+
+/// Callers of some proxies: the drill says who calls how often and for how long. Gives false where a
+/// conversation that was taken did not get exactly one final answer in time.
+pub async fn callers(drill: Drill, proxies: &[SocketAddr]) -> Result<bool> {
+    ensure!(!proxies.is_empty(), "no proxy to call");
+    let socket = bind(crate::sockets::loopback())?;
+    let mut drill = drill;
+    drill.fleet.proxies = proxies.len();
+    let longest = drill.grades.iter().map(|grade| grade.limit).fold(drill.load.patience, f64::max);
+    let watch = Watch::new(Some(drill.seconds + longest));
+    let mut callers = Callers::new(&drill, Pcg64Mcg::seed_from_u64(drill.seed));
+    callers.proxies = proxies.iter().copied().map(Some).collect();
+    let mut witness = Witness::new(crate::sockets::SLACK);
+    let mut buffer = BytesMut::new();
+    while !watch.over() {
+        if let Some((from, bytes)) = arrival(&socket, &watch, callers.due(), &mut buffer).await {
+            witness.to_caller(watch.now(), &bytes, |number| callers.try_at(from, number));
+            callers.receive(watch.now(), &drill, from, &bytes);
+        }
+        callers.turn(watch.now(), &drill);
+        while let Some(datagram) = callers.datagram() {
+            let tries = &callers.tries;
+            let of = |number: usize| (tries[number].proxy, tries[number].until);
+            witness.from_caller(watch.now(), datagram.peer, &datagram.bytes, of);
+            callers.sent(&datagram);
+            let _ = socket.send_to(&datagram.bytes, datagram.peer).await;
+        }
+    }
+    witness.close(watch.now());
+    let Verdict { checked, broken, told } = &witness.verdicts[0];
+    let mut delays = Histogram::<u64>::new(3)?;
+    let stood = callers.people.iter().filter_map(|person| Some(person.stood_at? - person.first_at));
+    stood.for_each(|delay| delays.saturating_record(delay.max(1.0) as u64));
+    let (worth, earned) = callers.people.iter().fold((0.0, 0.0), |sum, person| {
+        let (worth, earned) = callers.earned(&drill, person);
+        (sum.0 + worth, sum.1 + earned)
+    });
+    println!(
+        "{} callers, {} tries; {} stood, {} cut; earned {:.1}%; set-up p50 {} ms, p99 {} ms",
+        callers.people.len(),
+        callers.tries.iter().filter(|t| t.at.is_finite()).count(),
+        callers.people.iter().filter(|person| person.stood_at.is_some()).count(),
+        callers.people.iter().filter(|person| person.cut).count(),
+        100.0 * earned / f64::max(worth, 1.0),
+        delays.value_at_quantile(0.5),
+        delays.value_at_quantile(0.99),
+    );
+    println!("one answer, in time: {checked} checked, {broken} broken");
+    told.iter().for_each(|told| println!("BROKEN: {told}"));
+    Ok(*broken == 0)
+}
+
+/// Passes datagrams between whoever calls and `to`, with the link's faults each way.
+pub async fn relay(
+    listen: SocketAddr,
+    to: SocketAddr,
+    faults: LinkFaults,
+    seed: u64,
+    seconds: Option<f64>,
+) -> Result<()> {
+    let front = Arc::new(bind(listen).with_context(|| format!("listening at {listen}"))?);
+    println!("{}", serde_json::json!({ "relay": front.local_addr()? }));
+    let watch = Watch::new(seconds);
+    let mut link = Link::new(faults, Pcg64Mcg::seed_from_u64(seed));
+    let (come, mut comes) = mpsc::unbounded_channel::<(SocketAddr, Bytes)>();
+    let mut backs: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
+    let mut flying: VecDeque<(f64, Arc<UdpSocket>, SocketAddr, Bytes)> = VecDeque::new();
+    let mut buffer = BytesMut::new();
+    while !watch.over() {
+        let due = flying.iter().map(|flight| flight.0).fold(f64::INFINITY, f64::min);
+        let came = tokio::select! {
+            Some((client, bytes)) = comes.recv() => Some((front.clone(), client, bytes)),
+            came = arrival(&front, &watch, due, &mut buffer) => match came {
+                None => None,
+                Some((client, bytes)) => {
+                    let back = match backs.get(&client) {
+                        Some(back) => back.clone(),
+                        None => {
+                            let back = Arc::new(bind(crate::sockets::loopback())?);
+                            tokio::spawn(carry_back(back.clone(), client, come.clone()));
+                            backs.insert(client, back.clone());
+                            back
+                        }
+                    };
+                    Some((back, to, bytes))
+                }
+            }
+        };
+        let now = watch.now();
+        if let Some((socket, peer, bytes)) = came {
+            flying.extend(link.pass(now).map(|at| (at, socket.clone(), peer, bytes.clone())));
+        }
+        let mut left = VecDeque::new();
+        for (at, socket, peer, bytes) in flying.drain(..) {
+            if at <= now {
+                let _ = socket.send_to(&bytes, peer).await;
+            } else {
+                left.push_back((at, socket, peer, bytes));
+            }
+        }
+        flying = left;
+    }
+    Ok(())
+}
+
+async fn carry_back(
+    back: Arc<UdpSocket>,
+    client: SocketAddr,
+    come: mpsc::UnboundedSender<(SocketAddr, Bytes)>,
+) {
+    let mut buffer = BytesMut::new();
+    loop {
+        buffer.reserve(LARGEST);
+        if back.recv_buf_from(&mut buffer).await.is_err() {
+            continue;
+        }
+        if come.send((client, buffer.split().freeze())).is_err() {
+            return;
+        }
+    }
+}
--- a/lab/src/drill.rs
+++ b/lab/src/drill.rs
@@ -113,6 +113,9 @@
     pub hold: f64,
     pub earnings: f64,
     pub late: f64,
+    /// What numbers called for it begin with, where they are not the drill's own to give out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub called: Option<String>,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -262,8 +265,12 @@
 
     /// Milliseconds of work that a set-up is on average, from the load that is planned.
     pub fn setup_work(&self) -> f64 {
-        let each = self.load.rate / self.fleet.servers as f64 / self.load.of_capacity;
-        1000.0 / each / (1.0 + ANSWER_WORK + RELEASE_WORK)
+        Self::work_at(self.server_capacity())
+    }
+
+    /// Milliseconds of work that a set-up is to a server of such a capacity, in conversations a second.
+    pub fn work_at(capacity: f64) -> f64 {
+        1000.0 / capacity / (1.0 + ANSWER_WORK + RELEASE_WORK)
     }
 
     /// Conversations a second that one server can carry when all is well.
@@ -278,7 +285,10 @@
 
     /// The called number that stands for a grade and a pool of first choice.
     pub fn called(&self, grade: usize, pool: u16, line: u32) -> String {
-        format!("{grade}{pool:03}{line:04}")
+        match &self.grades[grade].called {
+            Some(prefix) => format!("{prefix}{line:04}"),
+            None => format!("{grade}{pool:03}{line:04}"),
+        }
     }
 
     /// When messages between proxies are all lost: from and until, in milliseconds.
@@ -382,6 +392,7 @@
         hold,
         earnings,
         late: 0.2,
+        called: None,
     };
     vec![
         grade("open", 0.6, 2.0, 5.0, 1.0),
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -6,12 +6,15 @@
 
 #![forbid(unsafe_code)]
 
+pub mod alone;
 pub mod baseline;
 pub mod callers;
 pub mod central;
 pub mod drill;
+pub mod events;
 pub mod feed;
 pub mod link;
+pub mod page;
 pub mod report;
 pub mod simulated;
 pub mod sockets;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,15 +1,20 @@
 //! `frostthread-lab`: plays drills against border proxies, on sockets or under a virtual clock, and judges
 //! the rules from what passed.
 
-use std::path::PathBuf;
+use std::fs::{self, File};
+use std::io::BufWriter;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use anyhow::Result;
+use anyhow::{Context, Result};
 use clap::{Args, Parser, Subcommand};
+use lab::alone::{self, ServerPlay};
 use lab::baseline::{Broken, Plain, Routing};
-use lab::drill::Drill;
+use lab::drill::{Drill, LinkFaults, Tenant};
+use lab::events::Events;
 use lab::report::{self, Summary};
-use lab::{simulated, sockets};
+use lab::{page, simulated, sockets};
 use tabled::{Table, Tabled, settings::Style};
 
 #[derive(Parser)]
@@ -38,6 +43,37 @@
         #[arg(long, default_value_t = 60.0)]
         hold: f64,
     },
+    /// Run a stand-in central server; prints its entry for the pool list, then serves
+    Server(ServerLine),
+    /// Serve a pool list from a file of entries, one JSON object a line, and its changes as they are made
+    List {
+        file: PathBuf,
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        /// Seconds by which changes are late
+        #[arg(long, default_value_t = 0.0)]
+        late: f64,
+        #[arg(long)]
+        seconds: Option<f64>,
+    },
+    /// Call proxies; exit code 1 if a conversation taken did not get exactly one answer in time
+    Caller(CallerLine),
+    /// Pass datagrams on, with faults each way
+    Relay {
+        to: SocketAddr,
+        #[arg(long, default_value = "127.0.0.1:0")]
+        listen: SocketAddr,
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        #[arg(long, default_value_t = 0.0)]
+        double: f64,
+        #[arg(long, default_value_t = 0.0)]
+        reorder: f64,
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+        #[arg(long)]
+        seconds: Option<f64>,
+    },
     /// Run a border proxy with a baseline in place of the module
     #[command(hide = true)]
     Proxy {
@@ -48,6 +84,73 @@
     },
 }
 
+#[derive(Args)]
+struct ServerLine {
+    #[arg(long, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    #[arg(long, default_value = "central")]
+    name: String,
+    #[arg(long, default_value_t = 0)]
+    pool: u16,
+    /// Conversations a second
+    #[arg(long, default_value_t = 50.0)]
+    capacity: f64,
+    /// It has just started
+    #[arg(long)]
+    cold: bool,
+    /// So many times slower
+    #[arg(long, default_value_t = 1.0)]
+    slow: f64,
+    /// Takes set-ups and answers none, from this second on for so many
+    #[arg(long, num_args = 2, value_names = ["FROM", "FOR"])]
+    hang: Option<Vec<f64>>,
+    /// Says nothing from this second on
+    #[arg(long)]
+    silent: Option<f64>,
+    /// The part of set-ups that a fault ends
+    #[arg(long, default_value_t = 0.0)]
+    faulty: f64,
+    /// Conversations at once; unbounded if left out
+    #[arg(long)]
+    lines: Option<usize>,
+    /// Says nothing of its load
+    #[arg(long)]
+    no_reports: bool,
+    #[arg(long)]
+    seconds: Option<f64>,
+}
+
+#[derive(Args)]
+struct CallerLine {
+    /// Where the proxies take callers
+    #[arg(required = true)]
+    proxies: Vec<SocketAddr>,
+    /// Grades, tenants and load of a drill
+    #[arg(long, default_value = "calm")]
+    drill: String,
+    /// What numbers called begin with, one a service grade in order
+    #[arg(long)]
+    called: Vec<String>,
+    /// User names of tenants, called for in equal parts
+    #[arg(long)]
+    tenant: Vec<String>,
+    /// First tries a second
+    #[arg(long, default_value_t = 20.0)]
+    rate: f64,
+    #[arg(long, default_value_t = 10.0)]
+    seconds: f64,
+    /// Seconds for which a try is waited for
+    #[arg(long)]
+    patience: Option<f64>,
+    #[arg(long)]
+    redials: Option<u32>,
+    /// The part of the refused who follow advice
+    #[arg(long)]
+    honour: Option<f64>,
+    #[arg(long)]
+    seed: Option<u64>,
+}
+
 #[derive(Args)]
 struct DrillLine {
     drill: String,
@@ -73,6 +176,9 @@
     gossip: bool,
     #[arg(long, default_value_t = 0.0)]
     gossip_loss: f64,
+    /// Keep summary.json, events.jsonl (ours only) and report.html in this directory
+    #[arg(long)]
+    out: Option<PathBuf>,
     /// One JSON object in place of tables
     #[arg(long)]
     json: bool,
@@ -82,6 +188,15 @@
     let done = match Line::parse().command {
         Command::Drill(line) => drill(&line),
         Command::Load { rate, seconds, hold } => load(&rate, seconds, hold),
+        Command::Server(line) => server(line),
+        Command::List { file, listen, late, seconds } => {
+            block_on(alone::list(listen, &file, late, seconds)).map(|()| ExitCode::SUCCESS)
+        }
+        Command::Caller(line) => caller(line),
+        Command::Relay { to, listen, loss, double, reorder, seed, seconds } => {
+            let faults = LinkFaults { loss, double, reorder };
+            block_on(alone::relay(listen, to, faults, seed, seconds)).map(|()| ExitCode::SUCCESS)
+        }
         Command::Proxy { routing, config } => proxy(routing, &config),
     };
     match done {
@@ -106,15 +221,27 @@
         drill.gossip.loss = line.gossip_loss;
     }
     drill.check()?;
+    if let Some(folder) = &line.out {
+        fs::create_dir_all(folder).with_context(|| folder.display().to_string())?;
+    }
     let mut summaries = Vec::new();
     for routing in std::iter::once(Routing::Ours).chain(line.against.iter().copied()) {
+        let events = match &line.out {
+            Some(folder) if routing == Routing::Ours => {
+                Events::to(BufWriter::new(File::create(folder.join("events.jsonl"))?))
+            }
+            _ => Events::default(),
+        };
         let world = if line.simulated {
-            simulated::run(drill.clone(), routing, Broken::default())?
+            simulated::run(drill.clone(), routing, Broken::default(), events)?
         } else {
-            sockets::run(drill.clone(), routing)?
+            sockets::run(drill.clone(), routing, events)?
         };
         summaries.push(Summary::of(&world, &routing.to_string(), line.simulated));
     }
+    if let Some(folder) = &line.out {
+        page::write(folder, &drill, &summaries)?;
+    }
     let ours = &summaries[0];
     if line.json {
         println!("{}", serde_json::to_string(&summaries)?);
@@ -156,8 +283,8 @@
         (drill.load.rate, drill.load.of_capacity, drill.seconds) = (rate, 0.05, seconds);
         drill.grades.iter_mut().for_each(|grade| grade.hold = hold);
         drill.check()?;
-        let straight = sockets::play(drill.clone(), None)?;
-        let ours = sockets::play(drill, Some(Routing::Ours))?;
+        let straight = sockets::play(drill.clone(), None, Events::default())?;
+        let ours = sockets::play(drill, Some(Routing::Ours), Events::default())?;
         let summary = Summary::of(&ours.world, "ours", false);
         let plain = Summary::of(&straight.world, "straight", false);
         let standing = ours.world.callers.standing().max(1) as f64;
@@ -184,11 +311,54 @@
     Ok(ExitCode::SUCCESS)
 }
 
-fn proxy(routing: Routing, config: &std::path::Path) -> Result<ExitCode> {
+fn server(line: ServerLine) -> Result<ExitCode> {
+    let play = ServerPlay {
+        listen: line.listen,
+        name: line.name,
+        pool: line.pool,
+        capacity: line.capacity,
+        cold: line.cold,
+        slow: line.slow,
+        hang: line.hang.map(|hang| (hang[0], hang[1])),
+        silent: line.silent.unwrap_or(f64::INFINITY),
+        faulty: line.faulty,
+        lines: line.lines,
+        reports: !line.no_reports,
+        seconds: line.seconds,
+    };
+    block_on(alone::server(play)).map(|()| ExitCode::SUCCESS)
+}
+
+fn caller(line: CallerLine) -> Result<ExitCode> {
+    let mut drill = Drill::named(&line.drill)?;
+    (drill.load.rate, drill.seconds) = (line.rate, line.seconds);
+    drill.load.patience = line.patience.unwrap_or(drill.load.patience);
+    drill.load.redials = line.redials.unwrap_or(drill.load.redials);
+    drill.load.honour = line.honour.unwrap_or(drill.load.honour);
+    drill.seed = line.seed.unwrap_or(drill.seed);
+    if !line.called.is_empty() {
+        drill.grades.truncate(line.called.len());
+    }
+    for (grade, called) in drill.grades.iter_mut().zip(line.called) {
+        grade.called = Some(called);
+    }
+    if !line.tenant.is_empty() {
+        let share = 1.0 / line.tenant.len() as f64;
+        drill.tenants = line.tenant.into_iter().map(|name| Tenant { name, share }).collect();
+    }
+    drill.check()?;
+    let sound = block_on(alone::callers(drill, &line.proxies))?;
+    Ok(if sound { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+fn block_on<T>(work: impl Future<Output = Result<T>>) -> Result<T> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(work)
+}
+
+fn proxy(routing: Routing, config: &Path) -> Result<ExitCode> {
     let source = std::fs::read_to_string(config)?;
     let plan = daemon::settings::read(&source).map_err(|faults| anyhow::anyhow!("{faults:?}"))?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let decide = |terms, seed, now| Plain::new(routing, Broken::default(), terms, seed, now);
-    runtime.block_on(daemon::run::run_deciding(plan, decide))?;
+    block_on(daemon::run::run_deciding(plan, decide))?;
     Ok(ExitCode::SUCCESS)
 }
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -51,6 +51,8 @@
     /// By second of the first try: offered and served.
     pub by_second: Vec<(f64, f64)>,
     pub fallen_servers: usize,
+    /// Conversations a second that all servers could carry, by second.
+    pub capacity: Vec<f64>,
 }
 
 impl Summary {
@@ -111,6 +113,7 @@
             delay_median: delays.value_at_quantile(0.5) as f64,
             delay_p99: delays.value_at_quantile(0.99) as f64,
             by_second,
+            capacity: world.capacity.clone(),
             fallen_servers: world.servers.iter().filter(|s| s.central.fallen).count(),
         }
     }
--- a/lab/src/simulated.rs
+++ b/lab/src/simulated.rs
@@ -17,6 +17,7 @@
 
 use crate::baseline::{Broken, Decider, Routing};
 use crate::drill::{Drill, REPEAT};
+use crate::events::Events;
 use crate::world::{Out, Place, World};
 
 /// From a stand-in's socket to a proxy's, or back; the link adds its own.
@@ -92,12 +93,13 @@
 }
 
 /// Plays the drill to its end.
-pub fn run(drill: Drill, routing: Routing, broken: Broken) -> Result<World> {
+pub fn run(drill: Drill, routing: Routing, broken: Broken, events: Events) -> Result<World> {
     let proxies = drill.fleet.proxies;
     let terms = drill.proxy_terms();
     let gossips = drill.gossip.on;
     let mut chance = Pcg64Mcg::seed_from_u64(drill.seed ^ 0x5eed);
     let mut world = World::new(drill, 0.001, EPOCH);
+    world.events = events;
     for server in 0..world.servers.len() {
         world.settle_server(server, address(SERVER, server));
     }
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -26,16 +26,17 @@
 
 use crate::baseline::Routing;
 use crate::drill::Drill;
+use crate::events::Events;
 use crate::world::{Out, Place, World};
 
 /// How far the clock at which a datagram is read may lie from when it passed.
-const SLACK: f64 = 20.0;
+pub const SLACK: f64 = 20.0;
 const RECEIVE_BUFFER: usize = 4 << 20;
 /// A proxy that is not ready by then fails the drill.
 const READY_WAIT: Duration = Duration::from_secs(15);
 /// A proxy that has not stopped by then is killed.
 const STOP_WAIT: Duration = Duration::from_secs(6);
-const LARGEST: usize = 65_536;
+pub const LARGEST: usize = 65_536;
 
 enum Come {
     Datagram(Place, SocketAddr, Bytes),
@@ -75,7 +76,7 @@
     _folder: TempDir,
 }
 
-fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
+pub fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
     let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))?;
     let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER);
     socket.set_nonblocking(true)?;
@@ -83,7 +84,7 @@
     UdpSocket::from_std(socket.into())
 }
 
-fn loopback() -> SocketAddr {
+pub fn loopback() -> SocketAddr {
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
@@ -103,16 +104,17 @@
 }
 
 /// Plays the drill to its end.
-pub fn run(drill: Drill, routing: Routing) -> Result<World> {
-    Ok(play(drill, Some(routing))?.world)
+pub fn run(drill: Drill, routing: Routing, events: Events) -> Result<World> {
+    Ok(play(drill, Some(routing), events)?.world)
 }
 
 /// Plays the drill to its end, with what the proxies cost. Without a routing there are none: callers go
 /// straight to the first server.
-pub fn play(drill: Drill, routing: Option<Routing>) -> Result<Played> {
+pub fn play(drill: Drill, routing: Option<Routing>, events: Events) -> Result<Played> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(async {
         let mut run = Run::begin(drill, routing).await?;
+        run.world.events = events;
         run.play().await?;
         run.end().await
     })
--- a/lab/src/witness.rs
+++ b/lab/src/witness.rs
@@ -97,7 +97,8 @@
     elements(full).text(element::CALLING_NAME)?.strip_prefix("try ")?.parse().ok()
 }
 
-fn say(full: &Full) -> String {
+/// A frame in words.
+pub fn say(full: &Full) -> String {
     let name = match (full.kind, full.subclass) {
         (kind::IAX, iax::NEW) => "NEW",
         (kind::IAX, iax::ACK) => "ACK",
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -17,6 +17,7 @@
 use crate::callers::Callers;
 use crate::central::Central;
 use crate::drill::{Drill, Kind, Trouble};
+use crate::events::{Event, Events};
 use crate::feed::Feed;
 use crate::link::Link;
 use crate::witness::{ServerFacts, Witness};
@@ -124,6 +125,7 @@
     pub capacity: Vec<f64>,
     /// Bytes that proxies sent each other.
     pub gossiped: u64,
+    pub events: Events,
     now: f64,
 }
 
@@ -161,6 +163,7 @@
             epoch,
             capacity: Vec::new(),
             gossiped: 0,
+            events: Events::default(),
             now: 0.0,
             chance: own(),
             drill,
@@ -199,10 +202,15 @@
             self.feed = Some(Feed::new(self.drill.fleet.proxies, &entries));
         }
         let news = self.feed.as_ref().expect("just made").whole(proxy);
-        self.witness.delivered(self.now, proxy, &news);
+        self.delivered(proxy, &news);
         news
     }
 
+    fn delivered(&mut self, proxy: usize, news: &News) {
+        self.witness.delivered(self.now, proxy, news);
+        self.events.note(&Event::List { ms: self.now, proxy, news });
+    }
+
     fn entry(&self, server: usize, state: Readiness) -> Entry {
         let stand = &self.servers[server];
         let started = stand.central.started;
@@ -260,6 +268,7 @@
         match at {
             Place::Callers => {
                 let legs = &self.callers;
+                self.events.frame(now, "callers", "in", from, &bytes);
                 self.witness.to_caller(now, &bytes, |dest| legs.try_at(from, dest));
             }
             Place::Server(server) => {
@@ -273,6 +282,7 @@
                     capacity: stand.central.capacity(now),
                 };
                 self.witness.to_server(now, server, from, &bytes, &facts);
+                self.events.frame(now, &stand.name, "in", from, &bytes);
                 if now < stand.silent_until {
                     return;
                 }
@@ -300,7 +310,7 @@
         if let Some(feed) = &mut self.feed {
             for (proxy, news) in feed.deliver(now) {
                 if self.proxy_up[proxy] {
-                    self.witness.delivered(now, proxy, &news);
+                    self.delivered(proxy, &news);
                     self.outs.push_back(Out::List { proxy, news });
                 }
             }
@@ -332,6 +342,7 @@
     fn collect(&mut self) {
         let now = self.now;
         while let Some(datagram) = self.callers.datagram() {
+            self.events.frame(now, "callers", "out", datagram.peer, &datagram.bytes);
             let tries = &self.callers.tries;
             self.witness
                 .from_caller(now, datagram.peer, &datagram.bytes, |n| (tries[n].proxy, tries[n].until));
@@ -341,6 +352,8 @@
         for server in 0..self.servers.len() {
             while let Some(datagram) = self.servers[server].central.datagram() {
                 if self.servers[server].up && now >= self.servers[server].silent_until {
+                    let name = &self.servers[server].name;
+                    self.events.frame(now, name, "out", datagram.peer, &datagram.bytes);
                     self.witness.from_server(now, server, datagram.peer, &datagram.bytes);
                     let place = Place::Server(server);
                     self.fly(|| Flight::Leave(place, datagram.peer, datagram.bytes.clone()));
@@ -374,6 +387,7 @@
     }
 
     fn take_step(&mut self, at: f64, step: Step) {
+        self.events.step(at, &step);
         match step {
             Step::Begin(trouble) => self.begin(at, &self.drill.troubles[trouble].clone()),
             Step::Silent { server, until } => {
@@ -452,6 +466,7 @@
     }
 
     fn begin(&mut self, at: f64, trouble: &Trouble) {
+        self.events.note(&Event::Trouble { ms: at, trouble });
         let until = at + trouble.lasts * 1000.0;
         match trouble.kind {
             Kind::Vanish { part } => {
--- a/lab/tests/rules.rs
+++ b/lab/tests/rules.rs
@@ -5,6 +5,7 @@
 use iax2::frame::{Full, iax, kind};
 use lab::baseline::{Broken, Routing};
 use lab::drill::Drill;
+use lab::events::Events;
 use lab::report::Summary;
 use lab::simulated;
 use lab::witness::{ServerFacts, Witness};
@@ -14,7 +15,7 @@
 fn play(name: &str, seconds: f64, routing: Routing, broken: Broken) -> World {
     let mut drill = Drill::named(name).expect("a drill");
     drill.seconds = seconds;
-    simulated::run(drill, routing, broken).expect("played")
+    simulated::run(drill, routing, broken, Events::default()).expect("played")
 }
 
 fn broken_rules(world: &World) -> Vec<usize> {
--- a/proxy/src/border.rs
+++ b/proxy/src/border.rs
@@ -40,7 +40,7 @@
 ];
 
 /// Which socket a datagram is of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Side {
     Callers,
     Servers,
