--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -3,15 +3,24 @@
 use std::path::Path;
 
 use anyhow::{Context, Result};
-use border::status::Status;
+use border::status::{GossipStatus, Status};
+use serde::de::DeserializeOwned;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot};
 
+const WORDS: &str = "status, members, suspicions, gossip, rekey or stop";
+/// What a proxy without gossip says of it.
+pub const NO_GOSSIP: &str = "this proxy has no [gossip]";
+
 /// What an operator asks for, with where the answer goes.
 #[derive(Debug)]
 pub enum Ask {
     Status(oneshot::Sender<Box<Status>>),
+    /// None where there is no gossip.
+    Gossip(oneshot::Sender<Option<GossipStatus>>),
+    /// Read the key files again; what is wrong with them, if anything.
+    Rekey(oneshot::Sender<Result<(), String>>),
     Stop,
 }
 
@@ -38,13 +47,29 @@
                 asks.send(Ask::Status(give)).await?;
                 serde_json::to_string(&take.await?)?
             }
+            word @ ("members" | "suspicions" | "gossip") => {
+                let (give, take) = oneshot::channel();
+                asks.send(Ask::Gossip(give)).await?;
+                match (take.await?, word) {
+                    (None, _) => serde_json::json!({ "error": NO_GOSSIP }).to_string(),
+                    (Some(gossip), "members") => serde_json::to_string(&gossip.members)?,
+                    (Some(gossip), "suspicions") => serde_json::to_string(&gossip.suspicions)?,
+                    (Some(gossip), _) => serde_json::to_string(&gossip)?,
+                }
+            }
+            "rekey" => {
+                let (give, take) = oneshot::channel();
+                asks.send(Ask::Rekey(give)).await?;
+                match take.await? {
+                    Ok(()) => "{\"rekeyed\":true}".to_owned(),
+                    Err(error) => serde_json::json!({ "error": error }).to_string(),
+                }
+            }
             "stop" => {
                 asks.send(Ask::Stop).await?;
                 "{\"stopping\":true}".to_owned()
             }
-            other => {
-                serde_json::json!({ "error": format!("no use for {other:?}; status or stop") }).to_string()
-            }
+            other => serde_json::json!({ "error": format!("no use for {other:?}; {WORDS}") }).to_string(),
         };
         answer.push('\n');
         to.write_all(answer.as_bytes()).await?;
@@ -53,11 +78,18 @@
     Ok(())
 }
 
-/// Asks a running proxy for its status.
-pub async fn status(socket: &Path) -> Result<Status> {
+/// Asks a running proxy something, by its word.
+pub async fn ask<T: DeserializeOwned>(socket: &Path, word: &str) -> Result<T> {
+    #[derive(serde::Deserialize)]
+    struct Refusal {
+        error: String,
+    }
     let mut stream = UnixStream::connect(socket).await.with_context(|| format!("{}", socket.display()))?;
-    stream.write_all(b"status\n").await?;
+    stream.write_all(format!("{word}\n").as_bytes()).await?;
     let mut line = String::new();
     BufReader::new(stream).read_line(&mut line).await?;
+    if let Ok(Refusal { error }) = serde_json::from_str(&line) {
+        anyhow::bail!("{error}");
+    }
     Ok(serde_json::from_str(&line)?)
 }
--- /dev/null
+++ b/daemon/src/keys.rs
@@ -0,0 +1,77 @@
+//! Key files: 64 hexadecimal digits in a file that only its owner may read. [`draw`] makes one, [`read`] reads
+//! one, [`Keyring::read`] reads all that a proxy's gossip needs. docs/operating.md tells how they are rotated.
+
+use std::collections::BTreeMap;
+use std::fs::{self, OpenOptions};
+use std::io::Write;
+use std::os::unix::fs::{OpenOptionsExt, PermissionsExt};
+use std::path::Path;
+
+use anyhow::{Context, Result, bail, ensure};
+use gossip::keys::{Roster, Secrets};
+
+use crate::settings::GossipPlan;
+
+/// Bits of a file's mode that let others than its owner at it.
+const OTHERS: u32 = 0o077;
+
+fn unhex(text: &str) -> Result<[u8; 32]> {
+    let mut key = [0; 32];
+    hex::decode_to_slice(text.trim(), &mut key).context("64 hexadecimal digits wanted")?;
+    Ok(key)
+}
+
+/// Draws a key into a file that must not be there yet; gives the public key that goes with it.
+pub fn draw(file: &Path) -> Result<String> {
+    let key: [u8; 32] = rand::random();
+    let mut to = OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(0o600)
+        .open(file)
+        .with_context(|| file.display().to_string())?;
+    writeln!(to, "{}", hex::encode(key))?;
+    to.sync_all()?;
+    public(file)
+}
+
+/// A secret key.
+pub fn read(file: &Path) -> Result<[u8; 32]> {
+    let named = || file.display().to_string();
+    let mode = fs::metadata(file).with_context(named)?.permissions().mode();
+    ensure!(mode & OTHERS == 0, "{}: mode {:o}, wanted 600: others may read it", named(), mode & 0o777);
+    unhex(&fs::read_to_string(file).with_context(named)?).with_context(named)
+}
+
+/// The public key of a secret one, as a roster has it.
+pub fn public(file: &Path) -> Result<String> {
+    Ok(hex::encode(Secrets::new(read(file)?, vec![[0; 32]])?.public()))
+}
+
+/// All keys of one proxy.
+pub struct Keyring {
+    pub secrets: Secrets,
+    pub roster: Roster,
+}
+
+impl Keyring {
+    /// Reads the files that the settings name. `name` is the proxy's, under which the roster must have its key.
+    pub fn read(plan: &GossipPlan, name: &str) -> Result<Self> {
+        let fleet = plan.fleet_keys.iter().map(|file| read(file)).collect::<Result<Vec<_>>>()?;
+        let secrets = Secrets::new(read(&plan.key)?, fleet)?;
+        let shown = plan.roster.display();
+        let text = fs::read_to_string(&plan.roster).with_context(|| shown.to_string())?;
+        let named: BTreeMap<String, String> = toml_edit::de::from_str(&text)
+            .with_context(|| format!("{shown}: lines of NAME = \"KEY\" wanted"))?;
+        let mut members = Vec::new();
+        for (member, key) in &named {
+            members.push((&member[..], unhex(key).with_context(|| format!("{shown}: {member}"))?));
+        }
+        let roster = Roster::new(members)?;
+        match roster.name(secrets.id()) {
+            Some(found) if found == name => Ok(Self { secrets, roster }),
+            Some(found) => bail!("{shown}: has the key of {name} under the name {found}"),
+            None => bail!("{shown}: has no member {name} with key {}", hex::encode(secrets.public())),
+        }
+    }
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod backlog;
 pub mod control;
 pub mod feed;
+pub mod keys;
 pub mod run;
 pub mod settings;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -6,9 +6,10 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, Result};
+use border::status::{GossipStatus, MemberStatus, Status, SuspicionStatus};
 use clap::{Parser, Subcommand, ValueEnum};
 use daemon::settings::{self, Plan};
-use daemon::{control, run};
+use daemon::{control, keys, run};
 use tabled::{Table, Tabled, settings::Style};
 use tracing_subscriber::EnvFilter;
 
@@ -37,6 +38,30 @@
     Check { file: PathBuf },
     /// Print a full example of the settings, with a word on each
     Settings,
+    /// Ask a running border proxy who else is there
+    Members {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Ask a running border proxy which servers are called silent, by whom, and what it believes
+    Suspicions {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Have a running border proxy read its key files and roster again
+    Rekey {
+        #[arg(long)]
+        config: PathBuf,
+    },
+    /// Make or look at key files
+    Key {
+        #[command(subcommand)]
+        what: KeyCommand,
+    },
     /// Ask a running border proxy for its servers, conversations and counters
     Status {
         #[arg(long)]
@@ -46,6 +71,14 @@
     },
 }
 
+#[derive(Subcommand)]
+enum KeyCommand {
+    /// Draw a secret key into a new file, and print its public key
+    New { file: PathBuf },
+    /// Print the public key of a secret one, as a roster has it
+    Public { file: PathBuf },
+}
+
 #[derive(Clone, Copy, ValueEnum)]
 enum Log {
     Plain,
@@ -99,9 +132,34 @@
             let Some(plan) = plan(&config)? else { return Ok(wrong) };
             runtime()?.block_on(run::run(plan))?;
         }
+        Command::Key { what: KeyCommand::New { file } } => println!("{}", keys::draw(&file)?),
+        Command::Key { what: KeyCommand::Public { file } } => println!("{}", keys::public(&file)?),
+        Command::Rekey { config } => {
+            let Some(plan) = plan(&config)? else { return Ok(wrong) };
+            runtime()?.block_on(control::ask::<serde_json::Value>(&plan.control, "rekey"))?;
+            println!("{} goes on with the keys as they are now", plan.name);
+        }
+        Command::Members { config, json } => {
+            let Some(plan) = plan(&config)? else { return Ok(wrong) };
+            let gossip: GossipStatus = runtime()?.block_on(control::ask(&plan.control, "gossip"))?;
+            if json {
+                println!("{}", serde_json::to_string(&gossip.members)?);
+            } else {
+                show_members(&gossip);
+            }
+        }
+        Command::Suspicions { config, json } => {
+            let Some(plan) = plan(&config)? else { return Ok(wrong) };
+            let gossip: GossipStatus = runtime()?.block_on(control::ask(&plan.control, "gossip"))?;
+            if json {
+                println!("{}", serde_json::to_string(&gossip.suspicions)?);
+            } else {
+                show_suspicions(&gossip);
+            }
+        }
         Command::Status { config, json } => {
             let Some(plan) = plan(&config)? else { return Ok(wrong) };
-            let status = runtime()?.block_on(control::status(&plan.control))?;
+            let status: Status = runtime()?.block_on(control::ask(&plan.control, "status"))?;
             if json {
                 println!("{}", serde_json::to_string(&status)?);
             } else {
@@ -127,7 +185,57 @@
     rate: String,
 }
 
-fn show(status: &border::status::Status) {
+fn show_members(gossip: &GossipStatus) {
+    #[derive(Tabled)]
+    struct Row<'a> {
+        proxy: &'a str,
+        address: &'a str,
+        standing: &'a str,
+    }
+    fn row(m: &MemberStatus) -> Row<'_> {
+        Row { proxy: &m.name, address: &m.address, standing: &m.standing }
+    }
+    println!("{}", Table::new(gossip.members.iter().map(row)).with(Style::sharp()));
+    let tally = gossip.tally;
+    println!(
+        "sent {} packets, {} bytes, put off {}; dropped: malformed {}, untagged {}, forged {}, replayed {}, \
+         bad statements {}; clashes {}",
+        tally.packets,
+        tally.sent_bytes,
+        tally.deferred,
+        tally.malformed,
+        tally.untagged,
+        tally.forged,
+        tally.replayed,
+        tally.bad_statements,
+        tally.clashes
+    );
+}
+
+fn show_suspicions(gossip: &GossipStatus) {
+    #[derive(Tabled)]
+    struct Row<'a> {
+        server: &'a str,
+        believed: bool,
+        accusers: String,
+        vouchers: usize,
+        since: String,
+        own_answer: String,
+    }
+    fn row(s: &SuspicionStatus) -> Row<'_> {
+        Row {
+            server: &s.server,
+            believed: s.believed,
+            accusers: format!("{}: {}", s.accusers.len(), s.accusers.join(" ")),
+            vouchers: s.vouchers,
+            since: format!("{:.1} s", s.age / 1000.0),
+            own_answer: s.answered.map_or("never".to_owned(), |ago| format!("{:.1} s ago", ago / 1000.0)),
+        }
+    }
+    println!("{}", Table::new(gossip.suspicions.iter().map(row)).with(Style::sharp()));
+}
+
+fn show(status: &Status) {
     let row = |server: &border::status::ServerStatus| Row {
         server: server.name.clone(),
         address: server.address.clone(),
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -15,6 +15,7 @@
 use bytes::{Bytes, BytesMut};
 use frostthread::Proxy;
 use frostthread::host::Terms;
+use gossip::{GossipTerms, Node};
 use rand::Rng;
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{UdpSocket, UnixListener};
@@ -24,7 +25,8 @@
 use crate::backlog::{self, Backlog};
 use crate::control::{self, Ask};
 use crate::feed;
-use crate::settings::Plan;
+use crate::keys::Keyring;
+use crate::settings::{GossipPlan, Plan};
 
 /// Bytes of the largest datagram that is read.
 const LARGEST: usize = 65_536;
@@ -175,6 +177,18 @@
     Ok(())
 }
 
+/// The terms of this proxy's gossip, heard at `bound`.
+fn gossip_terms(plan: &GossipPlan, bound: SocketAddr, resend: f64) -> GossipTerms {
+    GossipTerms {
+        address: plan.address.unwrap_or(bound),
+        seeds: plan.seeds.clone(),
+        cap: plan.cap,
+        beat: plan.beat,
+        liars: plan.liars,
+        resend,
+    }
+}
+
 fn cached(plan: &Plan) -> Option<News> {
     let text = fs::read_to_string(plan.pool_cache()).ok()?;
     match PoolList::from_cache(&text) {
@@ -208,9 +222,20 @@
     let callers = Arc::new(callers.with_context(|| format!("listen.callers {}", plan.callers))?);
     let address = callers.local_addr()?;
     tokio::spawn(listen(callers.clone(), Side::Callers, None, arrivals_in.clone()));
+    let mut peers = None;
+    if let Some(gossip) = &plan.gossip {
+        let Keyring { secrets, roster } = Keyring::read(gossip, &plan.name).context("gossip")?;
+        let socket = Sockets::bind(gossip.listen, plan.receive_buffer);
+        let socket = Arc::new(socket.with_context(|| format!("gossip.listen {}", gossip.listen))?);
+        tokio::spawn(listen(socket.clone(), Side::Peers, None, arrivals_in.clone()));
+        let terms = gossip_terms(gossip, socket.local_addr()?, plan.terms.servers.resend);
+        proxy.join(Node::new(terms, secrets, roster, seed, clock.now(), unix()));
+        peers = Some(socket);
+    }
+    let peers_at = peers.as_ref().map(|socket| socket.local_addr()).transpose()?;
     let mut sockets = Sockets {
         callers,
-        peers: None,
+        peers,
         servers: HashMap::new(),
         from: plan.servers,
         receive_buffer: plan.receive_buffer,
@@ -229,7 +254,7 @@
     tokio::spawn(control::serve(control, asks_in));
 
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    let ready = serde_json::json!({ "callers": address, "pid": std::process::id() });
+    let ready = serde_json::json!({ "callers": address, "peers": peers_at, "pid": std::process::id() });
     write_whole(&plan.ready_file(), &format!("{ready}\n"))?;
     tracing::info!(name = plan.name, callers = %address, "proxy.ready");
 
@@ -269,6 +294,17 @@
         let now = clock.now();
         match asked {
             Some(Ask::Status(to)) => drop(to.send(Box::new(proxy.status()))),
+            Some(Ask::Gossip(to)) => drop(to.send(proxy.gossip())),
+            Some(Ask::Rekey(to)) => {
+                let done = match &plan.gossip {
+                    None => Err(control::NO_GOSSIP.to_owned()),
+                    Some(gossip) => Keyring::read(gossip, &plan.name)
+                        .map(|Keyring { secrets, roster }| proxy.rekey(secrets, roster))
+                        .map_err(|error| format!("{error:#}")),
+                };
+                tracing::info!(done = done.is_ok(), "gossip.rekeyed");
+                let _ = to.send(done);
+            }
             Some(Ask::Stop) if stop_at.is_none() => {
                 tracing::info!(conversations = proxy.conversations(), "proxy.stopping");
                 proxy.stop_taking();
@@ -306,6 +342,7 @@
         if stop_at.is_some_and(|at| proxy.conversations() == 0 || now >= at) {
             let left = proxy.conversations();
             proxy.close_all(now);
+            proxy.leave(now);
             return farewell(&mut proxy, &mut sockets, backlog, &mut arrivals, &clock, left).await;
         }
     }
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -43,9 +43,27 @@
     /// Milliseconds for which what stands goes on after a stop was asked for.
     pub standing: f64,
     pub receive_buffer: Option<usize>,
+    pub gossip: Option<GossipPlan>,
     pub terms: ProxyTerms,
 }
 
+/// How a border proxy gossips.
+#[derive(Clone, Debug)]
+pub struct GossipPlan {
+    pub listen: SocketAddr,
+    /// The address that others are told, where that differs.
+    pub address: Option<SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
+    pub key: PathBuf,
+    pub fleet_keys: Vec<PathBuf>,
+    pub roster: PathBuf,
+    /// Bytes a second.
+    pub cap: f64,
+    /// Milliseconds.
+    pub beat: f64,
+    pub liars: usize,
+}
+
 impl Plan {
     pub fn pool_cache(&self) -> PathBuf {
         self.state.join("pool.list")
@@ -252,6 +270,7 @@
         let feed = self.address(&mut pool, "feed", None);
         self.done(pool);
 
+        let gossip = self.gossip(&mut top);
         let limits = self.limits(&mut top);
         let mut stop = self.rows(&mut top, "stop", false);
         let standing = if stop.table.is_some() {
@@ -296,6 +315,7 @@
             servers: servers?,
             feed: feed?,
             standing: standing?,
+            gossip,
             receive_buffer: receive_buffer.filter(|&bytes| bytes > 0).map(|bytes| bytes as usize),
             terms: ProxyTerms {
                 patience: grades.iter().map(|grade| grade.patience).collect(),
@@ -308,6 +328,46 @@
         })
     }
 
+    fn gossip(&mut self, top: &mut Rows) -> Option<GossipPlan> {
+        let mut rows = self.rows(top, "gossip", false);
+        rows.table?;
+        let listen = self.address(&mut rows, "listen", None);
+        let address = self.text(&mut rows, "address", Some("")).filter(|text| !text.is_empty());
+        let address = address.and_then(|_| self.address(&mut rows, "address", None));
+        let wanted = "a list of addresses and ports, as [\"127.0.0.1:4571\"]";
+        let seeds = self.value(&mut rows, "seeds", wanted, None, |value| {
+            value.as_array()?.iter().map(|v| v.as_str()?.parse().ok()).collect::<Option<Vec<SocketAddr>>>()
+        });
+        let key = self.text(&mut rows, "key", None);
+        let fleet_keys = self.texts(&mut rows, "fleet_keys");
+        if fleet_keys.as_ref().is_some_and(Vec::is_empty) {
+            self.fault(
+                rows.line,
+                rows.key("fleet_keys"),
+                "none",
+                "a list of key files, the one in use first",
+            );
+        }
+        let roster = self.text(&mut rows, "roster", None);
+        // A packet is to fit into the part of the cap that is spent at once.
+        let least = 8 * gossip::wire::LARGEST as u32;
+        let cap = self.whole(&mut rows, "cap", least, 100_000_000, None);
+        let beat = self.time(&mut rows, "beat", None);
+        let liars = self.whole(&mut rows, "liars", 0, 1000, None);
+        self.done(rows);
+        Some(GossipPlan {
+            listen: listen?,
+            address,
+            seeds: seeds?,
+            key: PathBuf::from(key?),
+            fleet_keys: fleet_keys?.into_iter().map(PathBuf::from).collect(),
+            roster: PathBuf::from(roster?),
+            cap: f64::from(cap?),
+            beat: beat?,
+            liars: liars? as usize,
+        })
+    }
+
     fn limits(&mut self, top: &mut Rows) -> Limits {
         let usual = Limits::default();
         let mut rows = self.rows(top, "iax2", false);
--- a/gossip/src/budget.rs
+++ b/gossip/src/budget.rs
@@ -1,10 +1,14 @@
 //! Shares out a hard cap of bytes a second among background work by priority. Nothing in it is about gossip.
 //!
 //! Ask [`Budget::take`] before each piece of work; what is refused waits for a later beat. Any one second,
-//! wherever it begins, holds at most the cap: the bucket holds [`BURST`] of it and fills with the rest.
+//! wherever it begins, holds at most the cap: the bucket holds [`BURST`] of it and fills with less than the rest,
+//! so that packets which bunch up a little on their way do not break it either.
 
 /// The part of the cap that can be spent at once.
 const BURST: f64 = 0.25;
+/// The part of the cap that comes in each second. With the burst it makes up 0.95 of the cap: what is sent within
+/// 1.07 s may be seen within one.
+const FILL: f64 = 0.7;
 
 /// What the work is for; the first goes first. Each may only spend while so much of the bucket is left, so that
 /// the less urgent cannot starve the more urgent.
@@ -49,7 +53,7 @@
 
     fn fill(&mut self, now: f64) {
         let passed = (now - self.at).max(0.0) / 1000.0;
-        self.level = (self.level + passed * self.cap * (1.0 - BURST)).min(self.cap * BURST);
+        self.level = (self.level + passed * self.cap * FILL).min(self.cap * BURST);
         self.at = self.at.max(now);
     }
 
--- a/gossip/src/members.rs
+++ b/gossip/src/members.rs
@@ -69,6 +69,11 @@
         self.members.iter().map(|(&id, member)| (id, member))
     }
 
+    /// Forgets all others than those.
+    pub fn keep(&mut self, kept: impl Fn(Id) -> bool) {
+        self.members.retain(|&id, _| kept(id));
+    }
+
     pub fn get(&self, id: Id) -> Option<&Member> {
         self.members.get(&id)
     }
--- a/gossip/src/node.rs
+++ b/gossip/src/node.rs
@@ -178,6 +178,34 @@
         self.id
     }
 
+    /// Where this member is heard.
+    pub fn address(&self) -> SocketAddr {
+        self.terms.address
+    }
+
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// How often the cap put a send off.
+    pub fn deferred(&self) -> u64 {
+        self.budget.refused()
+    }
+
+    /// Goes on with other keys, as in a rotation; whoever is no more in the roster is forgotten with all that it
+    /// said. Its own key must be the same: another would be another member.
+    pub fn rekey(&mut self, secrets: Secrets, roster: Roster) {
+        if secrets.id() != self.id {
+            return;
+        }
+        for id in self.statements.ids().filter(|&id| !roster.contains(id)).collect::<Vec<_>>() {
+            self.statements.forget(id);
+        }
+        self.members.keep(|id| roster.contains(id));
+        self.windows.retain(|&id, _| roster.contains(id));
+        (self.secrets, self.roster) = (secrets, roster);
+    }
+
     pub fn counts(&self) -> Counts {
         self.counts
     }
@@ -202,11 +230,18 @@
         self.statements.accused(self.terms.liars, now - AGED_BEATS * self.terms.beat, ripe)
     }
 
-    /// What the members say, for operators to look at.
+    /// What the members say.
     pub fn statements(&self) -> impl Iterator<Item = &Statement> {
         self.statements.authors()
     }
 
+    /// Who says that the server is silent.
+    pub fn accusers(&self, life: Life) -> Vec<Id> {
+        let silent = |claim: &wire::Claim| claim.life == life && claim.kind == wire::Kind::Silent;
+        let accuses = |statement: &&Statement| statement.claims.iter().any(silent) && !statement.leaves;
+        self.statements().filter(accuses).map(|statement| statement.author).collect()
+    }
+
     /// Tells the others that this member goes.
     pub fn leave(&mut self, now: f64) {
         self.leaving = true;
--- a/gossip/src/statements.rs
+++ b/gossip/src/statements.rs
@@ -81,6 +81,10 @@
         self.held.remove(&author);
     }
 
+    pub fn ids(&self) -> impl Iterator<Item = Id> {
+        self.held.keys().copied()
+    }
+
     pub fn authors(&self) -> impl Iterator<Item = &Statement> {
         self.held.values().map(|held| &held.statement)
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod feed;
 pub mod link;
 pub mod page;
+pub mod peers;
 pub mod report;
 pub mod simulated;
 pub mod sockets;
--- /dev/null
+++ b/lab/src/peers.rs
@@ -0,0 +1,155 @@
+//! Gossip in a drill as its driver sees it: what each member sent in any second, who believed which server silent
+//! and when, and members that lie.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use border::pool::{News, PoolList};
+use frostthread::host::Server;
+use gossip::keys::{Roster, Secrets};
+use gossip::{GossipTerms, Node};
+
+use crate::drill::{GossipPlay, REPEAT};
+
+/// Members that are known to all from the start.
+const SEEDS: usize = 3;
+/// How often a liar speaks of each server.
+const LIE_EVERY: f64 = 500.0;
+/// The fleet's key in every drill.
+pub const FLEET_KEY: [u8; 32] = [0xf7; 32];
+
+/// A member's own key in a drill: made up, and known to all.
+pub fn own_key(member: usize) -> [u8; 32] {
+    let mut own = [0x5f; 32];
+    own[..8].copy_from_slice(&(member as u64).to_le_bytes());
+    own
+}
+
+pub fn secrets(member: usize) -> Secrets {
+    Secrets::new(own_key(member), vec![FLEET_KEY]).expect("a fleet key")
+}
+
+pub fn name(member: usize) -> String {
+    format!("p{member}")
+}
+
+/// All members of a drill: its proxies, then its liars.
+pub fn roster(members: usize) -> Roster {
+    let names: Vec<String> = (0..members).map(name).collect();
+    let keys = (0..members).map(|member| secrets(member).public());
+    Roster::new(names.iter().map(String::as_str).zip(keys)).expect("keys of their own")
+}
+
+/// What a member of the drill gossips by; `addresses` are all members'.
+pub fn terms(play: &GossipPlay, member: usize, addresses: &[SocketAddr]) -> GossipTerms {
+    GossipTerms {
+        address: addresses[member],
+        seeds: addresses.iter().copied().take(SEEDS).collect(),
+        cap: play.cap,
+        beat: play.beat * 1000.0,
+        liars: play.liars_borne,
+        resend: REPEAT,
+    }
+}
+
+/// What is seen of the gossip of all.
+#[derive(Default)]
+pub struct Seen {
+    sent: BTreeMap<usize, VecDeque<(f64, usize)>>,
+    pub bytes: u64,
+    /// The most that any member sent in any second.
+    pub most: usize,
+    /// By proxy and server: when it was first believed silent, and whether it was.
+    pub believed: BTreeMap<(usize, usize), (f64, bool)>,
+    /// Since when servers have been silent, the first time each.
+    pub silent: BTreeMap<usize, f64>,
+    /// Shots that reached silent servers once the time to know was over.
+    pub late_shots: u64,
+}
+
+impl Seen {
+    pub fn sent(&mut self, now: f64, member: usize, bytes: usize) {
+        self.bytes += bytes as u64;
+        let sent = self.sent.entry(member).or_default();
+        sent.push_back((now, bytes));
+        while sent.front().is_some_and(|packet| packet.0 <= now - 1000.0) {
+            sent.pop_front();
+        }
+        self.most = self.most.max(sent.iter().map(|packet| packet.1).sum());
+    }
+
+    /// A proxy believes the server silent.
+    pub fn believes(&mut self, now: f64, proxy: usize, server: usize, rightly: bool) {
+        self.believed.entry((proxy, server)).or_insert((now, rightly));
+    }
+
+    /// How long after it fell silent each proxy knew of a server, in order.
+    pub fn took(&self) -> Vec<f64> {
+        let right = self.believed.iter().filter(|(_, (_, rightly))| *rightly);
+        let mut took: Vec<f64> =
+            right.filter_map(|((_, server), (at, _))| Some(at - self.silent.get(server)?)).collect();
+        took.sort_by(f64::total_cmp);
+        took
+    }
+
+    /// Pairs of a proxy and a sound server that it took for silent.
+    pub fn wrong(&self) -> usize {
+        self.believed.values().filter(|(_, rightly)| !rightly).count()
+    }
+}
+
+/// Members that say of every server that it is silent.
+pub struct Liars {
+    nodes: Vec<Node>,
+    first: usize,
+    pool: PoolList,
+    lie_at: f64,
+}
+
+impl Liars {
+    /// The drill's last members; `nodes` are theirs.
+    pub fn new(first: usize, nodes: Vec<Node>) -> Self {
+        Self { nodes, first, pool: PoolList::default(), lie_at: 0.0 }
+    }
+
+    /// Whom they can lie of.
+    pub fn listed(&mut self, now: f64, unix: f64, news: &News) {
+        // A change that does not follow on what they know is none of theirs.
+        let _ = self.pool.apply(news, now, unix);
+    }
+
+    pub fn receive(&mut self, now: f64, member: usize, from: SocketAddr, datagram: &[u8]) {
+        if let Some(node) = self.nodes.get_mut(member.wrapping_sub(self.first)) {
+            node.receive(now, from, datagram);
+        }
+    }
+
+    pub fn turn(&mut self, now: f64) {
+        let lies = now >= self.lie_at;
+        if lies {
+            self.lie_at = now + LIE_EVERY;
+        }
+        for node in &mut self.nodes {
+            let servers: Vec<Server> = self.pool.servers().collect();
+            for life in servers.into_iter().filter(|_| lies).filter_map(|server| self.pool.life(server)) {
+                node.evidence.shot(now, life);
+            }
+            if node.due() <= now {
+                node.turn(now);
+            }
+        }
+    }
+
+    pub fn due(&self) -> f64 {
+        self.nodes.iter().map(Node::due).fold(f64::INFINITY, f64::min)
+    }
+
+    /// The next datagram, with the member that sends it.
+    pub fn outgoing(&mut self) -> Option<(usize, SocketAddr, Vec<u8>)> {
+        let first = self.first;
+        self.nodes.iter_mut().enumerate().find_map(|(i, node)| {
+            let out = node.outgoing()?;
+            Some((first + i, out.peer, out.bytes))
+        })
+    }
+}
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -51,10 +51,59 @@
     /// By second of the first try: offered and served.
     pub by_second: Vec<(f64, f64)>,
     pub fallen_servers: usize,
+    /// Shots at servers that had been silent for five seconds.
+    pub late_shots: u64,
+    pub gossip: Option<GossipSummary>,
     /// Conversations a second that all servers could carry, by second.
     pub capacity: Vec<f64>,
 }
 
+/// What gossip came to, as seen from outside; times in milliseconds.
+#[derive(Clone, Debug, Serialize)]
+pub struct GossipSummary {
+    pub members: usize,
+    pub liars: usize,
+    pub liars_borne: usize,
+    pub loss: f64,
+    /// From when a server fell silent until proxies believed it: the median and the last.
+    pub know_median: Option<f64>,
+    pub know_worst: Option<f64>,
+    /// Pairs of a proxy and a silent server that it never believed silent.
+    pub unaware: usize,
+    /// Pairs of a proxy and a sound server that it believed silent.
+    pub wrong: usize,
+    /// The most bytes that any member sent in any second.
+    pub most_bytes: usize,
+    pub cap: f64,
+    pub mean_bytes: f64,
+}
+
+impl GossipSummary {
+    fn of(world: &World) -> Self {
+        let (drill, seen) = (&world.drill, &world.peers);
+        let took = seen.took();
+        let seconds = world.capacity.len().max(1) as f64;
+        Self {
+            members: drill.members(),
+            liars: drill.gossip.liars,
+            liars_borne: drill.gossip.liars_borne,
+            loss: drill.gossip.loss,
+            know_median: took.get(took.len() / 2).copied(),
+            know_worst: took.last().copied(),
+            unaware: drill.fleet.proxies * seen.silent.len() - took.len(),
+            wrong: seen.wrong(),
+            most_bytes: seen.most,
+            cap: drill.gossip.cap,
+            mean_bytes: seen.bytes as f64 / seconds / drill.fleet.proxies as f64,
+        }
+    }
+
+    /// Whether the cap held, and no sound server was believed silent.
+    pub fn sound(&self) -> bool {
+        self.wrong == 0 && self.most_bytes as f64 <= self.cap
+    }
+}
+
 impl Summary {
     pub fn of(world: &World, routing: &str, virtual_clock: bool) -> Self {
         let drill = &world.drill;
@@ -113,6 +162,8 @@
             delay_median: delays.value_at_quantile(0.5) as f64,
             delay_p99: delays.value_at_quantile(0.99) as f64,
             by_second,
+            late_shots: world.peers.late_shots,
+            gossip: drill.gossip.on.then(|| GossipSummary::of(world)),
             capacity: world.capacity.clone(),
             fallen_servers: world.servers.iter().filter(|s| s.central.fallen).count(),
         }
@@ -192,3 +243,45 @@
     });
     println!("{}", Table::new(rows).with(Style::sharp()));
 }
+
+/// What proxies knew of silent servers, with gossip and without.
+pub fn print_gossip(summaries: &[Summary]) {
+    #[derive(Tabled)]
+    struct Row {
+        routing: String,
+        gossip: String,
+        know_p50: String,
+        know_worst: String,
+        unaware: String,
+        wrong: String,
+        most_bytes_a_second: String,
+        mean: String,
+        late_shots: u64,
+        served: String,
+    }
+    let seconds = |ms: Option<f64>| ms.map_or("-".to_owned(), |ms| format!("{:.1} s", ms / 1000.0));
+    let rows = summaries.iter().map(|s| {
+        let of = |tell: &dyn Fn(&GossipSummary) -> String| s.gossip.as_ref().map_or("-".to_owned(), tell);
+        Row {
+            routing: s.routing.clone(),
+            gossip: of(&|g| {
+                format!(
+                    "{} members, {} lie, {} borne, {:.0}% lost",
+                    g.members,
+                    g.liars,
+                    g.liars_borne,
+                    g.loss * 100.0
+                )
+            }),
+            know_p50: of(&|g| seconds(g.know_median)),
+            know_worst: of(&|g| seconds(g.know_worst)),
+            unaware: of(&|g| g.unaware.to_string()),
+            wrong: of(&|g| g.wrong.to_string()),
+            most_bytes_a_second: of(&|g| format!("{} of {:.0}", g.most_bytes, g.cap)),
+            mean: of(&|g| format!("{:.0}", g.mean_bytes)),
+            late_shots: s.late_shots,
+            served: format!("{:.1}%", s.served * 100.0),
+        }
+    });
+    println!("{}", Table::new(rows).with(Style::sharp()));
+}
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -20,12 +20,15 @@
 use crate::events::{Event, Events};
 use crate::feed::Feed;
 use crate::link::Link;
+use crate::peers::Seen;
 use crate::witness::{ServerFacts, Witness};
 
 /// After the last first try, what is under way is given so long.
 const AFTERWARDS: f64 = 6_000.0;
 /// A stopped processor's last words are given so long.
 const LAST_WORDS: f64 = 50.0;
+/// Proxies that gossip are to know of a silent server after so long.
+const TIME_TO_KNOW: f64 = 5_000.0;
 
 /// A place in the world that datagrams come to and from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -123,8 +126,7 @@
     epoch: f64,
     /// Capacity of all servers, second by second, as it was.
     pub capacity: Vec<f64>,
-    /// Bytes that proxies sent each other.
-    pub gossiped: u64,
+    pub peers: Seen,
     pub events: Events,
     now: f64,
 }
@@ -162,7 +164,7 @@
             addresses: vec![None; drill.fleet.proxies],
             epoch,
             capacity: Vec::new(),
-            gossiped: 0,
+            peers: Seen::default(),
             events: Events::default(),
             now: 0.0,
             chance: own(),
@@ -206,6 +208,16 @@
         news
     }
 
+    /// Servers that a proxy believes silent, by name.
+    pub fn believes<'a>(&mut self, now: f64, proxy: usize, names: impl Iterator<Item = &'a str>) {
+        for name in names {
+            let Some(server) = self.servers.iter().position(|stand| stand.name == name) else { continue };
+            let stand = &self.servers[server];
+            let answers = stand.up && now >= stand.silent_until && now >= stand.central.hung_until;
+            self.peers.believes(now, proxy, server, !answers || stand.central.fallen);
+        }
+    }
+
     fn delivered(&mut self, proxy: usize, news: &News) {
         self.witness.delivered(self.now, proxy, news);
         self.events.note(&Event::List { ms: self.now, proxy, news });
@@ -281,7 +293,12 @@
                     started: stand.central.started,
                     capacity: stand.central.capacity(now),
                 };
+                let before = self.witness.setups;
                 self.witness.to_server(now, server, from, &bytes, &facts);
+                let silent = self.peers.silent.get(&server).filter(|_| now < stand.silent_until);
+                if silent.is_some_and(|since| now > since + TIME_TO_KNOW) {
+                    self.peers.late_shots += self.witness.setups - before;
+                }
                 self.events.frame(now, &stand.name, "in", from, &bytes);
                 if now < stand.silent_until {
                     return;
@@ -392,6 +409,7 @@
             Step::Begin(trouble) => self.begin(at, &self.drill.troubles[trouble].clone()),
             Step::Silent { server, until } => {
                 self.servers[server].silent_until = until;
+                self.peers.silent.entry(server).or_insert(at);
                 self.step(until, Step::Return { server });
                 self.step(at + 1.0, Step::ListSilent { server });
             }
--- a/proxy/src/border.rs
+++ b/proxy/src/border.rs
@@ -14,6 +14,7 @@
 use frostthread::host::{Call, Ending, Handle, Host, Server, State, Suspicion, Terms};
 use gossip::Node;
 use gossip::evidence::Evidence;
+use gossip::keys::{Roster, Secrets};
 use gossip::wire::Life;
 use iax2::element::{self, Elements};
 use iax2::{End, Endpoint, Happening, Leg, Limits, cause};
@@ -26,7 +27,7 @@
 use crate::hints::Hints;
 use crate::pool::{News, PoolList, Unfit};
 use crate::routes::Routes;
-use crate::status::{Present, ServerStatus, Status, Tally};
+use crate::status::{GossipStatus, Present, ServerStatus, Status, Tally};
 
 /// Elements of a caller's NEW that its shots carry on.
 const CARRIED: [u8; 7] = [
@@ -102,6 +103,8 @@
     gossip: Option<Node>,
     /// Gossip may have changed what is suspected.
     gossiped: bool,
+    /// Servers that are believed silent.
+    believed: Vec<Server>,
 }
 
 /// One border proxy, with what decides for it.
@@ -240,6 +243,7 @@
                 now,
                 gossip: None,
                 gossiped: false,
+                believed: Vec::new(),
             },
             module,
             number_key: (seed, !seed),
@@ -252,6 +256,32 @@
         self.hands.gossip = Some(node);
     }
 
+    /// Goes on gossiping with other keys: its own stays the same.
+    pub fn rekey(&mut self, secrets: Secrets, roster: Roster) {
+        if let Some(node) = &mut self.hands.gossip {
+            node.rekey(secrets, roster);
+            self.hands.gossiped = true;
+        }
+    }
+
+    /// Tells the other proxies that this one goes.
+    pub fn leave(&mut self, now: f64) {
+        if let Some(node) = &mut self.hands.gossip {
+            node.leave(now);
+        }
+    }
+
+    /// Servers that gossip has this proxy believe silent.
+    pub fn believed(&self) -> &[Server] {
+        &self.hands.believed
+    }
+
+    /// Members and suspicions as this proxy sees them, where there is gossip.
+    pub fn gossip(&self) -> Option<GossipStatus> {
+        let hands = &self.hands;
+        hands.gossip.as_ref().map(|node| GossipStatus::of(node, &hands.pool, hands.now))
+    }
+
     /// A datagram of one of the sockets. `arrived` is when it is thought to have come, before `now` where
     /// this proxy was late to look.
     pub fn receive(&mut self, now: f64, arrived: f64, side: Side, peer: SocketAddr, datagram: &Bytes) {
@@ -342,9 +372,11 @@
     fn suspect(&mut self) {
         let Some(node) = &self.hands.gossip else { return };
         let accused = node.accused(self.hands.now);
+        self.hands.believed.clear();
         for server in self.hands.pool.servers() {
             let Some(life) = self.hands.pool.life(server) else { continue };
             let of = accused.iter().find(|accused| accused.life == life && accused.believed);
+            self.hands.believed.extend(of.map(|_| server));
             self.module.suspected(server, of.map(|of| Suspicion { strength: 1.0, since: of.since }));
         }
     }
--- a/proxy/src/status.rs
+++ b/proxy/src/status.rs
@@ -1,7 +1,11 @@
 //! What a border proxy says of itself: counters, and the servers as its module sees them.
 
+use gossip::Node;
+use gossip::wire::Standing;
 use serde::{Deserialize, Serialize};
 
+use crate::pool::PoolList;
+
 /// How often each thing has happened since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Tally {
@@ -56,3 +60,100 @@
     pub tally: Tally,
     pub servers: Vec<ServerStatus>,
 }
+
+/// Another border proxy, as this one sees it; or this one itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct MemberStatus {
+    pub name: String,
+    pub address: String,
+    pub standing: String,
+    pub incarnation: u64,
+}
+
+/// A server that somebody says is silent.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct SuspicionStatus {
+    pub server: String,
+    /// When the accused process started, in Unix milliseconds; 0 where that is long ago.
+    pub started: u64,
+    pub accusers: Vec<String>,
+    pub vouchers: usize,
+    /// How long ago enough accusations had begun, in milliseconds.
+    pub age: f64,
+    pub believed: bool,
+    /// When this proxy last had an answer of it, in milliseconds ago.
+    pub answered: Option<f64>,
+}
+
+/// Packets that were sent, and those that were dropped, by why.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GossipTally {
+    pub packets: u64,
+    pub sent_bytes: u64,
+    /// Sends that the cap did not allow; they come later.
+    pub deferred: u64,
+    pub malformed: u64,
+    pub untagged: u64,
+    pub forged: u64,
+    pub replayed: u64,
+    pub bad_statements: u64,
+    /// Another process speaks with this one's key.
+    pub clashes: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct GossipStatus {
+    pub members: Vec<MemberStatus>,
+    pub suspicions: Vec<SuspicionStatus>,
+    pub tally: GossipTally,
+}
+
+impl GossipStatus {
+    pub fn of(node: &Node, pool: &PoolList, now: f64) -> Self {
+        let name = |id| node.name(id).unwrap_or("?").to_owned();
+        let members = node.members.all().map(|(id, member)| MemberStatus {
+            name: name(id),
+            address: member.address.to_string(),
+            standing: match member.standing {
+                Standing::Alive => "alive",
+                Standing::Suspect => "suspect",
+                Standing::Dead => "dead",
+            }
+            .to_owned(),
+            incarnation: member.incarnation,
+        });
+        let own = MemberStatus {
+            name: name(node.id()),
+            address: node.address().to_string(),
+            standing: "this one".to_owned(),
+            incarnation: node.incarnation(),
+        };
+        let listed = |life| pool.servers().find(|&server| pool.life(server) == Some(life));
+        let suspicions = node.accused(now).into_iter().map(|accused| SuspicionStatus {
+            // What is not on this proxy's list, or not in this life, has no name here.
+            server: listed(accused.life).map_or("?".to_owned(), |server| pool.name(server).to_owned()),
+            started: accused.life.started,
+            accusers: node.accusers(accused.life).into_iter().map(name).collect(),
+            vouchers: accused.vouchers,
+            age: now - accused.since,
+            believed: accused.believed,
+            answered: node.evidence.last_answer(accused.life).map(|at| now - at),
+        });
+        let counts = node.counts();
+        Self {
+            members: std::iter::once(own).chain(members).collect(),
+            suspicions: suspicions.collect(),
+            tally: GossipTally {
+                packets: counts.packets,
+                sent_bytes: counts.sent_bytes,
+                deferred: node.deferred(),
+                malformed: counts.malformed,
+                untagged: counts.untagged,
+                forged: counts.forged,
+                replayed: counts.replayed,
+                bad_statements: counts.bad_statements,
+                clashes: counts.clashes,
+            },
+        }
+    }
+}
