--- a/gossip/src/budget.rs
+++ b/gossip/src/budget.rs
@@ -5,10 +5,10 @@
 //! so that packets which bunch up a little on their way do not break it either.
 
 /// The part of the cap that can be spent at once.
-const BURST: f64 = 0.25;
+const BURST: f64 = 0.2;
 /// The part of the cap that comes in each second. With the burst it makes up 0.95 of the cap: what is sent within
 /// 1.07 s may be seen within one.
-const FILL: f64 = 0.7;
+const FILL: f64 = 0.75;
 
 /// What the work is for; the first goes first. Each may only spend while so much of the bucket is left, so that
 /// the less urgent cannot starve the more urgent.
