--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -43,6 +43,14 @@
         #[arg(long, default_value_t = 60.0)]
         hold: f64,
     },
+    /// Play gossip-100 virtually at several sizes; print and plot time to know and bytes against size
+    Sizes {
+        #[arg(long, num_args = 1.., default_values_t = [100, 200, 400, 700, 1000])]
+        proxies: Vec<usize>,
+        /// Directory for gossip-time.svg and gossip-bytes.svg
+        #[arg(long)]
+        out: PathBuf,
+    },
     /// Run a stand-in central server; prints its entry for the pool list, then serves
     Server(ServerLine),
     /// Serve a pool list from a file of entries, one JSON object a line, and its changes as they are made
@@ -201,6 +209,7 @@
     let done = match Line::parse().command {
         Command::Drill(line) => drill(&line),
         Command::Load { rate, seconds, hold } => load(&rate, seconds, hold),
+        Command::Sizes { proxies, out } => sizes(&proxies, &out),
         Command::Server(line) => server(line),
         Command::List { file, listen, late, seconds } => {
             block_on(alone::list(listen, &file, late, seconds)).map(|()| ExitCode::SUCCESS)
@@ -338,6 +347,35 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn sizes(proxies: &[usize], out: &Path) -> Result<ExitCode> {
+    let mut summaries = Vec::new();
+    for &size in proxies {
+        let mut drill = Drill::named("gossip-100")?;
+        drill.fleet.proxies = size;
+        drill.check()?;
+        let world = simulated::run(drill, Routing::Ours, Broken::default(), Events::default())?;
+        summaries.push(Summary::of(&world, &size.to_string(), true));
+    }
+    report::print_gossip(&summaries);
+    let line = |name: &str, of: &dyn Fn(&report::GossipSummary) -> f64| -> page::Line {
+        let points = summaries.iter().filter_map(|s| Some((s.proxies as f64, of(s.gossip.as_ref()?))));
+        (name.to_owned(), points.collect())
+    };
+    let known = |ms: Option<f64>| ms.unwrap_or(0.0) / 1000.0;
+    let times = [
+        line("median", &|g| known(g.know_median)),
+        line("99 of 100", &|g| known(g.know_p99)),
+        line("last", &|g| known(g.know_worst)),
+    ];
+    let bytes = [line("most in any second", &|g| g.most_bytes as f64), line("mean", &|g| g.mean_bytes)];
+    fs::create_dir_all(out)?;
+    let title = "Time to know of a silent server, 30% lost";
+    fs::write(out.join("gossip-time.svg"), page::plot(title, ["proxies", "s"], &times, &[])?)?;
+    let title = "Bytes a proxy sends in a second, cap 16000";
+    fs::write(out.join("gossip-bytes.svg"), page::plot(title, ["proxies", "bytes"], &bytes, &[])?)?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn server(line: ServerLine) -> Result<ExitCode> {
     let play = ServerPlay {
         listen: line.listen,
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -67,6 +67,7 @@
     pub loss: f64,
     /// From when a server fell silent until proxies believed it: the median and the last.
     pub know_median: Option<f64>,
+    pub know_p99: Option<f64>,
     pub know_worst: Option<f64>,
     /// Pairs of a proxy and a silent server that it never believed silent.
     pub unaware: usize,
@@ -89,6 +90,7 @@
             liars_borne: drill.gossip.liars_borne,
             loss: drill.gossip.loss,
             know_median: took.get(took.len() / 2).copied(),
+            know_p99: took.get(took.len() * 99 / 100).copied(),
             know_worst: took.last().copied(),
             unaware: drill.fleet.proxies * seen.silent.len() - took.len(),
             wrong: seen.wrong(),
@@ -251,6 +253,7 @@
         routing: String,
         gossip: String,
         know_p50: String,
+        know_p99: String,
         know_worst: String,
         unaware: String,
         wrong: String,
@@ -274,6 +277,7 @@
                 )
             }),
             know_p50: of(&|g| seconds(g.know_median)),
+            know_p99: of(&|g| seconds(g.know_p99)),
             know_worst: of(&|g| seconds(g.know_worst)),
             unaware: of(&|g| g.unaware.to_string()),
             wrong: of(&|g| g.wrong.to_string()),
--- /dev/null
+++ b/records/src/ledger.rs
@@ -0,0 +1,102 @@
+//! Makes tries of a journal's entries. Feed [`Ledger::take`] with all entries in order, segment after segment; then
+//! [`Ledger::tries`] gives one for each that was opened.
+//!
+//! A try that is still open when a later life begins, or at the end, is lost: it is closed at the last time that its
+//! life is known to have lived, and never billed. An entry that repeats another changes nothing; one whose opening was
+//! damaged is counted, since no record can be made of it.
+
+use std::collections::BTreeMap;
+
+use crate::entry::{Author, Entry, Outcome, Try, TryId};
+
+#[derive(Default)]
+pub struct Ledger {
+    author: Option<Author>,
+    /// The latest time that this life wrote.
+    lived: u64,
+    open: BTreeMap<u64, Try>,
+    closed: BTreeMap<TryId, Try>,
+    orphans: u64,
+}
+
+impl Ledger {
+    pub fn take(&mut self, entry: Entry) {
+        if let Entry::Life(author) = entry {
+            // Repeated at the head of each segment.
+            if self.author.as_ref() != Some(&author) {
+                self.lose();
+                self.author = Some(author);
+                self.lived = 0;
+            }
+            return;
+        }
+        let Some(author) = &self.author else {
+            self.orphans += 1;
+            return;
+        };
+        match entry {
+            Entry::Life(_) => {}
+            Entry::Opened { serial, at, calling, called, grade, tenant } => {
+                self.lived = self.lived.max(at);
+                let id = TryId { author: author.clone(), serial };
+                if self.closed.contains_key(&id) {
+                    return;
+                }
+                self.open.entry(serial).or_insert_with(|| Try {
+                    id,
+                    calling,
+                    called,
+                    grade,
+                    tenant,
+                    opened: at,
+                    shots: 0,
+                    server: None,
+                    answered: None,
+                    closed: at,
+                    outcome: Outcome::Lost,
+                    over_share: false,
+                });
+            }
+            Entry::Shot { serial, at, server } => {
+                self.lived = self.lived.max(at);
+                match self.open.get_mut(&serial) {
+                    Some(open) => (open.shots, open.server) = (open.shots + 1, Some(server)),
+                    None => self.orphans += 1,
+                }
+            }
+            Entry::Answered { serial, at } => {
+                self.lived = self.lived.max(at);
+                match self.open.get_mut(&serial) {
+                    Some(open) => open.answered = open.answered.or(Some(at)),
+                    None => self.orphans += 1,
+                }
+            }
+            Entry::Closed { serial, at, outcome, over_share } => {
+                self.lived = self.lived.max(at);
+                let Some(mut ended) = self.open.remove(&serial) else {
+                    self.orphans += u64::from(!self.closed.keys().any(|id| id.serial == serial));
+                    return;
+                };
+                // A clock set back makes no conversation end before it began.
+                ended.closed = at.max(ended.answered.unwrap_or(ended.opened));
+                // What stood without its answer on record is not billed: nothing is invented.
+                let sound = outcome != Outcome::Stood || ended.answered.is_some();
+                (ended.outcome, ended.over_share) = (if sound { outcome } else { Outcome::Lost }, over_share);
+                self.closed.insert(ended.id.clone(), ended);
+            }
+        }
+    }
+
+    fn lose(&mut self) {
+        for (_, mut open) in std::mem::take(&mut self.open) {
+            open.closed = self.lived.max(open.opened);
+            self.closed.insert(open.id.clone(), open);
+        }
+    }
+
+    /// One for each try that was opened, in order of author and serial; and how many entries had lost their try.
+    pub fn tries(mut self) -> (Vec<Try>, u64) {
+        self.lose();
+        (self.closed.into_values().collect(), self.orphans)
+    }
+}
--- /dev/null
+++ b/records/tests/stories.rs
@@ -0,0 +1,327 @@
+//! Stories of records: crashes at every byte, damage, redials through two proxies, plans that change, slow disks.
+
+use proptest::prelude::*;
+use records::commit::{Admit, Commit, Health, Promise};
+use records::entry::{Author, Entry, Outcome, Try, TryId};
+use records::join::{Conversation, join};
+use records::journal::{self, LONGEST_TEXT};
+use records::ledger::Ledger;
+use records::rating::{Plan, Plans, Unfit};
+use rstest::rstest;
+
+fn author(life: u64) -> Author {
+    Author { proxy: "p1".to_owned(), life }
+}
+
+fn opened(serial: u64, at: u64) -> Entry {
+    let text = str::to_owned;
+    Entry::Opened {
+        serial,
+        at,
+        calling: text("9"),
+        called: text("155"),
+        grade: text("slot"),
+        tenant: text("north"),
+    }
+}
+
+fn closed(serial: u64, at: u64, outcome: Outcome) -> Entry {
+    Entry::Closed { serial, at, outcome, over_share: false }
+}
+
+/// A run of two lives: the first dies with one conversation standing and one held.
+fn run() -> Vec<Entry> {
+    let shot = |serial, at| Entry::Shot { serial, at, server: "a".to_owned() };
+    vec![
+        Entry::Life(author(1)),
+        opened(1, 100),
+        shot(1, 101),
+        Entry::Answered { serial: 1, at: 150 },
+        opened(2, 160),
+        closed(1, 70_000, Outcome::Stood),
+        opened(3, 70_100),
+        shot(3, 70_110),
+        Entry::Answered { serial: 3, at: 70_150 },
+        Entry::Life(author(2)),
+        opened(1, 80_000),
+        closed(1, 80_010, Outcome::Refused),
+    ]
+}
+
+fn framed(entries: &[Entry]) -> (Vec<u8>, Vec<usize>) {
+    let mut bytes = Vec::new();
+    let ends = entries.iter().map(|entry| {
+        journal::write(&mut bytes, entry);
+        bytes.len()
+    });
+    let ends = ends.collect();
+    (bytes, ends)
+}
+
+fn tries(entries: impl IntoIterator<Item = Entry>) -> Vec<Try> {
+    let mut ledger = Ledger::default();
+    entries.into_iter().for_each(|entry| ledger.take(entry));
+    ledger.tries().0
+}
+
+#[test]
+fn what_a_crash_left_open_is_lost_and_never_left_out() {
+    let all = tries(run());
+    let told: Vec<(u64, u64, Outcome, u64)> =
+        all.iter().map(|t| (t.id.author.life, t.id.serial, t.outcome, t.closed)).collect();
+    let lost = |serial| (1, serial, Outcome::Lost, 70_150);
+    assert_eq!(told, [(1, 1, Outcome::Stood, 70_000), lost(2), lost(3), (2, 1, Outcome::Refused, 80_010)]);
+}
+
+#[test]
+fn a_journal_cut_at_any_byte_gives_all_that_was_whole_and_nothing_else() {
+    let entries = run();
+    let (bytes, ends) = framed(&entries);
+    for cut in 0..=bytes.len() {
+        let found = journal::read(&bytes[..cut]);
+        let whole = ends.iter().filter(|&&end| end <= cut).count();
+        assert_eq!(found.entries, entries[..whole], "cut at {cut}");
+        assert_eq!(found.sound, whole.checked_sub(1).map_or(0, |last| ends[last]));
+        let torn = cut > found.sound;
+        assert_eq!(
+            found.damage.iter().map(|d| (d.at, d.torn)).collect::<Vec<_>>(),
+            Vec::from_iter(torn.then_some((found.sound, true)))
+        );
+        // Twice in recovery: what the first one cut is read the same by the second.
+        assert_eq!(journal::read(&bytes[..found.sound]).entries, found.entries);
+    }
+}
+
+#[test]
+fn a_flipped_byte_costs_the_entry_that_it_is_in_and_no_other() {
+    let entries = run();
+    let (bytes, ends) = framed(&entries);
+    for at in 0..bytes.len() {
+        for bit in 0..8 {
+            let mut damaged = bytes.clone();
+            damaged[at] ^= 1 << bit;
+            let found = journal::read(&damaged);
+            let hit = ends.iter().position(|&end| at < end).expect("inside");
+            let left: Vec<Entry> =
+                entries.iter().enumerate().filter(|(i, _)| *i != hit).map(|(_, e)| e.clone()).collect();
+            assert_eq!(found.entries, left, "byte {at} bit {bit}");
+            assert_eq!(found.damage.len(), 1);
+            // Without the life's own entry there may be orphans, but nobody is billed for them.
+            let billed = tries(found.entries).iter().filter(|t| t.outcome == Outcome::Stood).count();
+            assert!(billed <= 1);
+        }
+    }
+}
+
+#[test]
+fn an_entry_with_endless_texts_is_cut_to_fit() {
+    let long = "é".repeat(10_000);
+    let entry = Entry::Shot { serial: 1, at: 1, server: long };
+    let mut bytes = Vec::new();
+    journal::write(&mut bytes, &entry);
+    let Entry::Shot { server, .. } = &journal::read(&bytes).entries[0] else { panic!() };
+    assert_eq!(server.len(), LONGEST_TEXT - 1);
+}
+
+#[test]
+fn a_clock_set_back_ends_no_conversation_before_it_began() {
+    let all = tries([
+        Entry::Life(author(1)),
+        opened(1, 7_200_000),
+        Entry::Answered { serial: 1, at: 7_200_100 },
+        closed(1, 3_605_000, Outcome::Stood),
+    ]);
+    assert_eq!((all[0].closed, all[0].outcome), (7_200_100, Outcome::Stood));
+}
+
+#[test]
+fn an_end_without_its_answer_on_record_is_not_billed() {
+    let all = tries([Entry::Life(author(1)), opened(1, 1), closed(1, 9, Outcome::Stood)]);
+    assert_eq!(all[0].outcome, Outcome::Lost);
+}
+
+fn one(proxy: &str, opened: u64, answered: Option<u64>, closed: u64, outcome: Outcome) -> Try {
+    Try {
+        id: TryId { author: Author { proxy: proxy.to_owned(), life: 1 }, serial: opened },
+        calling: "9".to_owned(),
+        called: "155".to_owned(),
+        grade: "slot".to_owned(),
+        tenant: "north".to_owned(),
+        opened,
+        shots: 1,
+        server: None,
+        answered,
+        closed,
+        outcome,
+        over_share: false,
+    }
+}
+
+#[rstest]
+#[case::redial_through_another_proxy("p2", 1_500, Outcome::Refused, 1)]
+#[case::after_the_gap("p2", 99_000, Outcome::Refused, 2)]
+#[case::two_callers_at_once("p2", 900, Outcome::Refused, 2)]
+#[case::the_first_proxy_died_over_it("p2", 900, Outcome::Lost, 1)]
+fn tries_are_joined_as_one_conversation(
+    #[case] proxy: &str,
+    #[case] second: u64,
+    #[case] first: Outcome,
+    #[case] conversations: usize,
+) {
+    let tries = [
+        one("p1", 0, None, 1_000, first),
+        one(proxy, second, Some(second + 50), second + 60_000, Outcome::Stood),
+    ];
+    let joined = join(tries, 10_000);
+    assert_eq!(joined.len(), conversations);
+    assert_eq!(joined.iter().filter(|c| c.outcome() == Outcome::Stood).count(), 1);
+}
+
+#[test]
+fn dialling_again_after_it_stood_is_a_new_conversation() {
+    let stood = one("p1", 0, Some(50), 1_000, Outcome::Stood);
+    let lost = one("p1", 5_000, Some(5_050), 6_000, Outcome::Lost);
+    let next = one("p2", 6_100, Some(6_150), 7_000, Outcome::Stood);
+    assert_eq!(join([stood, lost, next], 10_000).len(), 3);
+}
+
+proptest! {
+    #[test]
+    fn the_join_does_not_depend_on_order_or_doubling(
+        drawn in prop::collection::vec((0..3u8, 0..40u64, 0..20u64, 0..4u8), 1..12),
+        seed in prop::collection::vec(0..1000usize, 24),
+    ) {
+        let tries: Vec<Try> = drawn.iter().enumerate().map(|(i, &(proxy, at, took, outcome))| {
+            let outcome = [Outcome::Refused, Outcome::Lost, Outcome::Stood, Outcome::Left][usize::from(outcome)];
+            let answered = (outcome == Outcome::Stood).then_some(at * 100);
+            let mut of = one(&format!("p{proxy}"), at * 100, answered, (at + took) * 100, outcome);
+            of.id.serial = i as u64;
+            of
+        }).collect();
+        let joined = join(tries.clone(), 1_000);
+        let mut mixed: Vec<Try> = seed.iter().map(|&at| tries[at % tries.len()].clone()).collect();
+        mixed.extend(tries.iter().rev().cloned());
+        prop_assert_eq!(&join(mixed, 1_000), &joined);
+        let again: Vec<Try> = joined.iter().flat_map(|of| of.tries.clone()).collect();
+        prop_assert_eq!(again.len(), tries.len());
+        prop_assert_eq!(&join(again, 1_000), &joined);
+    }
+
+    #[test]
+    fn any_bytes_are_read_without_panic(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        let found = journal::read(&bytes);
+        prop_assert!(found.sound <= bytes.len());
+    }
+}
+
+const PLAN: &str = r#"
+version = 1
+effective = "1970-01-01T00:00:00Z"
+over_share_part = 200
+
+[grade.slot]
+stands = 2000
+minute = 30
+quoted = 2000
+late_part = 250
+
+[tenant]
+south = 900
+"#;
+
+fn conversation(of: Try) -> Conversation {
+    Conversation { tries: vec![of] }
+}
+
+#[rstest]
+#[case::in_time(1_000, 61_000, false, "north", 2_030)]
+#[case::a_second_minute_begun(1_000, 61_001, false, "north", 2_060)]
+#[case::late(3_000, 4_000, false, "north", 530)]
+#[case::over_share(1_000, 2_000, true, "north", 406)]
+#[case::cheaper_tenant_rounded_down_once(3_000, 4_000, true, "south", 95)]
+fn a_conversation_costs_what_the_plan_says(
+    #[case] answered: u64,
+    #[case] closed: u64,
+    #[case] over_share: bool,
+    #[case] tenant: &str,
+    #[case] amount: u64,
+) {
+    let stood = one("p1", 0, Some(answered), closed, Outcome::Stood);
+    let rated = Plan::read(PLAN).expect("sound").rate(&conversation(Try {
+        over_share,
+        tenant: tenant.to_owned(),
+        ..stood
+    }));
+    assert_eq!(rated.amount, amount);
+}
+
+#[test]
+fn nothing_but_what_stood_is_billed_and_an_unknown_grade_is_told() {
+    let plan = Plan::read(PLAN).expect("sound");
+    for outcome in [Outcome::Refused, Outcome::Failed, Outcome::Left, Outcome::Lost] {
+        assert_eq!(plan.rate(&conversation(one("p1", 0, Some(5), 9, outcome))).amount, 0);
+    }
+    let other = Try { grade: "open".to_owned(), ..one("p1", 0, Some(5), 9, Outcome::Stood) };
+    assert!(!plan.rate(&conversation(other)).known);
+}
+
+#[test]
+fn the_plan_in_force_at_the_first_try_counts_whatever_changes_before_the_end() {
+    let mut plans = Plans::default();
+    plans.add(Plan::read(PLAN).expect("sound")).expect("the first");
+    let dearer = PLAN.replace("version = 1", "version = 2").replace("stands = 2000", "stands = 9000");
+    let second = Plan::read(&dearer.replace("1970-01-01T00:00:00Z", "1970-01-01T00:01:00Z")).expect("sound");
+    plans.add(second.clone()).expect("later");
+    let before = plans.rate(&conversation(one("p1", 59_999, Some(60_500), 90_000, Outcome::Stood)));
+    let after = plans.rate(&conversation(one("p1", 60_000, Some(60_500), 90_000, Outcome::Stood)));
+    assert_eq!((before.plan, before.amount, after.plan, after.amount), (1, 2_030, 2, 9_030));
+    assert_eq!(plans.add(second), Err(Unfit::Twice(2)));
+}
+
+#[rstest]
+#[case(
+    "late_part = 250",
+    "late_part = 1250",
+    "plan 1: grade.slot.late_part: found 1250, wanted at most 1000"
+)]
+#[case("1970-01-01T00:00:00Z", "soon", "plan 1: effective: found \"soon\"")]
+#[case("minute = 30", "minutes = 30", "unknown field `minutes`")]
+fn a_plan_that_is_unfit_names_its_field(#[case] right: &str, #[case] wrong: &str, #[case] told: &str) {
+    let error = Plan::read(&PLAN.replace(right, wrong)).expect_err("unfit").to_string();
+    assert!(error.contains(told), "{error}");
+}
+
+#[test]
+fn one_sync_serves_all_that_was_written_before_it_began() {
+    let mut commit = Commit::new(Promise::Synced, 5.0, 200.0);
+    let first = commit.wrote(0.0, 100);
+    let second = commit.wrote(3.0, 100);
+    assert_eq!(commit.due(), 5.0);
+    commit.begin(5.0);
+    let third = commit.wrote(6.0, 100);
+    assert!(!commit.may_go(first) && commit.due() == f64::INFINITY);
+    commit.done();
+    assert!(commit.may_go(first) && commit.may_go(second) && !commit.may_go(third));
+    assert_eq!(commit.due(), 11.0);
+}
+
+#[rstest]
+#[case(Promise::Synced, Admit::Refuse, Admit::Refuse)]
+#[case(Promise::Written, Admit::Take, Admit::Refuse)]
+#[case(Promise::Loose, Admit::Take, Admit::Take)]
+fn what_cannot_be_recorded_as_promised_is_not_taken(
+    #[case] promise: Promise,
+    #[case] slow: Admit,
+    #[case] full: Admit,
+) {
+    let mut commit = Commit::new(promise, 5.0, 200.0);
+    assert_eq!(commit.admit(0.0), Admit::Take);
+    commit.wrote(0.0, 10);
+    commit.begin(5.0);
+    assert_eq!((commit.health(300.0), commit.admit(300.0)), (Health::Slow, slow));
+    commit.refused();
+    assert_eq!((commit.health(301.0), commit.admit(301.0)), (Health::Refuses, full));
+    // There is room again.
+    commit.wrote(400.0, 10);
+    assert_eq!(commit.admit(400.0), Admit::Take);
+}
