--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -209,7 +209,7 @@
          bad statements {}; clashes {}",
         tally.packets,
         tally.sent_bytes,
-        tally.deferred,
+        gossip.deferred,
         tally.malformed,
         tally.untagged,
         tally.forged,
--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -126,7 +126,9 @@
     };
     let roster = format!("p1 = \"{}\"\np2 = \"{}\"\n", key("p1.key"), key("p2.key"));
     fs::write(path("roster.toml"), roster).expect("written");
-    (key("old.key"), key("new.key"));
+    for name in ["old.key", "new.key"] {
+        key(name);
+    }
     let gossip = |name: &str, seeds: &str| {
         let at = |file: &str| path(file).to_str().expect("text").to_owned();
         format!(
--- a/gossip/src/node.rs
+++ b/gossip/src/node.rs
@@ -5,6 +5,7 @@
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
 
 use crate::budget::{Budget, Priority};
 use crate::evidence::Evidence;
@@ -60,7 +61,7 @@
 }
 
 /// What was dropped, and what was done.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
     pub sent_bytes: u64,
     pub packets: u64,
@@ -69,6 +70,7 @@
     pub forged: u64,
     pub replayed: u64,
     pub bad_statements: u64,
+    /// Another process speaks with this one's key.
     pub clashes: u64,
 }
 
--- a/proxy/src/status.rs
+++ b/proxy/src/status.rs
@@ -1,7 +1,7 @@
 //! What a border proxy says of itself: counters, and the servers as its module sees them.
 
-use gossip::Node;
 use gossip::wire::Standing;
+use gossip::{Counts, Node};
 use serde::{Deserialize, Serialize};
 
 use crate::pool::PoolList;
@@ -88,27 +88,13 @@
     pub answered: Option<f64>,
 }
 
-/// Packets that were sent, and those that were dropped, by why.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct GossipTally {
-    pub packets: u64,
-    pub sent_bytes: u64,
-    /// Sends that the cap did not allow; they come later.
-    pub deferred: u64,
-    pub malformed: u64,
-    pub untagged: u64,
-    pub forged: u64,
-    pub replayed: u64,
-    pub bad_statements: u64,
-    /// Another process speaks with this one's key.
-    pub clashes: u64,
-}
-
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct GossipStatus {
     pub members: Vec<MemberStatus>,
     pub suspicions: Vec<SuspicionStatus>,
-    pub tally: GossipTally,
+    pub tally: Counts,
+    /// Sends that the cap did not allow; they come later.
+    pub deferred: u64,
 }
 
 impl GossipStatus {
@@ -142,21 +128,11 @@
             believed: accused.believed,
             answered: node.evidence.last_answer(accused.life).map(|at| now - at),
         });
-        let counts = node.counts();
         Self {
             members: std::iter::once(own).chain(members).collect(),
             suspicions: suspicions.collect(),
-            tally: GossipTally {
-                packets: counts.packets,
-                sent_bytes: counts.sent_bytes,
-                deferred: node.deferred(),
-                malformed: counts.malformed,
-                untagged: counts.untagged,
-                forged: counts.forged,
-                replayed: counts.replayed,
-                bad_statements: counts.bad_statements,
-                clashes: counts.clashes,
-            },
+            tally: node.counts(),
+            deferred: node.deferred(),
         }
     }
 }
