Shots end with the quoted time where waits are told; contested lines go by earnings

A copy of the adapter that logs its events shows: all sound servers' processors wait under 100 ms, but their free lines stand at 0 to 3 of 184 to 1,752 from 0:12 on, so lines are what runs short; the ageing servers take shots that are answered after 0.7 to 2.4 s and stand late. Lines at fault: line_share() let all earnings through alike, and cancelled out what a conversation earns; shoot() let a shot wait for the caller's whole patience. Change: line_share in proportion to earnings; a shot ends with its quoted time where a wait is told and the line's latest answer was in time. The adapter passes svc_ms on as a told wait (it was dropped so far); frostthread's own element has a tag for it.

--- a/proxy/src/hints.rs
+++ b/proxy/src/hints.rs
@@ -17,6 +17,7 @@
 const QUEUE: u8 = 5;
 const REDIAL: u8 = 6;
 const PATIENCE: u8 = 7;
+const WAIT: u8 = 8;
 
 /// What the element says; everything in it may be left out.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -30,6 +31,8 @@
     pub rate: Option<u32>,
     /// Set-ups that wait at the processor.
     pub queue: Option<u32>,
+    /// Milliseconds that a set-up waits at the processor before it is begun.
+    pub wait: Option<u32>,
     /// The caller has tried before.
     pub redial: bool,
     /// Milliseconds from the sending of the NEW until the caller gives up.
@@ -56,6 +59,7 @@
                 QUEUE => hints.queue = number,
                 REDIAL => hints.redial = true,
                 PATIENCE => hints.patience = number,
+                WAIT => hints.wait = number,
                 _ => {}
             }
         }
@@ -72,6 +76,7 @@
             (RATE, self.rate),
             (QUEUE, self.queue),
             (PATIENCE, self.patience),
+            (WAIT, self.wait),
         ];
         for (tag, value) in numbers {
             if let Some(value) = value {
@@ -91,6 +96,7 @@
             free: self.free.map(f64::from),
             lines: self.lines.map(f64::from),
             rate: self.rate.map(|rate| f64::from(rate) / 1000.0),
+            wait: self.wait.map(f64::from),
         }
     }
 }
--- a/simhost/src/terms.rs
+++ b/simhost/src/terms.rs
@@ -53,6 +53,7 @@
     free: Option<usize>,
     lines: Option<usize>,
     rate: Option<usize>,
+    wait: Option<usize>,
 }
 
 impl ReportOrder {
@@ -62,7 +63,12 @@
             let value = values.get(place?).copied().map(f64::from);
             value.filter(|value| value.is_finite() && *value >= 0.0)
         };
-        Report { free: figure(self.free), lines: figure(self.lines), rate: figure(self.rate) }
+        Report {
+            free: figure(self.free),
+            lines: figure(self.lines),
+            rate: figure(self.rate),
+            wait: figure(self.wait),
+        }
     }
 }
 
@@ -72,7 +78,12 @@
     let names: Vec<String> =
         if pairs.0.contains_key("feedback.names") { pairs.list("feedback.names")? } else { Vec::new() };
     let place = |wanted: &str| names.iter().position(|name| name == wanted);
-    let order = ReportOrder { free: place("idle"), lines: place("circuits"), rate: place("max_rate") };
+    let order = ReportOrder {
+        free: place("idle"),
+        lines: place("circuits"),
+        rate: place("max_rate"),
+        wait: place("svc_ms"),
+    };
 
     ensure!(
         pairs.text("domain.network_form")? == "skills",
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -69,7 +69,6 @@
 struct Grade {
     quoted: f64,
     limit: f64,
-    hold: f64,
     earnings: f64,
     late: f64,
     violation: f64,
@@ -170,6 +169,8 @@
     rate: f64,
     told_rate: f64,
     best_rate: f64,
+    /// When it last said how long a set-up waits there.
+    told_wait: f64,
     /// Others' word that it is silent, when it was last heard from here, and no shot before this meanwhile.
     suspicion: Option<Suspicion>,
     heard: f64,
@@ -183,6 +184,7 @@
     rng: Pcg64Mcg,
     now: f64,
     mean_earnings: f64,
+    mean_hold: f64,
     longest_limit: f64,
     shortest_quoted: f64,
     window: f64,
@@ -227,6 +229,7 @@
             rate: 0.0,
             told_rate: f64::NEG_INFINITY,
             best_rate: f64::MIN_POSITIVE,
+            told_wait: f64::NEG_INFINITY,
             suspicion: None,
             heard: f64::NEG_INFINITY,
             trial: f64::NEG_INFINITY,
@@ -321,10 +324,10 @@
 impl Proxy {
     pub fn new(terms: Terms, seed: u64, now: f64) -> Self {
         let mean = terms.grades.iter().map(|g| g.earnings).sum::<f64>() / terms.grades.len().max(1) as f64;
+        let mean_hold = terms.grades.iter().map(|g| g.hold).sum::<f64>() / terms.grades.len().max(1) as f64;
         let row = |g: &GradeTerms| Grade {
             quoted: g.quoted,
             limit: g.limit,
-            hold: g.hold,
             earnings: g.earnings,
             late: g.late,
             violation: (VIOLATION * g.earnings / mean).clamp(VIOLATION / 10.0, 0.5),
@@ -345,6 +348,7 @@
             rng: Pcg64Mcg::seed_from_u64(seed),
             now,
             mean_earnings: mean,
+            mean_hold,
             longest_limit,
             shortest_quoted,
             window: WINDOW_LIMITS * longest_limit,
@@ -426,6 +430,9 @@
         if let Some(lines) = report.lines {
             central.lines = lines;
         }
+        if report.wait.is_some() {
+            central.told_wait = now;
+        }
         if let Some(rate) = report.rate {
             if !central.tells_rate() {
                 let gap = f64::from(self.terms.proxies) * 1000.0 / rate.max(1.0);
@@ -625,12 +632,14 @@
 
     /// Departure: while shots come back for want of a line, all proxies are after the same few. Each lets
     /// through, by chance, what the free ones cover of the lines that change hands before the next word of
-    /// them. Guards against storms of nacks, which cost the processor work; leaves a few lines idle.
-    fn line_share(&self, central: &Central, grade: &Grade) -> f64 {
+    /// them, in proportion to earnings. Guards against storms of nacks, which cost the processor work, and
+    /// against low earners that hold what lines there are; leaves a few lines idle.
+    fn line_share(&self, central: &Central, worth: f64) -> f64 {
         if self.now - central.lineless > self.window {
             return 1.0;
         }
-        central.free * grade.hold / (central.lines * central.word_gap)
+        let earns = worth / self.mean_earnings;
+        earns * central.free * self.mean_hold / (central.lines * central.word_gap)
     }
 
     fn passes(&self, index: usize, conversation: &Conversation, again: bool) -> bool {
@@ -640,7 +649,8 @@
             && grade.pools.contains(&central.pool)
             && (central.free > 0.0 || self.now - central.told_free > self.window)
             && conversation.chance < self.admitted(central)
-            && (conversation.chance + index as f64 * GOLDEN).fract() < self.line_share(central, grade)
+            && (conversation.chance + index as f64 * GOLDEN).fract()
+                < self.line_share(central, conversation.worth)
             && self.has_room(central, conversation.worth)
             && if again { self.recovers(central) } else { self.passes_quantile(central, grade) }
             && !self.too_cold(central)
@@ -682,17 +692,24 @@
 
     fn shoot(&mut self, handle: Handle, index: usize, host: &mut impl Host) {
         let (now, gap) = (self.now, self.trial_gap());
+        let alone = self.centrals.iter().flatten().filter(|c| c.state == State::Running).count() < 2;
         let conversation = &mut self.conversations[handle.key()];
         let grade = &self.grades[conversation.grade];
         let left = conversation.until - now;
+        let central = self.centrals[index].as_mut().expect("listed");
         // Leaves room to wait out the release and be answered elsewhere within the quoted time.
         let early = conversation.taken + grade.quoted - now - self.terms.release - self.standing;
-        let alone = self.centrals.iter().flatten().filter(|c| c.state == State::Running).count() < 2;
         let last = conversation.shots + 1 >= self.terms.max_shots || alone || !grade.repeatable;
         let time_out = if last || early < 2.0 * self.standing { left } else { early.min(left) };
+        // Departure: where waits are told and the latest answer was in time, a shot ends with the quoted time,
+        // so that what would stand late does not keep its place in a processor's queue. Guards against servers
+        // that grow slow; catches hung ones too. Hurts where answers wait behind set-ups, as the work is done by
+        // then: hence not where no wait is told, nor where answers come late anyway.
+        let in_time = conversation.taken + grade.quoted - now;
+        let told = central.told_wait > f64::NEG_INFINITY && central.latest <= self.shortest_quoted;
+        let time_out = if told && in_time > 0.0 { time_out.min(in_time) } else { time_out };
         conversation.shots += 1;
         conversation.shot = Some(Shot { server: index, at: now });
-        let central = self.centrals[index].as_mut().expect("listed");
         central.out.push(Out { handle, at: now, overtaken: false, cancelled: false });
         central.sent.push_back(now);
         central.dither = self.rng.random();
--- a/src/host.rs
+++ b/src/host.rs
@@ -93,6 +93,8 @@
     pub lines: Option<f64>,
     /// Set-ups a second that its processor can take from all proxies.
     pub rate: Option<f64>,
+    /// How long a set-up waits at its processor before it is begun.
+    pub wait: Option<f64>,
 }
 
 /// How a shot, or the conversation that it set up, came to its end.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -395,6 +395,59 @@
     assert!((4..=40).contains(&sent), "about a fifth: {sent} of 80");
 }
 
+#[test]
+fn contested_lines_go_to_better_earners_in_proportion() {
+    let mut story = Story::with(1);
+    let say = |story: &mut Story| {
+        story.pass(500.0);
+        let lines = Some(800.0);
+        story.proxy.reported(Server(0), Report { free: Some(10.0), lines, ..Report::default() });
+    };
+    (0..20).for_each(|_| say(&mut story));
+    (0..10).for_each(|_| story.answer(0, 1.0));
+    let mut sent = [0, 0];
+    for _ in 0..8 {
+        let storm = story.call(1, 0);
+        while story.went(storm).is_empty() && story.proxy.holds(storm) {
+            say(&mut story);
+            story.proxy.settle(&mut story.host);
+        }
+        story.ended(storm, Ending::NoLine);
+        storm.left(&mut story.proxy);
+        for _ in 0..8 {
+            say(&mut story);
+            for (grade, sent) in sent.iter_mut().enumerate() {
+                let handle = story.call(grade, 0);
+                if story.went(handle).is_empty() {
+                    handle.left(&mut story.proxy);
+                } else {
+                    *sent += 1;
+                    story.stood(handle);
+                    story.ended(handle, Ending::Ok);
+                }
+            }
+        }
+    }
+    assert!(sent[0] > 0 && sent[1] >= 2 * sent[0], "earnings of 1 and 3: {sent:?}");
+}
+
+#[rstest]
+#[case::a_told_wait(Some(100.0), 20.0, 2000.0)]
+#[case::none_told(None, 20.0, 3000.0)]
+#[case::late_anyway(Some(100.0), 2500.0, 3000.0)]
+fn where_waits_are_told_a_shot_ends_with_its_quoted_time(
+    #[case] wait: Option<f64>,
+    #[case] latest: f64,
+    #[case] time_out: f64,
+) {
+    let mut story = Story::with(1);
+    story.answer(0, latest);
+    story.pass(6000.0);
+    story.proxy.reported(Server(0), Report { wait, ..Report::default() });
+    story.call(0, 0);
+    assert_eq!(story.host.shots.last().expect("sent").2, time_out);
+}
+
 #[test]
 fn the_draw_goes_by_free_lines_so_that_the_smallest_is_not_overrun() {
     let mut story = Story::with(3);
