A new server that can't be probed is entered by a part of what its told lines turn over

Assumption fallen: a cold server can be probed for its rate. allow.probes is false at both new deployments, and a rate comes only with a conversation's end. Lines at fault: cold_gap(), two set-ups in the span of a fall whatever the server's size: 123 s for a proxy of 369. Change: cold_gap goes by a quarter of what the told lines turn over, times rules.cold_from, which the adapter now passes on; the daemon reads [rules] cold_from, default 0, which leaves its behaviour. Drills keep 0.

--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -314,6 +314,7 @@
             release: self.time(&mut rules, "release", None).unwrap_or(1.0),
             repeat: limits.resend,
             cold: self.time(&mut rules, "cold", None).unwrap_or(1.0),
+            cold_from: self.number(&mut rules, "cold_from", 0.0, 1.0, Some(0.0)).unwrap_or(0.0),
             fall_multiple: self.number(&mut rules, "fall_multiple", 1.0, 1000.0, None).unwrap_or(2.0),
             fall_span: self.time(&mut rules, "fall_span", None).unwrap_or(1.0),
         };
--- a/lab/src/drill.rs
+++ b/lab/src/drill.rs
@@ -342,6 +342,7 @@
                 release: RELEASE,
                 repeat: REPEAT,
                 cold: COLD,
+                cold_from: 0.0,
                 fall_multiple: FALL_MULTIPLE,
                 fall_span: FALL_SPAN,
             },
--- a/simhost/src/terms.rs
+++ b/simhost/src/terms.rs
@@ -111,6 +111,7 @@
         release: pairs.millis("domain.clear_wait")?,
         repeat: pairs.millis("domain.repeat")?,
         cold: pairs.millis("rules.cold")?,
+        cold_from: pairs.number("rules.cold_from")?,
         fall_multiple: pairs.number("rules.overload_factor")?,
         fall_span: pairs.millis("rules.fall")?,
     };
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -60,8 +60,10 @@
 const COLD_QUICK: f64 = 0.25;
 /// How much more than its part of the told rate a proxy sends to a cold one that is quick.
 const COLD_MORE: f64 = 1.5;
-/// Set-ups that any central server is taken to do in the span of a fall, however cold.
+/// Set-ups that any central server is taken to do in the span of a fall, however cold, and the part of what
+/// its lines turn over that its processor is taken to serve: speeds differ widely.
 const COLD_SETUPS: f64 = 2.0;
+const COLD_PART: f64 = 0.25;
 /// How fast an allowance grows: shots for each window's worth of good answers.
 const GROWTH: f64 = 0.25;
 
@@ -390,7 +392,7 @@
                 self.centrals.resize_with(index + 1, || None);
             }
             let weight = self.lowest_weight();
-            let entry = self.now + self.rng.random::<f64>() * self.cold_gap();
+            let entry = self.now + self.rng.random::<f64>() * self.cold_gap(0.0);
             let started = line.started.unwrap_or(f64::NEG_INFINITY);
             let first = FIRST_OUT / f64::from(self.terms.proxies);
             match &mut self.centrals[index] {
@@ -421,6 +423,7 @@
     /// A central server's report.
     pub fn reported(&mut self, server: Server, report: Report) {
         let now = self.now;
+        let cold_gap = self.cold_gap(report.lines.unwrap_or(0.0));
         let central = self.centrals.get_mut(server.0 as usize).and_then(Option::as_mut);
         let Some(central) = central else { return };
         if let Some(free) = report.free {
@@ -428,6 +431,9 @@
             (central.free, central.told_free) = (free, now);
         }
         if let Some(lines) = report.lines {
+            if central.lines == 0.0 {
+                central.entry = central.entry.min(now + self.rng.random::<f64>() * cold_gap);
+            }
             central.lines = lines;
         }
         if report.wait.is_some() {
@@ -557,8 +563,8 @@
 
     /// Guards a central server that has just started, by this proxy alone. Where it tells its rate it gets
     /// this proxy's part of that, and somewhat more while it answers quickly. Else it gets this proxy's part
-    /// of what one doing `COLD_SETUPS` a span could bear, entered at a time drawn by chance, and beyond that
-    /// single shots while it answers quickly. What others carry tells nothing: their speeds differ widely.
+    /// of what it could bear, entered at a time drawn by chance, and beyond that single shots while it answers
+    /// quickly. What others carry tells nothing: their speeds differ widely.
     fn too_cold(&self, central: &Central) -> bool {
         if self.now - central.started >= self.terms.cold {
             return false;
@@ -572,12 +578,19 @@
         if quick {
             return false;
         }
-        let last = central.sent.back().map_or(f64::NEG_INFINITY, |&at| at + self.cold_gap());
+        let last = central.sent.back().map_or(f64::NEG_INFINITY, |&at| at + self.cold_gap(central.lines));
         self.now < last.max(central.entry)
     }
 
-    fn cold_gap(&self) -> f64 {
-        self.terms.fall_span * f64::from(self.terms.proxies) / (self.terms.fall_multiple * COLD_SETUPS)
+    /// A proxy's part of what a cold central server may get, as the gap between its shots. Departure: where
+    /// its lines are told, what turns over on them is the guide, times the share of its capacity that it starts
+    /// with. Guards against starving a new one for all its cold time where it can't be probed and its rate comes
+    /// only with a conversation's end; holds for any start. Hurts one with far more lines than its processor can
+    /// serve, and of that `COLD_PART` takes account.
+    fn cold_gap(&self, lines: f64) -> f64 {
+        let (terms, span) = (&self.terms, self.terms.fall_span);
+        let setups = COLD_PART * terms.cold_from * lines / self.mean_hold * span;
+        span * f64::from(terms.proxies) / (terms.fall_multiple * setups.max(COLD_SETUPS))
     }
 
     /// The design's test: would the set-up's delay, with this call's own share added, stay inside the
--- a/src/host.rs
+++ b/src/host.rs
@@ -29,6 +29,8 @@
     pub repeat: f64,
     /// A central server is warm this long after its start.
     pub cold: f64,
+    /// It starts at this share of its capacity or more; 0 where that is not known.
+    pub cold_from: f64,
     /// A cold one falls over at this multiple of its present capacity, kept up for `fall_span`.
     pub fall_multiple: f64,
     pub fall_span: f64,
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -72,6 +72,7 @@
         release: 300.0,
         repeat: 500.0,
         cold: 14_000.0,
+        cold_from: 0.0,
         fall_multiple: 2.0,
         fall_span: 1000.0,
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -2,6 +2,8 @@
 
 mod fake;
 
+use std::ops::RangeInclusive;
+
 use fake::{Story, line, terms};
 use frostthread::choice::{Histogram, quantile_after};
 use frostthread::host::{Ending, Report, Server, State, Suspicion, Terms};
@@ -252,6 +254,27 @@
     assert!(answered.is_some(), "but it is entered");
 }
 
+#[rstest]
+#[case::known(0.4, 5..=9)]
+#[case::not_known(0.0, 0..=3)]
+fn told_lines_let_a_cold_central_server_in_sooner(
+    #[case] cold_from: f64,
+    #[case] most: RangeInclusive<usize>,
+) {
+    let mut story = Story::among(1, Terms { proxies: 25, cold_from, may_probe: false, ..terms() });
+    story.pass(20_000.0);
+    story.list(&[line(0, State::Running, Some(19_900.0))]);
+    let lines = Some(800.0);
+    story.proxy.reported(Server(0), Report { free: lines, lines, ..Report::default() });
+    while story.now < 30_000.0 {
+        // Too slow for single shots beyond the part.
+        story.answer(0, 300.0);
+    }
+    // 800 lines turn over 100 times a second; a tenth of that, doubled, among 25 is one in 1.25 s from each.
+    // One doing two a second would get one in 6.25 s.
+    assert!(most.contains(&story.shots_at(0)), "{} shots in 10 s", story.shots_at(0));
+}
+
 #[test]
 fn a_cold_central_server_is_probed_and_paced_by_its_told_rate() {
     let mut story = Story::with(2);
