--- a/simhost/src/terms.rs
+++ b/simhost/src/terms.rs
@@ -68,6 +68,7 @@
             lines: figure(self.lines),
             rate: figure(self.rate),
             wait: figure(self.wait),
+            stay_away: None,
         }
     }
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -48,6 +48,8 @@
 const BEAT: f64 = 0.25;
 /// A call is taken to be worth at least this share of mean earnings when its line rests.
 const LEAST_WORTH: f64 = 0.01;
+/// A caller should still wait for so many times the delay that is to be expected.
+const PATIENT: f64 = 1.5;
 /// Two callers' patience is the same within this share of the time limit.
 const SAME_PATIENCE: f64 = 0.002;
 /// Spreads one draw evenly over the central servers.
@@ -173,6 +175,8 @@
     best_rate: f64,
     /// When it last said how long a set-up waits there.
     told_wait: f64,
+    /// No shot before this: so it asked when it turned one back.
+    back_at: f64,
     /// Others' word that it is silent, when it was last heard from here, and no shot before this meanwhile.
     suspicion: Option<Suspicion>,
     heard: f64,
@@ -195,6 +199,8 @@
     conversations: Slab<Conversation>,
     held: Vec<Handle>,
     wake_at: f64,
+    /// How long it last had no turn, and until when what it takes may have waited for that.
+    stall: (f64, f64),
     /// How long a caller waits for a try, as a share of the time limit: what most ask for, and how firmly.
     patience: (f64, u32),
     numbers: HashMap<u64, Number>,
@@ -232,6 +238,7 @@
             told_rate: f64::NEG_INFINITY,
             best_rate: f64::MIN_POSITIVE,
             told_wait: f64::NEG_INFINITY,
+            back_at: f64::NEG_INFINITY,
             suspicion: None,
             heard: f64::NEG_INFINITY,
             trial: f64::NEG_INFINITY,
@@ -359,6 +366,7 @@
             conversations: Slab::new(),
             held: Vec::new(),
             wake_at: f64::INFINITY,
+            stall: (0.0, now),
             patience: (0.0, 0),
             numbers: HashMap::new(),
         }
@@ -371,6 +379,9 @@
             if now + 1.0 >= self.wake_at {
                 self.wake_at = f64::INFINITY;
             }
+            if now - self.now > self.stall.0 || now > self.stall.1 {
+                self.stall = (now - self.now, now + BEAT * self.standing);
+            }
             self.now = now;
         }
     }
@@ -439,6 +450,9 @@
         if report.wait.is_some() {
             central.told_wait = now;
         }
+        if let Some(wait) = report.stay_away {
+            central.back_at = now + wait.min(self.longest_limit);
+        }
         if let Some(rate) = report.rate {
             if !central.tells_rate() {
                 let gap = f64::from(self.terms.proxies) * 1000.0 / rate.max(1.0);
@@ -532,6 +546,7 @@
 
     /// Departure: how long the caller had waited before this proxy had a turn, by what is left of the time
     /// that most callers give a try. After a stall of its own a proxy so knows who still can stand in time.
+    /// No longer than the proxy itself had no turn: some callers come with little patience.
     fn waited(&mut self, call: &Call) -> f64 {
         let limit = self.grades[call.grade].limit;
         let (usual, firm) = &mut self.patience;
@@ -544,7 +559,7 @@
             *firm -= 1;
         }
         let short = *usual - left;
-        if short > SAME_PATIENCE { short * limit } else { 0.0 }
+        if short > SAME_PATIENCE { (short * limit).min(self.stall.0) } else { 0.0 }
     }
 
     /// The part of its earnings that the tenant's next conversation may expect to keep, taking this
@@ -655,6 +670,14 @@
         earns * central.free * self.mean_hold / (central.lines * central.word_gap)
     }
 
+    /// Departure: no shot whose caller will have gone before an answer like the latest one there has come, since
+    /// its work would be wasted. Guards against callers with little patience; catches late redials too. Hurts
+    /// where the latest answer was an odd one out, so no delay counts for more than that of a jammed line.
+    fn lives_to_see(&self, central: &Central, conversation: &Conversation) -> bool {
+        let delay = central.latest.min(JAMMED * self.standing);
+        conversation.until - self.now > PATIENT * delay
+    }
+
     fn passes(&self, index: usize, conversation: &Conversation, again: bool) -> bool {
         let Some(central) = &self.centrals[index] else { return false };
         let grade = &self.grades[conversation.grade];
@@ -666,6 +689,8 @@
                 < self.line_share(central, conversation.worth)
             && self.has_room(central, conversation.worth)
             && if again { self.recovers(central) } else { self.passes_quantile(central, grade) }
+            && self.now >= central.back_at
+            && self.lives_to_see(central, conversation)
             && !self.too_cold(central)
             && !self.shunned(central)
     }
--- a/src/host.rs
+++ b/src/host.rs
@@ -97,6 +97,8 @@
     pub rate: Option<f64>,
     /// How long a set-up waits at its processor before it is begun.
     pub wait: Option<f64>,
+    /// How long it asks the sender of a shot that it turned back to wait.
+    pub stay_away: Option<f64>,
 }
 
 /// How a shot, or the conversation that it set up, came to its end.
