Watch mode: each turn decided once more under rules to come, differences counted by kind

Without the table the wrapper passes on and nothing is copied. Weighed and left: a second module fed with all events, which drifts from what really happens after its first difference.

--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -12,7 +12,7 @@
 use anyhow::{Context, Result};
 use border::pool::{News, PoolList};
 use border::scribe::Scribe;
-use border::{BorderProxy, Decisions, Outbound, Side};
+use border::{BorderProxy, Decisions, Outbound, Side, Watched};
 use bytes::{Bytes, BytesMut};
 use frostthread::Proxy;
 use frostthread::host::Terms;
@@ -206,7 +206,8 @@
 
 /// Runs the proxy until it is told to stop.
 pub async fn run(plan: Plan) -> Result<()> {
-    run_deciding(plan, Proxy::new).await
+    let to_come = plan.to_come.clone();
+    run_deciding(plan, |terms, seed, now| Watched::new(Proxy::new(terms, seed, now), to_come)).await
 }
 
 /// The same with something else that decides, made from the terms, a seed and the time.
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -46,6 +46,8 @@
     pub receive_buffer: Option<usize>,
     pub gossip: Option<GossipPlan>,
     pub records: Option<RecordsPlan>,
+    /// Terms that are watched: what would be decided under them is counted.
+    pub to_come: Option<Terms>,
     /// Names of service grades and tenants, by index.
     pub names: (Vec<String>, Vec<String>),
     pub terms: ProxyTerms,
@@ -299,27 +301,20 @@
 
         let grades = self.grades(&mut top);
         let tenants = self.tenants(&mut top);
-        let mut rules = self.rows(&mut top, "rules", true);
-        let advice = rules.table.is_some_and(|table| table.contains_key("longest_advice"));
-        let longest_advice = self.time(&mut rules, "longest_advice", Some(0.0));
-        let terms = Terms {
+        let parts = Terms {
             proxies: proxies.unwrap_or(1),
             grades: grades.iter().map(|grade| grade.terms.clone()).collect(),
             tenants: tenants.iter().map(|(_, terms, _)| terms.clone()).collect(),
-            over_share: self.number(&mut rules, "over_share", 0.0, 1.0, Some(1.0)).unwrap_or(1.0),
-            max_shots: self.whole(&mut rules, "max_shots", 1, 100, None).unwrap_or(1),
-            longest_advice: longest_advice.filter(|_| advice),
-            may_cancel: self.truth(&mut rules, "cancel", true).unwrap_or(true),
-            may_probe: self.truth(&mut rules, "probe", true).unwrap_or(true),
-            release: self.time(&mut rules, "release", None).unwrap_or(1.0),
-            repeat: limits.resend,
-            cold: self.time(&mut rules, "cold", None).unwrap_or(1.0),
-            cold_from: self.number(&mut rules, "cold_from", 0.0, 1.0, Some(0.0)).unwrap_or(0.0),
-            fall_multiple: self.number(&mut rules, "fall_multiple", 1.0, 1000.0, None).unwrap_or(2.0),
-            fall_span: self.time(&mut rules, "fall_span", None).unwrap_or(1.0),
+            ..Terms::default()
         };
+        let mut rules = self.rows(&mut top, "rules", true);
+        let terms = self.rules(&mut rules, parts, limits.resend, None);
         let answer_lead = self.time(&mut rules, "answer_lead", None);
         self.done(rules);
+        let mut watch = self.rows(&mut top, "watch", false);
+        let to_come =
+            watch.table.is_some().then(|| self.rules(&mut watch, terms.clone(), limits.resend, Some(&terms)));
+        self.done(watch);
 
         let routes = self.routes(&mut top, &grades, &tenants);
         self.done(top);
@@ -335,6 +330,7 @@
             standing: standing?,
             gossip,
             records,
+            to_come,
             names: (
                 grades.iter().map(|grade| grade.name.clone()).collect(),
                 tenants.iter().map(|(name, ..)| name.clone()).collect(),
@@ -418,6 +414,37 @@
         })
     }
 
+    /// The rules of a table, into `terms`; what is left out stands as in `base`, where there is one.
+    fn rules(&mut self, rows: &mut Rows, terms: Terms, resend: f64, base: Option<&Terms>) -> Terms {
+        let advised = rows.table.is_some_and(|table| table.contains_key("longest_advice"));
+        let advice = self.time(rows, "longest_advice", Some(0.0)).filter(|_| advised);
+        let time = |pick: fn(&Terms) -> f64| base.map(pick);
+        let truth = |pick: fn(&Terms) -> bool, usual| base.map_or(usual, pick);
+        let number = |pick: fn(&Terms) -> f64, usual| base.map_or(usual, |base| Some(pick(base)));
+        let shots = self.whole(rows, "max_shots", 1, 100, base.map(|base| base.max_shots));
+        let over_share = number(|t| t.over_share, Some(1.0));
+        let cold_from = number(|t| t.cold_from, Some(0.0));
+        let fall_multiple = number(|t| t.fall_multiple, None);
+        let repeats = self.truth(rows, "setups_repeat", truth(|t| t.repeat > 0.0, true));
+        Terms {
+            over_share: self.number(rows, "over_share", 0.0, 1.0, over_share).unwrap_or(1.0),
+            max_shots: shots.unwrap_or(1),
+            longest_advice: advice.or(base.and_then(|base| base.longest_advice)),
+            may_cancel: self.truth(rows, "cancel", truth(|t| t.may_cancel, true)).unwrap_or(true),
+            may_probe: self.truth(rows, "probe", truth(|t| t.may_probe, true)).unwrap_or(true),
+            release: self.time(rows, "release", time(|t| t.release)).unwrap_or(1.0),
+            repeat: if repeats.unwrap_or(true) { resend } else { 0.0 },
+            nacks_name_wait: self
+                .truth(rows, "nacks_name_wait", truth(|t| t.nacks_name_wait, false))
+                .unwrap_or(false),
+            cold: self.time(rows, "cold", time(|t| t.cold)).unwrap_or(1.0),
+            cold_from: self.number(rows, "cold_from", 0.0, 1.0, cold_from).unwrap_or(0.0),
+            fall_multiple: self.number(rows, "fall_multiple", 1.0, 1000.0, fall_multiple).unwrap_or(2.0),
+            fall_span: self.time(rows, "fall_span", time(|t| t.fall_span)).unwrap_or(1.0),
+            ..terms
+        }
+    }
+
     fn limits(&mut self, top: &mut Rows) -> Limits {
         let usual = Limits::default();
         let mut rows = self.rows(top, "iax2", false);
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -63,3 +63,23 @@
     let plan = settings::read(&whole.join("\n")).expect("sound");
     assert!(plan.gossip.is_some() && plan.records.is_some());
 }
+
+#[test]
+fn rules_to_come_stand_as_those_in_force_but_for_what_they_say() {
+    let watch = "[watch]\nprobe = false\nsetups_repeat = false\ncold_from = 0.3\n";
+    let plan = settings::read(&EXAMPLE.replace("[iax2]\n", &format!("{watch}[iax2]\n"))).expect("fit");
+    let (now, then) = (&plan.terms.terms, plan.to_come.as_ref().expect("watched"));
+    assert_eq!((now.may_probe, now.repeat, now.cold_from, now.nacks_name_wait), (true, 500.0, 0.0, false));
+    assert_eq!((then.may_probe, then.repeat, then.cold_from, then.nacks_name_wait), (false, 0.0, 0.3, false));
+    assert_eq!((then.longest_advice, then.max_shots), (now.longest_advice, now.max_shots));
+    assert_eq!((then.release, then.cold, then.proxies), (now.release, now.cold, now.proxies));
+    assert!(settings::read(EXAMPLE).expect("fit").to_come.is_none());
+}
+
+#[test]
+fn an_unknown_rule_to_come_is_told_with_its_key() {
+    let file = EXAMPLE.replace("[iax2]\n", "[watch]\nprobes = false\ncold_from = 3.0\n[iax2]\n");
+    let faults = settings::read(&file).expect_err("unfit");
+    let keys: Vec<&str> = faults.iter().map(|fault| &fault.key[..]).collect();
+    assert_eq!(keys, ["watch.probes", "watch.cold_from"], "in the order of the lines");
+}
--- a/lab/src/drill.rs
+++ b/lab/src/drill.rs
@@ -341,6 +341,7 @@
                 may_probe: true,
                 release: RELEASE,
                 repeat: REPEAT,
+                nacks_name_wait: false,
                 cold: COLD,
                 cold_from: 0.0,
                 fall_multiple: FALL_MULTIPLE,
--- a/proxy/src/border.rs
+++ b/proxy/src/border.rs
@@ -505,6 +505,7 @@
             present,
             tally: self.hands.tally,
             servers: pool.servers().filter_map(row).collect(),
+            watch: self.module.differences(),
         }
     }
 
--- a/proxy/src/decisions.rs
+++ b/proxy/src/decisions.rs
@@ -4,6 +4,8 @@
 use frostthread::Proxy;
 use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, Suspicion, View};
 
+use crate::watch::Differences;
+
 /// The calls of [`frostthread::Proxy`] and its handles; see there for each.
 pub trait Decisions {
     fn at(&mut self, now: f64);
@@ -17,6 +19,10 @@
     fn left(&mut self, handle: Handle);
     fn settle(&mut self, host: &mut impl Host);
     fn view(&self, server: Server) -> Option<View>;
+    /// Where other terms would have decided otherwise, if any are watched.
+    fn differences(&self) -> Option<Differences> {
+        None
+    }
 }
 
 impl Decisions for Proxy {
--- a/proxy/src/hints.rs
+++ b/proxy/src/hints.rs
@@ -22,7 +22,7 @@
 /// What the element says; everything in it may be left out.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Hints {
-    /// Milliseconds after which a refused caller does best to come back.
+    /// Milliseconds after which a refused caller, or one whose shot was nacked, does best to come back.
     pub come_back: Option<u32>,
     /// Free lines of the pool, and how many it has.
     pub free: Option<u32>,
@@ -97,7 +97,7 @@
             lines: self.lines.map(f64::from),
             rate: self.rate.map(|rate| f64::from(rate) / 1000.0),
             wait: self.wait.map(f64::from),
-            stay_away: None,
+            stay_away: self.come_back.map(f64::from),
         }
     }
 }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod routes;
 pub mod scribe;
 pub mod status;
+pub mod watch;
 
 pub use border::{BorderProxy, Outbound, ProxyTerms, Side};
 pub use decisions::Decisions;
+pub use watch::Watched;
--- a/proxy/src/status.rs
+++ b/proxy/src/status.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::pool::PoolList;
+use crate::watch::Differences;
 
 /// How often each thing has happened since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -62,6 +63,9 @@
     pub present: Present,
     pub tally: Tally,
     pub servers: Vec<ServerStatus>,
+    /// Where the terms to come would have decided otherwise, if any are watched.
+    #[serde(default)]
+    pub watch: Option<Differences>,
 }
 
 /// Another border proxy, as this one sees it; or this one itself.
--- /dev/null
+++ b/proxy/src/watch.rs
@@ -0,0 +1,189 @@
+//! Watching before a switch: the module decides under the terms in force, and each of its turns is decided
+//! once more, on a copy, under the terms to come. What differs is counted by kind and not carried out.
+//!
+//! Wrap the module in [`Watched::new`]; without terms to come it only passes on. [`Watched::differences`] has
+//! the counts. A turn begins from what has really happened, so differences do not add up from turn to turn.
+//! Within one turn, a first difference can move later draws of chance.
+
+use std::collections::HashMap;
+
+use frostthread::Proxy;
+use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, Suspicion, Terms, View};
+use serde::{Deserialize, Serialize};
+
+use crate::decisions::Decisions;
+
+/// Time-outs are the same within this, in milliseconds.
+const SAME_TIME_OUT: f64 = 1.0;
+
+/// How often the terms to come would have decided otherwise, by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Differences {
+    /// Turns that were decided twice, and those in which anything differed.
+    pub turns: u64,
+    pub differing: u64,
+    /// Shots that would go to another server, with another time-out, or not yet; and shots that would go sooner.
+    pub elsewhere: u64,
+    pub time_out: u64,
+    pub held_back: u64,
+    pub sooner: u64,
+    /// Conversations that would be refused or failed in that turn, and those that would be kept.
+    pub given_up: u64,
+    pub kept: u64,
+    /// Shots called off in only one of both.
+    pub called_off: u64,
+    /// Probes that would not be sent, and that would be.
+    pub unprobed: u64,
+    pub probed: u64,
+}
+
+/// What a turn asks of its host; it goes on to `to`, where there is one.
+struct Asked<'a, H> {
+    to: Option<&'a mut H>,
+    shots: HashMap<Handle, (Server, f64)>,
+    given_up: Vec<Handle>,
+    cancelled: Vec<Handle>,
+    probes: u64,
+}
+
+impl<'a, H> Asked<'a, H> {
+    fn of(to: Option<&'a mut H>) -> Self {
+        Self { to, shots: HashMap::new(), given_up: Vec::new(), cancelled: Vec::new(), probes: 0 }
+    }
+}
+
+impl<H: Host> Host for Asked<'_, H> {
+    fn shoot(&mut self, handle: Handle, server: Server, time_out: f64) {
+        self.shots.insert(handle, (server, time_out));
+        if let Some(to) = &mut self.to {
+            to.shoot(handle, server, time_out);
+        }
+    }
+    fn refuse(&mut self, handle: Handle, come_back: Option<f64>) {
+        self.given_up.push(handle);
+        if let Some(to) = &mut self.to {
+            to.refuse(handle, come_back);
+        }
+    }
+    fn fail(&mut self, handle: Handle) {
+        self.given_up.push(handle);
+        if let Some(to) = &mut self.to {
+            to.fail(handle);
+        }
+    }
+    fn cancel(&mut self, handle: Handle, shot: u16) {
+        self.cancelled.push(handle);
+        if let Some(to) = &mut self.to {
+            to.cancel(handle, shot);
+        }
+    }
+    fn wake(&mut self, at: f64) {
+        if let Some(to) = &mut self.to {
+            to.wake(at);
+        }
+    }
+    fn probe(&mut self, server: Server) {
+        self.probes += 1;
+        if let Some(to) = &mut self.to {
+            to.probe(server);
+        }
+    }
+    fn tell(&mut self, message: &[u8]) {
+        if let Some(to) = &mut self.to {
+            to.tell(message);
+        }
+    }
+    fn note(&mut self, line: &str) {
+        if let Some(to) = &mut self.to {
+            to.note(line);
+        }
+    }
+}
+
+impl Differences {
+    /// Counts what `other` asks for otherwise than `now`.
+    fn count<H, I>(&mut self, now: &Asked<H>, other: &Asked<I>) {
+        let before = Self { turns: self.turns + 1, ..*self };
+        *self = before;
+        for (handle, (server, time_out)) in &now.shots {
+            match other.shots.get(handle) {
+                None => self.held_back += 1,
+                Some((elsewhere, _)) if elsewhere != server => self.elsewhere += 1,
+                Some((_, wait)) if (wait - time_out).abs() > SAME_TIME_OUT => self.time_out += 1,
+                _ => {}
+            }
+        }
+        self.sooner += other.shots.keys().filter(|&handle| !now.shots.contains_key(handle)).count() as u64;
+        let only = |a: &[Handle], b: &[Handle]| a.iter().filter(|&handle| !b.contains(handle)).count() as u64;
+        self.given_up += only(&other.given_up, &now.given_up);
+        self.kept += only(&now.given_up, &other.given_up);
+        self.called_off += only(&now.cancelled, &other.cancelled) + only(&other.cancelled, &now.cancelled);
+        self.unprobed += now.probes.saturating_sub(other.probes);
+        self.probed += other.probes.saturating_sub(now.probes);
+        self.differing += u64::from(*self != before);
+    }
+}
+
+/// A module, and the terms to come, if any are watched.
+pub struct Watched {
+    module: Proxy,
+    to_come: Option<Terms>,
+    differences: Differences,
+}
+
+impl Watched {
+    pub fn new(module: Proxy, to_come: Option<Terms>) -> Self {
+        Self { module, to_come, differences: Differences::default() }
+    }
+
+    fn twice<H: Host>(&mut self, host: &mut H, decide: impl Fn(&mut Proxy, &mut Asked<H>)) {
+        let Some(terms) = &self.to_come else {
+            return decide(&mut self.module, &mut Asked::of(Some(host)));
+        };
+        let mut copy = self.module.under(terms.clone());
+        let mut other = Asked::of(None);
+        decide(&mut copy, &mut other);
+        let mut now = Asked::of(Some(host));
+        decide(&mut self.module, &mut now);
+        self.differences.count(&now, &other);
+    }
+}
+
+impl Decisions for Watched {
+    fn at(&mut self, now: f64) {
+        self.module.at(now);
+    }
+    fn listed(&mut self, lines: &[Listed], whole: bool, host: &mut impl Host) {
+        self.module.listed(lines, whole, host);
+    }
+    fn reported(&mut self, server: Server, report: Report) {
+        self.module.reported(server, report);
+    }
+    fn suspected(&mut self, server: Server, suspicion: Option<Suspicion>) {
+        self.module.suspected(server, suspicion);
+    }
+    fn take(&mut self, call: &Call) -> Handle {
+        self.module.take(call)
+    }
+    fn place(&mut self, handle: Handle) {
+        handle.place(&mut self.module);
+    }
+    fn stood(&mut self, handle: Handle) {
+        handle.stood(&mut self.module);
+    }
+    fn ended(&mut self, handle: Handle, ending: Ending, finished: bool, host: &mut impl Host) {
+        self.twice(host, |module, host| handle.ended(module, ending, finished, host));
+    }
+    fn left(&mut self, handle: Handle) {
+        handle.left(&mut self.module);
+    }
+    fn settle(&mut self, host: &mut impl Host) {
+        self.twice(host, |module, host| module.settle(host));
+    }
+    fn view(&self, server: Server) -> Option<View> {
+        self.module.view(server)
+    }
+    fn differences(&self) -> Option<Differences> {
+        self.to_come.is_some().then_some(self.differences)
+    }
+}
--- a/proxy/tests/stories.rs
+++ b/proxy/tests/stories.rs
@@ -2,11 +2,13 @@
 
 mod fixture;
 
-use border::Side;
 use border::hints::Hints;
 use border::pool::{News, PoolList, Readiness, Unfit};
+use border::{Decisions, Side, Watched};
 use bytes::Bytes;
 use fixture::{Story, address, entry};
+use frostthread::Proxy;
+use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, State, Terms};
 use iax2::element::{self, Elements};
 use iax2::frame::kind;
 use iax2::{End, Endpoint, Happening, Limits, Media, cause};
@@ -307,3 +309,53 @@
     assert_eq!(story.ended(leg), None);
     assert!(!story.told.iter().any(|(_, h)| matches!(h, Happening::Ended(End::Unknown))));
 }
+
+/// A host that carries nothing out but keeps the shots.
+#[derive(Default)]
+struct Shots(Vec<(Handle, Server)>);
+
+impl Host for Shots {
+    fn shoot(&mut self, handle: Handle, server: Server, _: f64) {
+        self.0.push((handle, server));
+    }
+    fn refuse(&mut self, _: Handle, _: Option<f64>) {}
+    fn fail(&mut self, _: Handle) {}
+    fn cancel(&mut self, _: Handle, _: u16) {}
+    fn wake(&mut self, _: f64) {}
+    fn probe(&mut self, _: Server) {}
+    fn tell(&mut self, _: &[u8]) {}
+    fn note(&mut self, _: &str) {}
+}
+
+/// Two servers; the first turns a shot back and names a wait, then two callers come who want it first.
+#[rstest]
+#[case::nothing_watched(None, None)]
+#[case::the_same_rules(Some(false), Some(0))]
+#[case::nacks_name_a_wait(Some(true), Some(2))]
+fn what_rules_to_come_would_change_is_counted_and_not_done(
+    #[case] keeps: Option<bool>,
+    #[case] elsewhere: Option<u64>,
+) {
+    let terms = fixture::terms().terms;
+    let to_come = keeps.map(|nacks_name_wait| Terms { nacks_name_wait, ..terms.clone() });
+    let mut watched = Watched::new(Proxy::new(terms, 7, 0.0), to_come);
+    let mut shots = Shots::default();
+    let line =
+        |server| Listed { server: Server(server), state: State::Running, pool: server as u16, started: None };
+    watched.listed(&[line(0), line(1)], true, &mut shots);
+    let call = Call { grade: 0, tenant: None, first: 0, number: None, remaining: 3000.0, redial: false };
+    for now in [0.0, 10.0, 20.0] {
+        watched.at(now);
+        let handle = watched.take(&call);
+        watched.place(handle);
+        watched.settle(&mut shots);
+        assert_eq!(shots.0.last(), Some(&(handle, Server(0))), "as before, whatever is watched");
+        if now == 0.0 {
+            watched.reported(Server(0), Report { stay_away: Some(500.0), ..Report::default() });
+            watched.ended(handle, Ending::Nacked, false, &mut shots);
+        }
+        watched.stood(handle);
+        watched.ended(handle, Ending::Ok, true, &mut shots);
+    }
+    assert_eq!(watched.differences().map(|watch| watch.elsewhere), elsewhere);
+}
--- a/simhost/src/terms.rs
+++ b/simhost/src/terms.rs
@@ -111,6 +111,7 @@
         may_probe: pairs.value("bounds.may_probe")?,
         release: pairs.millis("domain.clear_wait")?,
         repeat: pairs.millis("domain.repeat")?,
+        nacks_name_wait: pairs.value("domain.gives_wait")?,
         cold: pairs.millis("rules.cold")?,
         cold_from: pairs.number("rules.cold_from")?,
         fall_multiple: pairs.number("rules.overload_factor")?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -70,6 +70,7 @@
 const GROWTH: f64 = 0.25;
 
 /// What the module reads of a service grade.
+#[derive(Clone)]
 struct Grade {
     quoted: f64,
     limit: f64,
@@ -80,12 +81,14 @@
     pools: Vec<u16>,
 }
 
+#[derive(Clone)]
 struct Shot {
     server: usize,
     at: f64,
 }
 
 /// A shot on its line to a central server, still out.
+#[derive(Clone)]
 struct Out {
     handle: Handle,
     at: f64,
@@ -94,6 +97,7 @@
     cancelled: bool,
 }
 
+#[derive(Clone)]
 struct Conversation {
     grade: usize,
     first: u16,
@@ -117,6 +121,7 @@
 }
 
 /// A called number that was lately given up, or whose lines were all busy.
+#[derive(Clone)]
 struct Number {
     /// When its caller's first try was taken, and when that was last given up.
     first: f64,
@@ -133,6 +138,7 @@
 }
 
 /// All that is known of one central server.
+#[derive(Clone)]
 struct Central {
     state: State,
     pool: u16,
@@ -184,6 +190,7 @@
 }
 
 /// The decisions of one border proxy.
+#[derive(Clone)]
 pub struct Proxy {
     terms: Terms,
     grades: Vec<Grade>,
@@ -272,6 +279,7 @@
 }
 
 /// How often each ratio of set-up delay to time limit was met.
+#[derive(Clone)]
 pub struct Histogram {
     bins: [u32; BINS],
     samples: usize,
@@ -372,6 +380,12 @@
         }
     }
 
+    /// This proxy as it is now, but under other terms with the same grades and tenants: what would it do?
+    pub fn under(&self, terms: Terms) -> Self {
+        let other = Self::new(terms, 0, self.now);
+        Self { terms: other.terms, window: other.window, standing: other.standing, ..self.clone() }
+    }
+
     /// The time of what follows.
     pub fn at(&mut self, now: f64) {
         if now > self.now {
@@ -450,7 +464,7 @@
         if report.wait.is_some() {
             central.told_wait = now;
         }
-        if let Some(wait) = report.stay_away {
+        if let Some(wait) = report.stay_away.filter(|_| self.terms.nacks_name_wait) {
             central.back_at = now + wait.min(self.longest_limit);
         }
         if let Some(rate) = report.rate {
--- a/src/host.rs
+++ b/src/host.rs
@@ -27,6 +27,8 @@
     pub release: f64,
     /// A set-up that waits at a processor is sent again after this; 0 for never.
     pub repeat: f64,
+    /// Whether the wait that a nack names is kept.
+    pub nacks_name_wait: bool,
     /// A central server is warm this long after its start.
     pub cold: f64,
     /// It starts at this share of its capacity or more; 0 where that is not known.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -71,6 +71,7 @@
         may_probe: true,
         release: 300.0,
         repeat: 500.0,
+        nacks_name_wait: false,
         cold: 14_000.0,
         cold_from: 0.0,
         fall_multiple: 2.0,
