A refused connection closes a line for about a window, not for good

Lines at fault: ended(), NoConnection: least allowance, 0.6/286, whose rest is ten minutes; ended before by a probe or a report only. Change: the rest is about a window, drawn; the allowance is what a new line has, half a shot at most.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1020,14 +1020,6 @@
                 central.heard = now;
             }
             let age = now - shot.at;
-            // Departure: nobody listens there, which its network tells at once, not after a wait that would
-            // fill the line: closed but for single shots, lest one conversation spends all in an instant.
-            // Holds for any refusal before the processor; hurts where one is told for a server that is up.
-            if ending == Ending::NoConnection
-                && let Some(central) = &mut proxy.centrals[shot.server]
-            {
-                central.allowance = LEAST_OUT / f64::from(proxy.terms.proxies);
-            }
             match ending {
                 Ending::Ok | Ending::Cancelled | Ending::Busy => {
                     proxy.answered(shot.server, self, Some(age), limit, 0.0)
@@ -1045,6 +1037,18 @@
                 Ending::Reset | Ending::Error => proxy.answered(shot.server, self, Some(age), limit, 1.0),
                 _ => proxy.answered(shot.server, self, None, limit, 1.0),
             }
+            // Departure: nobody listens there, which its network tells at once, not after a wait that would
+            // fill the line: closed but for single shots, about one a window, lest one conversation spends all
+            // in an instant. No longer, since it may be back without any word of it. Holds for any refusal
+            // before the processor; hurts where one is told for a server that is up.
+            if ending == Ending::NoConnection {
+                let rest = proxy.window * (0.5 + proxy.rng.random::<f64>());
+                let first = FIRST_OUT / f64::from(proxy.terms.proxies);
+                if let Some(central) = &mut proxy.centrals[shot.server] {
+                    central.allowance = central.allowance.max(first).min(DEEPEST_CUT);
+                    central.rest = rest;
+                }
+            }
         }
         let busy = number.filter(|_| ending == Ending::Busy);
         if let Some(number) = busy
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -216,6 +216,33 @@
     assert_eq!(story.shots_at(0), 1, "the others found it resting, though a line takes more at first");
 }
 
+#[test]
+fn after_a_refused_connection_one_of_hundreds_comes_back_within_two_windows() {
+    let mut story = Story::among(2, Terms { proxies: 286, may_probe: false, ..terms() });
+    let answer = |story: &mut Story| {
+        let handle = story.call(1, 0);
+        story.pass(20.0);
+        if story.went(handle).is_empty() {
+            return handle.left(&mut story.proxy);
+        }
+        story.stood(handle);
+        story.ended(handle, Ending::Ok);
+    };
+    answer(&mut story);
+    let handle = story.call(1, 0);
+    story.ended(handle, Ending::NoConnection);
+    handle.left(&mut story.proxy);
+    story.pass(2000.0);
+    answer(&mut story);
+    assert_eq!(story.shots_at(0), 2, "not at once");
+    story.pass(6000.0);
+    answer(&mut story);
+    assert_eq!(story.shots_at(0), 3);
+    story.pass(1000.0);
+    answer(&mut story);
+    assert_eq!(story.shots_at(0), 4, "and is soon as open as a new one");
+}
+
 #[rstest]
 #[case(State::Draining)]
 #[case(State::Gone)]
