Where answers get lost, shots at quick servers are called off in time; re-entry taken out

Line at fault: call_off(), end, and its condition. Change: the share of shots lately overtaken, over all servers, tells lost answers from slow ones; above a twentieth, unanswered shots at quick servers are called off at the standing delay, counted as lost, not as late. Clearing up: recovers(), re-entry by single shots where none passes, is idle. It served the first deployments, whose few proxies fill a window with the test's 20 samples.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -50,6 +50,10 @@
 const LEAST_WORTH: f64 = 0.01;
 /// A caller should still wait for so many times the delay that is to be expected.
 const PATIENT: f64 = 1.5;
+/// Past this share of lost shots answers are taken to get lost; an answer is quick under this share of the
+/// standing delay.
+const LOSING: f64 = 0.05;
+const QUICK: f64 = 0.25;
 /// Two callers' patience is the same within this share of the time limit.
 const SAME_PATIENCE: f64 = 0.002;
 /// Spreads one draw evenly over the central servers.
@@ -206,6 +210,8 @@
     conversations: Slab<Conversation>,
     held: Vec<Handle>,
     wake_at: f64,
+    /// The share of shots that were lately overtaken by a later one's answer.
+    lost: f64,
     /// How long it last had no turn, and until when what it takes may have waited for that.
     stall: (f64, f64),
     /// How long a caller waits for a try, as a share of the time limit: what most ask for, and how firmly.
@@ -374,6 +380,7 @@
             conversations: Slab::new(),
             held: Vec::new(),
             wake_at: f64::INFINITY,
+            lost: 0.0,
             stall: (0.0, now),
             patience: (0.0, 0),
             numbers: HashMap::new(),
@@ -652,12 +659,6 @@
         }
     }
 
-    /// Departure, where none passes: old answers alone keep no central server out. One that fails the test
-    /// by its window, but whose latest shot ended quickly, is entered again by one shot at a time.
-    fn recovers(&self, central: &Central) -> bool {
-        central.out.is_empty() && central.latest <= self.standing
-    }
-
     /// Departure: where own answers are scarce and a central server says how many set-ups it can take, a
     /// fall of that rate is shared by all that shoot at it, by chance: each proxy lets through that part of
     /// what it would send. Guards against a sudden loss of speed, which one proxy's own answers show only
@@ -692,7 +693,7 @@
         conversation.until - self.now > PATIENT * delay
     }
 
-    fn passes(&self, index: usize, conversation: &Conversation, again: bool) -> bool {
+    fn passes(&self, index: usize, conversation: &Conversation) -> bool {
         let Some(central) = &self.centrals[index] else { return false };
         let grade = &self.grades[conversation.grade];
         central.state == State::Running
@@ -702,7 +703,7 @@
             && (conversation.chance + index as f64 * GOLDEN).fract()
                 < self.line_share(central, conversation.worth)
             && self.has_room(central, conversation.worth)
-            && if again { self.recovers(central) } else { self.passes_quantile(central, grade) }
+            && self.passes_quantile(central, grade)
             && self.now >= central.back_at
             && self.lives_to_see(central, conversation)
             && !self.too_cold(central)
@@ -719,8 +720,8 @@
     /// First choice while it passes; else a draw among the others that pass.
     fn choose(&mut self, handle: Handle) -> Option<usize> {
         let conversation = &self.conversations[handle.key()];
-        let all = 0..self.centrals.len();
-        let mut passing: Vec<usize> = all.clone().filter(|&i| self.passes(i, conversation, false)).collect();
+        let mut passing: Vec<usize> =
+            (0..self.centrals.len()).filter(|&i| self.passes(i, conversation)).collect();
         // Departure: after a shot that found nobody or no answer the others go first. Guards against spending
         // all shots at one silent server whose line is still wide; hurts where the answer alone was lost.
         if passing.len() > 1 {
@@ -730,9 +731,6 @@
         if let Some(&first) = passing.iter().find(|&&i| pool(i) == conversation.first) {
             return Some(first);
         }
-        if passing.is_empty() {
-            passing = all.filter(|&i| self.passes(i, conversation, true)).collect();
-        }
         let weights: Vec<f64> = passing.iter().map(|&i| self.weigh(i) * self.room(i)).collect();
         let mut draw = self.rng.random::<f64>() * weights.iter().sum::<f64>();
         let at = weights.iter().position(|w| {
@@ -779,18 +777,21 @@
         quoted.min(conversation.until - 2.0 * quickest.max(0.1 * self.standing))
     }
 
-    /// Departure: a shot that was overtaken and still has no answer after the standing delay is called off
-    /// while there is time to wait out the release and be answered by another.
+    /// Departure: a shot that still has no answer after the standing delay is called off while there is time to
+    /// wait out the release and be answered by another, if it was overtaken, or if shots lately were and its
+    /// server's latest answer was quick. Guards against answers that get lost; catches silent servers. Hurts where
+    /// a server slows down all at once while answers get lost elsewhere. Lost, not late: it narrows no line.
     fn call_off(&mut self, host: &mut impl Host) {
         for central in self.centrals.iter_mut().flatten().filter(|_| self.terms.may_cancel) {
-            let late = |shot: &&mut Out| shot.overtaken && !shot.cancelled;
+            let quick = self.lost > LOSING && central.latest <= QUICK * self.standing;
+            let late = |shot: &&mut Out| (shot.overtaken || quick) && !shot.cancelled;
             for shot in central.out.iter_mut().filter(late) {
                 let Some(conversation) = self.conversations.get(shot.handle.key()) else { continue };
                 let grade = &self.grades[conversation.grade];
-                let end = self.now + self.terms.release + central.delay.max(self.standing * 0.5);
+                let end = self.now + self.terms.release + central.delay.max(self.standing * 0.1);
                 let again = conversation.shots < self.terms.max_shots && grade.repeatable;
                 if again && self.now - shot.at > self.standing && end < conversation.taken + grade.quoted {
-                    shot.cancelled = true;
+                    (shot.cancelled, shot.overtaken) = (true, true);
                     host.cancel(shot.handle, conversation.shots as u16 - 1);
                 }
             }
@@ -984,7 +985,9 @@
         proxy.answered(index, self, Some(delay), limit, 0.0);
         if let Some(central) = &mut proxy.centrals[index] {
             central.heard = proxy.now;
-            central.out.iter_mut().filter(|out| out.at < sent).for_each(|out| out.overtaken = true);
+            let lost = |out: &&mut Out| out.at < sent && !out.overtaken;
+            let overtaken = central.out.iter_mut().filter(lost).map(|out| out.overtaken = true).count();
+            proxy.lost += (overtaken as f64 - (1 + overtaken) as f64 * proxy.lost) / FLOOR as f64;
         }
         if let Some(number) = number {
             proxy.space(number, false);
