Laboratory: servers of the new shape, drill new-shape, its rules tested with and without probes

Cause: the border proxy met servers of the new shape in the simulator only. The stand-in can put answers ahead of set-ups and say how long a set-up waits, in reports and in nacks ([shape] of a drill); a drill's proxies then run by the same rules. drill new-shape: 12 proxies, 6 servers at 0.9 of capacity, a third replaced, one hung, a burst. Test: all rules kept as it is, without one probe, and with probes allowed. The other drills' shape is as before.

--- a/lab/src/central.rs
+++ b/lab/src/central.rs
@@ -14,7 +14,7 @@
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64Mcg;
 
-use crate::drill::{ANSWER_WORK, COLD, COLD_FROM, FALL_MULTIPLE, FALL_SPAN, RELEASE_WORK, REPEAT};
+use crate::drill::{ANSWER_WORK, COLD, COLD_FROM, FALL_MULTIPLE, FALL_SPAN, RELEASE_WORK, REPEAT, Shape};
 
 /// Work of turning a set-up away, and of a probe, in set-ups.
 const REJECT_WORK: f64 = 0.2;
@@ -53,6 +53,9 @@
     pub report_late: (f64, f64),
     pub lines: usize,
     pub reports: bool,
+    shape: Shape,
+    /// How often it was probed.
+    pub probed: u64,
     /// Pushed over while cold: it stays down.
     pub fallen: bool,
     standing: HashSet<Leg>,
@@ -78,6 +81,8 @@
             report_late: (0.0, 0.0),
             lines: usize::MAX,
             reports,
+            shape: Shape::default(),
+            probed: 0,
             fallen: false,
             standing: HashSet::new(),
             arrivals: VecDeque::new(),
@@ -86,6 +91,11 @@
         }
     }
 
+    /// One that is laid out otherwise.
+    pub fn shaped(self, shape: Shape) -> Self {
+        Self { shape, ..self }
+    }
+
     /// The part of its full speed that it has.
     pub fn speed(&self, now: f64) -> f64 {
         let warm = ((now - self.started) / COLD).clamp(0.0, 1.0);
@@ -153,12 +163,20 @@
                 Happening::Ended(_) if self.standing.remove(&leg) => {
                     self.after.push_back(Job::Toil(RELEASE_WORK));
                 }
-                Happening::Poked(poke) => self.setups.push_back(Job::Probe(poke)),
+                Happening::Poked(poke) => {
+                    self.probed += 1;
+                    self.setups.push_back(Job::Probe(poke));
+                }
                 _ => {}
             }
         }
     }
 
+    /// How long a set-up waits that comes now.
+    fn wait(&self, now: f64) -> f64 {
+        self.setups.len() as f64 * self.setup_work / self.speed(now)
+    }
+
     fn offered(&mut self, now: f64, leg: Leg) {
         self.arrivals.push_back(now);
         while self.arrivals.front().is_some_and(|&at| at < now - FALL_SPAN) {
@@ -169,7 +187,7 @@
         if now - self.started < COLD && self.arrivals.len() as f64 > bearable.max(1.0) {
             self.fallen = true;
         }
-        let waits = self.setups.len() as f64 * self.setup_work / self.speed(now);
+        let waits = self.wait(now);
         if self.standing.len() >= self.lines {
             let full = self.hints(now, true).add_to(Elements::new().with_cause(cause::NO_CIRCUIT));
             self.endpoint.end(now, leg, &full);
@@ -180,12 +198,16 @@
         }
     }
 
-    /// Begins the next job: set-ups before what comes after them.
+    /// Begins the next job: set-ups before what comes after them, unless its shape is otherwise.
     fn work_on(&mut self, now: f64) {
         if self.busy.is_some() || self.fallen {
             return;
         }
-        let Some(job) = self.setups.pop_front().or_else(|| self.after.pop_front()) else { return };
+        let (first, second) = match self.shape.answers_first {
+            true => (&mut self.after, &mut self.setups),
+            false => (&mut self.setups, &mut self.after),
+        };
+        let Some(job) = first.pop_front().or_else(|| second.pop_front()) else { return };
         let work = match job {
             Job::SetUp(_) => 1.0,
             Job::Answer(_) => ANSWER_WORK,
@@ -217,7 +239,9 @@
                 self.standing.insert(leg);
             }
             Job::Reject(leg) => {
-                let full = self.hints(now, false).add_to(Elements::new().with_cause(cause::CONGESTION));
+                let mut hints = self.hints(now, false);
+                hints.come_back = self.shape.tells_wait.then(|| self.wait(now) as u32);
+                let full = hints.add_to(Elements::new().with_cause(cause::CONGESTION));
                 self.endpoint.end(now, leg, &full);
             }
             Job::Probe(poke) => {
@@ -240,6 +264,7 @@
                 lines: (self.lines != usize::MAX).then_some(self.lines as u32),
                 rate: Some((self.capacity(now) * 1000.0) as u32),
                 queue: Some(self.setups.len() as u32),
+                wait: self.shape.tells_wait.then(|| self.wait(now) as u32),
                 ..Hints::default()
             };
             self.reports_kept.push_back((now, hints));
--- a/lab/src/drill.rs
+++ b/lab/src/drill.rs
@@ -24,6 +24,8 @@
     pub list: ListTimes,
     #[serde(default)]
     pub gossip: GossipPlay,
+    #[serde(default)]
+    pub shape: Shape,
     #[serde(default, rename = "grade")]
     pub grades: Vec<Grade>,
     #[serde(default, rename = "tenant")]
@@ -42,6 +44,24 @@
     pub reports: bool,
 }
 
+/// How the deployment is laid out.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Shape {
+    /// Whether proxies may probe servers. Where not, they are told the share of capacity that a cold one has.
+    pub probes: bool,
+    /// Whether answers and releases go ahead of new set-ups at a server.
+    pub answers_first: bool,
+    /// Whether servers say how long a set-up waits, and a nack when to come back.
+    pub tells_wait: bool,
+}
+
+impl Default for Shape {
+    fn default() -> Self {
+        Self { probes: true, answers_first: false, tells_wait: false }
+    }
+}
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Load {
@@ -215,6 +235,7 @@
         match name {
             "bad-day" => Self::read(include_str!("../drills/bad-day.toml")),
             "gossip-100" => Self::read(include_str!("../drills/gossip-100.toml")),
+            "new-shape" => Self::read(include_str!("../drills/new-shape.toml")),
             "calm" => Self::read(include_str!("../drills/calm.toml")),
             file => Self::read(&std::fs::read_to_string(file).with_context(|| format!("drill {file}"))?),
         }
@@ -338,12 +359,12 @@
                 max_shots: 4,
                 longest_advice: Some(2000.0),
                 may_cancel: true,
-                may_probe: true,
+                may_probe: self.shape.probes,
                 release: RELEASE,
                 repeat: REPEAT,
-                nacks_name_wait: false,
+                nacks_name_wait: self.shape.tells_wait,
                 cold: COLD,
-                cold_from: 0.0,
+                cold_from: if self.shape.probes { 0.0 } else { COLD_FROM },
                 fall_multiple: FALL_MULTIPLE,
                 fall_span: FALL_SPAN,
             },
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -137,7 +137,7 @@
         let mut own = || Pcg64Mcg::seed_from_u64(chance.random());
         let work = drill.setup_work();
         let stand = |i: usize, chance| Stand {
-            central: Central::new(work, f64::NEG_INFINITY, drill.fleet.reports, chance),
+            central: Central::new(work, f64::NEG_INFINITY, drill.fleet.reports, chance).shaped(drill.shape),
             name: format!("central-{i}"),
             address: None,
             pool: i as u16,
@@ -425,7 +425,8 @@
                 let was_up = std::mem::replace(&mut stand.up, true);
                 stand.silent_until = 0.0;
                 let reports = self.drill.fleet.reports;
-                stand.central = Central::new(self.drill.setup_work(), at, reports, chance);
+                let central = Central::new(self.drill.setup_work(), at, reports, chance);
+                stand.central = central.shaped(self.drill.shape);
                 if was_up {
                     self.witness.server_down(at, server);
                 } else {
@@ -438,8 +439,9 @@
                 self.list(server, Readiness::Draining, false);
                 let chance = Pcg64Mcg::seed_from_u64(self.chance.random());
                 let added = self.servers.len();
+                let central = Central::new(self.drill.setup_work(), at, self.drill.fleet.reports, chance);
                 let stand = Stand {
-                    central: Central::new(self.drill.setup_work(), at, self.drill.fleet.reports, chance),
+                    central: central.shaped(self.drill.shape),
                     name: format!("central-{added}"),
                     address: None,
                     pool: self.servers[server].pool,
--- a/lab/tests/rules.rs
+++ b/lab/tests/rules.rs
@@ -33,6 +33,18 @@
     assert_eq!(text(&first), text(&again));
 }
 
+#[rstest]
+#[case::as_they_will_be(false, true)]
+#[case::probed_as_before(true, false)]
+fn ours_keeps_all_rules_where_servers_are_laid_out_otherwise(#[case] probes: bool, #[case] unprobed: bool) {
+    let mut drill = Drill::named("new-shape").expect("a drill");
+    drill.shape.probes = probes;
+    let world = simulated::run(drill, Routing::Ours, Broken::default(), Events::default()).expect("played");
+    assert_eq!(broken_rules(&world), [0usize; 0], "{:?}", world.witness.verdicts);
+    let probed: u64 = world.servers.iter().map(|stand| stand.central.probed).sum();
+    assert_eq!(probed == 0, unprobed, "{probed} probes");
+}
+
 #[rstest]
 fn ours_keeps_all_rules_in_each_kind_of_trouble(
     #[values(
