--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -280,16 +280,20 @@
         tally.unrouted, tally.turned_away, tally.unrecordable
     );
     if let Some(watch) = status.watch {
-        println!("watched: {} of {} turns would differ", watch.differing, watch.turns);
         println!(
-            "elsewhere {}, other time-out {}, held back {}, sooner {}, given up {}, kept {}, called off {}, \
-             unprobed {}, probed {}",
+            "watched: {} of {} turns would differ; {} turns in all",
+            watch.differing, watch.seen, watch.turns
+        );
+        println!(
+            "elsewhere {}, other time-out {}, held back {}, sooner {}, given up {}, kept {}, other advice {}, \
+             called off {}, unprobed {}, probed {}",
             watch.elsewhere,
             watch.time_out,
             watch.held_back,
             watch.sooner,
             watch.given_up,
             watch.kept,
+            watch.advice,
             watch.called_off,
             watch.unprobed,
             watch.probed
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -8,6 +8,7 @@
 
 use border::ProxyTerms;
 use border::routes::{Route, Routes};
+use border::watch::ToCome;
 use frostthread::host::{GradeTerms, TenantTerms, Terms};
 use iax2::Limits;
 use records::commit::Promise;
@@ -47,7 +48,7 @@
     pub gossip: Option<GossipPlan>,
     pub records: Option<RecordsPlan>,
     /// Terms that are watched: what would be decided under them is counted.
-    pub to_come: Option<Terms>,
+    pub to_come: Option<ToCome>,
     /// Names of service grades and tenants, by index.
     pub names: (Vec<String>, Vec<String>),
     pub terms: ProxyTerms,
@@ -312,8 +313,10 @@
         let answer_lead = self.time(&mut rules, "answer_lead", None);
         self.done(rules);
         let mut watch = self.rows(&mut top, "watch", false);
-        let to_come =
-            watch.table.is_some().then(|| self.rules(&mut watch, terms.clone(), limits.resend, Some(&terms)));
+        let to_come = watch.table.is_some().then(|| ToCome {
+            terms: self.rules(&mut watch, terms.clone(), limits.resend, Some(&terms)),
+            share: self.number(&mut watch, "share", 0.0, 1.0, Some(1.0)).unwrap_or(1.0),
+        });
         self.done(watch);
 
         let routes = self.routes(&mut top, &grades, &tenants);
--- a/proxy/src/watch.rs
+++ b/proxy/src/watch.rs
@@ -19,8 +19,9 @@
 /// How often the terms to come would have decided otherwise, by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Differences {
-    /// Turns that were decided twice, and those in which anything differed.
+    /// Turns, those of them that were decided twice, and those of these in which anything differed.
     pub turns: u64,
+    pub seen: u64,
     pub differing: u64,
     /// Shots that would go to another server, with another time-out, or not yet; and shots that would go sooner.
     pub elsewhere: u64,
@@ -30,6 +31,8 @@
     /// Conversations that would be refused or failed in that turn, and those that would be kept.
     pub given_up: u64,
     pub kept: u64,
+    /// Conversations refused in both, with other advice.
+    pub advice: u64,
     /// Shots called off in only one of both.
     pub called_off: u64,
     /// Probes that would not be sent, and that would be.
@@ -41,14 +44,14 @@
 struct Asked<'a, H> {
     to: Option<&'a mut H>,
     shots: HashMap<Handle, (Server, f64)>,
-    given_up: Vec<Handle>,
+    given_up: HashMap<Handle, Option<f64>>,
     cancelled: Vec<Handle>,
     probes: u64,
 }
 
 impl<'a, H> Asked<'a, H> {
     fn of(to: Option<&'a mut H>) -> Self {
-        Self { to, shots: HashMap::new(), given_up: Vec::new(), cancelled: Vec::new(), probes: 0 }
+        Self { to, shots: HashMap::new(), given_up: HashMap::new(), cancelled: Vec::new(), probes: 0 }
     }
 }
 
@@ -60,13 +63,13 @@
         }
     }
     fn refuse(&mut self, handle: Handle, come_back: Option<f64>) {
-        self.given_up.push(handle);
+        self.given_up.insert(handle, come_back);
         if let Some(to) = &mut self.to {
             to.refuse(handle, come_back);
         }
     }
     fn fail(&mut self, handle: Handle) {
-        self.given_up.push(handle);
+        self.given_up.insert(handle, None);
         if let Some(to) = &mut self.to {
             to.fail(handle);
         }
@@ -103,7 +106,7 @@
 impl Differences {
     /// Counts what `other` asks for otherwise than `now`.
     fn count<H, I>(&mut self, now: &Asked<H>, other: &Asked<I>) {
-        let before = Self { turns: self.turns + 1, ..*self };
+        let before = Self { seen: self.seen + 1, ..*self };
         *self = before;
         for (handle, (server, time_out)) in &now.shots {
             match other.shots.get(handle) {
@@ -114,9 +117,15 @@
             }
         }
         self.sooner += other.shots.keys().filter(|&handle| !now.shots.contains_key(handle)).count() as u64;
+        for (handle, advice) in &now.given_up {
+            match other.given_up.get(handle) {
+                None => self.kept += 1,
+                Some(otherwise) => self.advice += u64::from(otherwise != advice),
+            }
+        }
+        let anew = other.given_up.keys().filter(|&handle| !now.given_up.contains_key(handle));
+        self.given_up += anew.count() as u64;
         let only = |a: &[Handle], b: &[Handle]| a.iter().filter(|&handle| !b.contains(handle)).count() as u64;
-        self.given_up += only(&other.given_up, &now.given_up);
-        self.kept += only(&now.given_up, &other.given_up);
         self.called_off += only(&now.cancelled, &other.cancelled) + only(&other.cancelled, &now.cancelled);
         self.unprobed += now.probes.saturating_sub(other.probes);
         self.probed += other.probes.saturating_sub(now.probes);
@@ -124,22 +133,35 @@
     }
 }
 
+/// Terms that are watched.
+#[derive(Clone, Debug)]
+pub struct ToCome {
+    pub terms: Terms,
+    /// The share of turns that are decided twice: what watching may cost at the most.
+    pub share: f64,
+}
+
 /// A module, and the terms to come, if any are watched.
 pub struct Watched {
     module: Proxy,
-    to_come: Option<Terms>,
+    to_come: Option<ToCome>,
+    /// Of the share, what has not yet come to a turn.
+    credit: f64,
     differences: Differences,
 }
 
 impl Watched {
-    pub fn new(module: Proxy, to_come: Option<Terms>) -> Self {
-        Self { module, to_come, differences: Differences::default() }
+    pub fn new(module: Proxy, to_come: Option<ToCome>) -> Self {
+        Self { module, to_come, credit: 0.0, differences: Differences::default() }
     }
 
     fn twice<H: Host>(&mut self, host: &mut H, decide: impl Fn(&mut Proxy, &mut Asked<H>)) {
-        let Some(terms) = &self.to_come else {
+        self.differences.turns += 1;
+        self.credit += self.to_come.as_ref().map_or(0.0, |to_come| to_come.share);
+        let Some(ToCome { terms, .. }) = self.to_come.as_ref().filter(|_| self.credit >= 1.0) else {
             return decide(&mut self.module, &mut Asked::of(Some(host)));
         };
+        self.credit -= 1.0;
         let mut copy = self.module.under(terms.clone());
         let mut other = Asked::of(None);
         decide(&mut copy, &mut other);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -471,8 +471,9 @@
         if report.wait.is_some() {
             central.told_wait = now;
         }
-        if let Some(wait) = report.stay_away.filter(|_| self.terms.nacks_name_wait) {
-            central.back_at = now + wait.min(self.longest_limit);
+        // A wait over any time limit is not believed.
+        if let Some(wait) = report.stay_away.filter(|&wait| wait <= self.longest_limit) {
+            central.back_at = now + wait;
         }
         if let Some(rate) = report.rate {
             if !central.tells_rate() {
@@ -685,6 +686,13 @@
         earns * central.free * self.mean_hold / (central.lines * central.word_gap)
     }
 
+    /// Departure: how long a central server that turned a shot back has still asked to be left alone, where such
+    /// waits are kept. Guards full processors from shots that would only cost them more work; hurts where one names
+    /// too long a wait.
+    fn away(&self, central: &Central) -> f64 {
+        if self.terms.nacks_name_wait { central.back_at - self.now } else { 0.0 }
+    }
+
     /// Departure: no shot whose caller will have gone before an answer like the latest one there has come, since
     /// its work would be wasted. Guards against callers with little patience; catches late redials too. Hurts
     /// where the latest answer was an odd one out, so no delay counts for more than that of a jammed line.
@@ -704,7 +712,7 @@
                 < self.line_share(central, conversation.worth)
             && self.has_room(central, conversation.worth)
             && self.passes_quantile(central, grade)
-            && self.now >= central.back_at
+            && self.away(central) <= 0.0
             && self.lives_to_see(central, conversation)
             && !self.too_cold(central)
             && !self.shunned(central)
@@ -911,7 +919,12 @@
             let entry = self.numbers.entry(number).or_insert_with(|| Number::new(conversation.taken));
             entry.seen = self.now;
         }
-        let advice = self.terms.longest_advice.map(|most| most * (0.5 + 0.5 * self.rng.random::<f64>()));
+        // Not before the first server takes shots again, where all have asked to be left alone.
+        let running = self.centrals.iter().flatten().filter(|c| c.state == State::Running);
+        let away = running.map(|c| self.away(c)).fold(f64::INFINITY, f64::min);
+        let away = if away.is_finite() { away } else { 0.0 };
+        let spread = 0.5 + 0.5 * self.rng.random::<f64>();
+        let advice = self.terms.longest_advice.map(|most| (most * spread).max(away).min(most));
         host.refuse(handle, advice);
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -509,6 +509,32 @@
     assert_eq!(story.host.refused.len(), 2, "one that has waited for 2.1 s can no longer stand in time");
 }
 
+#[rstest]
+#[case::within_the_longest_advice(1990.0, 1990.0)]
+#[case::over_it(5000.0, 2000.0)]
+fn a_caller_is_told_to_come_back_when_the_first_server_takes_shots_again(
+    #[case] wait: f64,
+    #[case] advised: f64,
+) {
+    let mut story = Story::among(1, Terms { nacks_name_wait: true, max_shots: 9, ..terms() });
+    let handle = story.call(0, 0);
+    let stay_away = Some(wait);
+    story.proxy.reported(Server(0), Report { stay_away, ..Report::default() });
+    story.ended(handle, Ending::Nacked);
+    // Its quoted time is over, so it is given up at once, not kept until its time limit.
+    let late = story.call_left(10.0);
+    let told = story.host.refused.iter().find(|(refused, _)| *refused == late).expect("refused").1;
+    assert!(told.is_some_and(|told| (told - advised).abs() < 1.0), "{told:?}");
+}
+
+#[test]
+fn a_wait_over_any_time_limit_is_not_believed() {
+    let mut story = Story::among(1, Terms { nacks_name_wait: true, ..terms() });
+    story.proxy.reported(Server(0), Report { stay_away: Some(9001.0), ..Report::default() });
+    story.answer(0, 20.0);
+    assert_eq!(story.shots_at(0), 1);
+}
+
 #[test]
 fn a_caller_with_little_patience_goes_where_answers_are_quick_enough_for_it() {
     let mut story = Story::with(2);
