--- a/daemon/src/backlog.rs
+++ b/daemon/src/backlog.rs
@@ -1,5 +1,6 @@
-//! Datagrams that found their socket's buffer full. They wait in order behind the others of the same socket, and
-//! one full socket holds up no other: [`Backlog::send`], and [`Backlog::flush`] when there may be room again.
+//! Datagrams that found their socket's buffer full. They wait in order behind the others of the same
+//! socket, and one full socket holds up no other: [`Backlog::send`], and [`Backlog::flush`] when there may
+//! be room again.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
--- a/daemon/src/journal.rs
+++ b/daemon/src/journal.rs
@@ -1,5 +1,6 @@
-//! Keeps the records' journal on the disk. Each life of a proxy writes segments of its own and never appends to a
-//! former one, so that a torn tail stays where it is. `records::commit` says when to sync and what waits.
+//! Keeps the records' journal on the disk. Each life of a proxy writes segments of its own and never
+//! appends to a former one, so that a torn tail stays where it is. `records::commit` says when to sync and
+//! what waits.
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
@@ -13,7 +14,8 @@
 
 use crate::settings::RecordsPlan;
 
-/// What was not written because the disk refused is kept up to so many bytes; past that it is counted as lost.
+/// What was not written because the disk refused is kept up to so many bytes; past that it is counted as
+/// lost.
 const MOST_PENDING: usize = 4 << 20;
 
 pub struct Journal {
--- a/daemon/src/keys.rs
+++ b/daemon/src/keys.rs
@@ -1,5 +1,6 @@
-//! Key files: 64 hexadecimal digits in a file that only its owner may read. [`draw`] makes one, [`read`] reads
-//! one, [`Keyring::read`] reads all that a proxy's gossip needs. docs/operating.md tells how they are rotated.
+//! Key files: 64 hexadecimal digits in a file that only its owner may read. [`draw`] makes one, [`read`]
+//! reads one, [`Keyring::read`] reads all that a proxy's gossip needs. docs/operating.md tells how they are
+//! rotated.
 
 use std::collections::BTreeMap;
 use std::fs::{self, OpenOptions};
@@ -55,7 +56,8 @@
 }
 
 impl Keyring {
-    /// Reads the files that the settings name. `name` is the proxy's, under which the roster must have its key.
+    /// Reads the files that the settings name. `name` is the proxy's, under which the roster must have its
+    /// key.
     pub fn read(plan: &GossipPlan, name: &str) -> Result<Self> {
         let fleet = plan.fleet_keys.iter().map(|file| read(file)).collect::<Result<Vec<_>>>()?;
         let secrets = Secrets::new(read(&plan.key)?, fleet)?;
--- a/lab/src/peers.rs
+++ b/lab/src/peers.rs
@@ -1,5 +1,5 @@
-//! Gossip in a drill as its driver sees it: what each member sent in any second, who believed which server silent
-//! and when, and members that lie.
+//! Gossip in a drill as its driver sees it: what each member sent in any second, who believed which server
+//! silent and when, and members that lie.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
--- a/proxy/src/pool.rs
+++ b/proxy/src/pool.rs
@@ -150,8 +150,8 @@
         self.by_address.get(&address).copied()
     }
 
-    /// The server's present life, by which proxies speak of it to each other. A name and start of their own keep
-    /// what was said of an earlier process, or of another machine at the same address, apart.
+    /// The server's present life, by which proxies speak of it to each other. A name and start of their own
+    /// keep what was said of an earlier process, or of another machine at the same address, apart.
     pub fn life(&self, server: Server) -> Option<Life> {
         let known = self.known.get(self.name(server))?;
         let mut hasher = SipHasher13::new();
--- a/proxy/src/scribe.rs
+++ b/proxy/src/scribe.rs
@@ -1,5 +1,5 @@
-//! Turns what happens to conversations into entries of the records' journal, in order. The shell drains them with
-//! [`crate::BorderProxy::entry`] and keeps them before it lets anything out that rests on them.
+//! Turns what happens to conversations into entries of the records' journal, in order. The shell drains
+//! them with [`crate::BorderProxy::entry`] and keeps them before it lets anything out that rests on them.
 
 use std::collections::VecDeque;
 
@@ -16,7 +16,8 @@
 }
 
 impl Scribe {
-    /// Names of service grades and tenants by index; `epoch` is the Unix time in milliseconds at the proxy's time 0.
+    /// Names of service grades and tenants by index; `epoch` is the Unix time in milliseconds at the
+    /// proxy's time 0.
     pub fn new(grades: Vec<String>, tenants: Vec<String>, epoch: f64) -> Self {
         Self { grades, tenants, epoch, serial: 0, entries: VecDeque::new() }
     }
--- a/proxy/src/watch.rs
+++ b/proxy/src/watch.rs
@@ -23,7 +23,8 @@
     pub turns: u64,
     pub seen: u64,
     pub differing: u64,
-    /// Shots that would go to another server, with another time-out, or not yet; and shots that would go sooner.
+    /// Shots that would go to another server, with another time-out, or not yet; and shots that would go
+    /// sooner.
     pub elsewhere: u64,
     pub time_out: u64,
     pub held_back: u64,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -599,9 +599,9 @@
     }
 
     /// Guards a central server that has just started, by this proxy alone. Where it tells its rate it gets
-    /// this proxy's part of that, and somewhat more while it answers quickly. Else it gets this proxy's part
-    /// of what it could bear, entered at a time drawn by chance, and beyond that single shots while it answers
-    /// quickly. What others carry tells nothing: their speeds differ widely.
+    /// this proxy's part of that, and somewhat more while it answers quickly. Else it gets this proxy's
+    /// part of what it could bear, entered at a time drawn by chance, and beyond that single shots while it
+    /// answers quickly. What others carry tells nothing: their speeds differ widely.
     fn too_cold(&self, central: &Central) -> bool {
         if self.now - central.started >= self.terms.cold {
             return false;
@@ -620,10 +620,10 @@
     }
 
     /// A proxy's part of what a cold central server may get, as the gap between its shots. Departure: where
-    /// its lines are told, what turns over on them is the guide, times the share of its capacity that it starts
-    /// with. Guards against starving a new one for all its cold time where it can't be probed and its rate comes
-    /// only with a conversation's end; holds for any start. Hurts one with far more lines than its processor can
-    /// serve, and of that `COLD_PART` takes account.
+    /// its lines are told, what turns over on them is the guide, times the share of its capacity that it
+    /// starts with. Guards against starving a new one for all its cold time where it can't be probed and
+    /// its rate comes only with a conversation's end; holds for any start. Hurts one with far more lines
+    /// than its processor can serve, and of that `COLD_PART` takes account.
     fn cold_gap(&self, lines: f64) -> f64 {
         let (terms, span) = (&self.terms, self.terms.fall_span);
         let setups = COLD_PART * terms.cold_from * lines / self.mean_hold * span;
@@ -686,16 +686,17 @@
         earns * central.free * self.mean_hold / (central.lines * central.word_gap)
     }
 
-    /// Departure: how long a central server that turned a shot back has still asked to be left alone, where such
-    /// waits are kept. Guards full processors from shots that would only cost them more work; hurts where one names
-    /// too long a wait.
+    /// Departure: how long a central server that turned a shot back has still asked to be left alone, where
+    /// such waits are kept. Guards full processors from shots that would only cost them more work; hurts
+    /// where one names too long a wait.
     fn away(&self, central: &Central) -> f64 {
         if self.terms.nacks_name_wait { central.back_at - self.now } else { 0.0 }
     }
 
-    /// Departure: no shot whose caller will have gone before an answer like the latest one there has come, since
-    /// its work would be wasted. Guards against callers with little patience; catches late redials too. Hurts
-    /// where the latest answer was an odd one out, so no delay counts for more than that of a jammed line.
+    /// Departure: no shot whose caller will have gone before an answer like the latest one there has come,
+    /// since its work would be wasted. Guards against callers with little patience; catches late redials
+    /// too. Hurts where the latest answer was an odd one out, so no delay counts for more than that of a
+    /// jammed line.
     fn lives_to_see(&self, central: &Central, conversation: &Conversation) -> bool {
         let delay = central.latest.min(JAMMED * self.standing);
         conversation.until - self.now > PATIENT * delay
@@ -759,10 +760,10 @@
         let early = conversation.taken + grade.quoted - now - self.terms.release - self.standing;
         let last = conversation.shots + 1 >= self.terms.max_shots || alone || !grade.repeatable;
         let time_out = if last || early < 2.0 * self.standing { left } else { early.min(left) };
-        // Departure: where waits are told and the latest answer was in time, a shot ends with the quoted time,
-        // so that what would stand late does not keep its place in a processor's queue. Guards against servers
-        // that grow slow; catches hung ones too. Hurts where answers wait behind set-ups, as the work is done by
-        // then: hence not where no wait is told, nor where answers come late anyway.
+        // Departure: where waits are told and the latest answer was in time, a shot ends with the quoted
+        // time, so that what would stand late does not keep its place in a processor's queue. Guards
+        // against servers that grow slow; catches hung ones too. Hurts where answers wait behind set-ups,
+        // as the work is done by then: hence not where no wait is told, nor where answers come late anyway.
         let in_time = conversation.taken + grade.quoted - now;
         let told = central.told_wait > f64::NEG_INFINITY && central.latest <= self.shortest_quoted;
         let time_out = if told && in_time > 0.0 { time_out.min(in_time) } else { time_out };
@@ -785,10 +786,11 @@
         quoted.min(conversation.until - 2.0 * quickest.max(0.1 * self.standing))
     }
 
-    /// Departure: a shot that still has no answer after the standing delay is called off while there is time to
-    /// wait out the release and be answered by another, if it was overtaken, or if shots lately were and its
-    /// server's latest answer was quick. Guards against answers that get lost; catches silent servers. Hurts where
-    /// a server slows down all at once while answers get lost elsewhere. Lost, not late: it narrows no line.
+    /// Departure: a shot that still has no answer after the standing delay is called off while there is
+    /// time to wait out the release and be answered by another, if it was overtaken, or if shots lately
+    /// were and its server's latest answer was quick. Guards against answers that get lost; catches silent
+    /// servers. Hurts where a server slows down all at once while answers get lost elsewhere. Lost, not
+    /// late: it narrows no line.
     fn call_off(&mut self, host: &mut impl Host) {
         for central in self.centrals.iter_mut().flatten().filter(|_| self.terms.may_cancel) {
             let quick = self.lost > LOSING && central.latest <= QUICK * self.standing;
@@ -1054,9 +1056,9 @@
                 _ => proxy.answered(shot.server, self, None, limit, 1.0),
             }
             // Departure: nobody listens there, which its network tells at once, not after a wait that would
-            // fill the line: closed but for single shots, about one a window, lest one conversation spends all
-            // in an instant. No longer, since it may be back without any word of it. Holds for any refusal
-            // before the processor; hurts where one is told for a server that is up.
+            // fill the line: closed but for single shots, about one a window, lest one conversation spends
+            // all in an instant. No longer, since it may be back without any word of it. Holds for any
+            // refusal before the processor; hurts where one is told for a server that is up.
             if ending == Ending::NoConnection {
                 let rest = proxy.window * (0.5 + proxy.rng.random::<f64>());
                 let first = FIRST_OUT / f64::from(proxy.terms.proxies);
