--- a/simhost/tests/wire.rs
+++ b/simhost/tests/wire.rs
@@ -21,7 +21,8 @@
 
 const SETUP: &str = "balancers=2\nrank=0\nbounds.max_attempts=4\nbounds.retry_after=false\n\
     bounds.cancel=true\n\
-    bounds.may_probe=true\nbounds.peers=true\ndomain.clear_wait=0.3\ndomain.repeat=0.5\n\
+    bounds.may_probe=true\nbounds.peers=true\ndomain.clear_wait=0.3\ndomain.gives_wait=true\n\
+    domain.repeat=0.5\n\
     domain.network_form=skills\ndomain.pools_by_class.0=0\ndomain.mean_hold=8.1\n\
     profiles.count=1\nprofiles.0.objective=2.0\n\
     profiles.0.deadline=9.0\nprofiles.0.worth=1.0\nprofiles.0.late_worth=0.1\n\
