--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -50,7 +50,7 @@
 #[test]
 fn the_example_with_its_optional_tables_passes_too() {
     let keys = ["[", "listen", "address", "seeds", "key", "fleet_keys", "roster", "cap", "beat", "liars"];
-    let more = ["folder", "promise", "delay", "patience", "segment"];
+    let more = ["folder", "promise", "delay", "patience", "segment", "share", "probe", "setups_repeat"];
     let whole: Vec<&str> = EXAMPLE
         .lines()
         .map(|line| {
@@ -61,7 +61,7 @@
         })
         .collect();
     let plan = settings::read(&whole.join("\n")).expect("sound");
-    assert!(plan.gossip.is_some() && plan.records.is_some());
+    assert!(plan.gossip.is_some() && plan.records.is_some() && plan.to_come.is_some());
 }
 
 #[test]
--- a/lab/src/central.rs
+++ b/lab/src/central.rs
@@ -14,7 +14,8 @@
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64Mcg;
 
-use crate::drill::{ANSWER_WORK, COLD, COLD_FROM, FALL_MULTIPLE, FALL_SPAN, RELEASE_WORK, REPEAT, Shape};
+use crate::drill::{ANSWER_WORK, COLD, COLD_FROM, FALL_MULTIPLE, FALL_SPAN, RELEASE_WORK, REPEAT};
+use crate::drill::{Drill, Shape};
 
 /// Work of turning a set-up away, and of a probe, in set-ups.
 const REJECT_WORK: f64 = 0.2;
@@ -91,9 +92,10 @@
         }
     }
 
-    /// One that is laid out otherwise.
-    pub fn shaped(self, shape: Shape) -> Self {
-        Self { shape, ..self }
+    /// A drill's.
+    pub fn of(drill: &Drill, started: f64, chance: Pcg64Mcg) -> Self {
+        let central = Self::new(drill.setup_work(), started, drill.fleet.reports, chance);
+        Self { shape: drill.shape, ..central }
     }
 
     /// The part of its full speed that it has.
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -135,9 +135,8 @@
     pub fn new(drill: Drill, slack: f64, epoch: f64) -> Self {
         let mut chance = Pcg64Mcg::seed_from_u64(drill.seed);
         let mut own = || Pcg64Mcg::seed_from_u64(chance.random());
-        let work = drill.setup_work();
         let stand = |i: usize, chance| Stand {
-            central: Central::new(work, f64::NEG_INFINITY, drill.fleet.reports, chance).shaped(drill.shape),
+            central: Central::of(&drill, f64::NEG_INFINITY, chance),
             name: format!("central-{i}"),
             address: None,
             pool: i as u16,
@@ -424,9 +423,7 @@
                 let stand = &mut self.servers[server];
                 let was_up = std::mem::replace(&mut stand.up, true);
                 stand.silent_until = 0.0;
-                let reports = self.drill.fleet.reports;
-                let central = Central::new(self.drill.setup_work(), at, reports, chance);
-                stand.central = central.shaped(self.drill.shape);
+                stand.central = Central::of(&self.drill, at, chance);
                 if was_up {
                     self.witness.server_down(at, server);
                 } else {
@@ -439,9 +436,8 @@
                 self.list(server, Readiness::Draining, false);
                 let chance = Pcg64Mcg::seed_from_u64(self.chance.random());
                 let added = self.servers.len();
-                let central = Central::new(self.drill.setup_work(), at, self.drill.fleet.reports, chance);
                 let stand = Stand {
-                    central: central.shaped(self.drill.shape),
+                    central: Central::of(&self.drill, at, chance),
                     name: format!("central-{added}"),
                     address: None,
                     pool: self.servers[server].pool,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -183,8 +183,8 @@
     rate: f64,
     told_rate: f64,
     best_rate: f64,
-    /// When it last said how long a set-up waits there.
-    told_wait: f64,
+    /// Whether it has ever said how long a set-up waits there.
+    tells_wait: bool,
     /// No shot before this: so it asked when it turned one back.
     back_at: f64,
     /// Others' word that it is silent, when it was last heard from here, and no shot before this meanwhile.
@@ -250,7 +250,7 @@
             rate: 0.0,
             told_rate: f64::NEG_INFINITY,
             best_rate: f64::MIN_POSITIVE,
-            told_wait: f64::NEG_INFINITY,
+            tells_wait: false,
             back_at: f64::NEG_INFINITY,
             suspicion: None,
             heard: f64::NEG_INFINITY,
@@ -344,6 +344,12 @@
     alpha * histogram.quantile(1.0, 1.0 - violation) + (1.0 - alpha) * old
 }
 
+/// The delay that a line may have: past it set-ups are sent again, or stand late.
+fn standing(terms: &Terms, shortest_quoted: f64) -> f64 {
+    let quoted = STANDING_QUOTED * shortest_quoted;
+    if terms.repeat > 0.0 { quoted.min(STANDING * terms.repeat) } else { quoted }
+}
+
 impl Proxy {
     pub fn new(terms: Terms, seed: u64, now: f64) -> Self {
         let mean = terms.grades.iter().map(|g| g.earnings).sum::<f64>() / terms.grades.len().max(1) as f64;
@@ -360,10 +366,7 @@
         let grades: Vec<Grade> = terms.grades.iter().map(row).collect();
         let longest_limit = grades.iter().map(|g| g.limit).fold(0.0, f64::max);
         let shortest_quoted = grades.iter().map(|g| g.quoted).fold(f64::INFINITY, f64::min);
-        let mut standing = STANDING_QUOTED * shortest_quoted;
-        if terms.repeat > 0.0 {
-            standing = standing.min(STANDING * terms.repeat);
-        }
+        let standing = standing(&terms, shortest_quoted);
         Self {
             tenants: terms.tenants.iter().map(|_| VecDeque::new()).collect(),
             terms,
@@ -389,8 +392,7 @@
 
     /// This proxy as it is now, but under other terms with the same grades and tenants: what would it do?
     pub fn under(&self, terms: Terms) -> Self {
-        let other = Self::new(terms, 0, self.now);
-        Self { terms: other.terms, window: other.window, standing: other.standing, ..self.clone() }
+        Self { standing: standing(&terms, self.shortest_quoted), terms, ..self.clone() }
     }
 
     /// The time of what follows.
@@ -468,9 +470,7 @@
             }
             central.lines = lines;
         }
-        if report.wait.is_some() {
-            central.told_wait = now;
-        }
+        central.tells_wait |= report.wait.is_some();
         // A wait over any time limit is not believed.
         if let Some(wait) = report.stay_away.filter(|&wait| wait <= self.longest_limit) {
             central.back_at = now + wait;
@@ -765,7 +765,7 @@
         // against servers that grow slow; catches hung ones too. Hurts where answers wait behind set-ups,
         // as the work is done by then: hence not where no wait is told, nor where answers come late anyway.
         let in_time = conversation.taken + grade.quoted - now;
-        let told = central.told_wait > f64::NEG_INFINITY && central.latest <= self.shortest_quoted;
+        let told = central.tells_wait && central.latest <= self.shortest_quoted;
         let time_out = if told && in_time > 0.0 { time_out.min(in_time) } else { time_out };
         conversation.shots += 1;
         conversation.shot = Some(Shot { server: index, at: now });
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -269,7 +269,7 @@
 #[case::not_known(0.0, 0..=3)]
 fn told_lines_let_a_cold_central_server_in_sooner(
     #[case] cold_from: f64,
-    #[case] most: RangeInclusive<usize>,
+    #[case] shots: RangeInclusive<usize>,
 ) {
     let mut story = Story::among(1, Terms { proxies: 25, cold_from, may_probe: false, ..terms() });
     story.pass(20_000.0);
@@ -282,7 +282,7 @@
     }
     // 800 lines turn over 100 times a second; a tenth of that, doubled, among 25 is one in 1.25 s from each.
     // One doing two a second would get one in 6.25 s.
-    assert!(most.contains(&story.shots_at(0)), "{} shots in 10 s", story.shots_at(0));
+    assert!(shots.contains(&story.shots_at(0)), "{} shots in 10 s", story.shots_at(0));
 }
 
 #[test]
@@ -521,7 +521,7 @@
     let stay_away = Some(wait);
     story.proxy.reported(Server(0), Report { stay_away, ..Report::default() });
     story.ended(handle, Ending::Nacked);
-    // Its quoted time is over, so it is given up at once, not kept until its time limit.
+    // No answer could reach it any more, so it is given up at once.
     let late = story.call_left(10.0);
     let told = story.host.refused.iter().find(|(refused, _)| *refused == late).expect("refused").1;
     assert!(told.is_some_and(|told| (told - advised).abs() < 1.0), "{told:?}");
