Laboratory: answers that get lost though the work is done, kind:answer_lost

A stand-in server can do a set-up's work and let no answer leave; kind:answer_lost has it for a quarter of the set-ups at three quarters of the servers. Test, virtual: one final answer a conversation and no shot before the release is over, over 1,000 and 20 checks, with over 50 answers lost; and all five rules with the other kinds. The module is not touched.

--- a/lab/src/central.rs
+++ b/lab/src/central.rs
@@ -1,6 +1,6 @@
 //! A stand-in central server: an IAX2 endpoint before a processor with one line. Set-up, answer and release
 //! cost it work, a set-up that is sent again costs as much as a new one. It repeats nothing that RFC 5456
-//! does not, and can be cold, slow, hung, ageing, faulty, full or pushed over; who is silent or down is the
+//! does not, and can be cold, slow, hung, ageing, faulty, losing answers, full or pushed over; who is silent or down is the
 //! [`crate::world`]'s to say.
 
 use std::collections::{HashSet, VecDeque};
@@ -51,6 +51,10 @@
     /// Slower and slower: from, until, and how many times at the end.
     pub ageing: (f64, f64, f64),
     pub faulty: (f64, f64),
+    /// Until when, and of which part of set-ups, the answer is lost though the work is done.
+    pub losing: (f64, f64),
+    /// How many answers were.
+    pub lost: u64,
     pub report_late: (f64, f64),
     pub lines: usize,
     pub reports: bool,
@@ -79,6 +83,8 @@
             hung_until: 0.0,
             ageing: (0.0, 0.0, 1.0),
             faulty: (0.0, 0.0),
+            losing: (0.0, 0.0),
+            lost: 0,
             report_late: (0.0, 0.0),
             lines: usize::MAX,
             reports,
@@ -225,6 +231,9 @@
 
     fn finish(&mut self, now: f64, job: Job) {
         match job {
+            Job::SetUp(_) if now < self.losing.0 && self.chance.random::<f64>() < self.losing.1 => {
+                self.lost += 1
+            }
             Job::SetUp(leg) => {
                 if now < self.faulty.0 && self.chance.random::<f64>() < self.faulty.1 {
                     self.endpoint.accept(now, leg, &Elements::new());
--- a/lab/src/drill.rs
+++ b/lab/src/drill.rs
@@ -191,6 +191,8 @@
     Ageing { part: f64, factor: f64 },
     /// Such a part of set-ups is ended by a fault.
     Faulty { part: f64, share: f64 },
+    /// Such a part of set-ups is done, but no answer to them ever leaves.
+    AnswerLost { part: f64, share: f64 },
     /// Servers have only so many lines.
     Full { part: f64, lines: usize },
 }
@@ -257,6 +259,7 @@
             "retry_abuse" => (14.0, Kind::RetryAbuse { patience: 0.4, redials: 8 }),
             "balancer_stall" => (14.0, Kind::BalancerStall { part: 0.8, stall: 1.8, gap: 3.0 }),
             "peer_down" => (14.0, Kind::PeerDown {}),
+            "answer_lost" => (14.0, Kind::AnswerLost { part: 0.75, share: 0.25 }),
             "ageing" => (10.0, Kind::Ageing { part: 0.3, factor: 12.0 }),
             other => bail!("no kind of trouble is called {other:?}"),
         };
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -558,6 +558,11 @@
                     self.servers[server].central.faulty = (until, share);
                 }
             }
+            Kind::AnswerLost { part, share } => {
+                for server in self.some_servers(part) {
+                    self.servers[server].central.losing = (until, share);
+                }
+            }
             Kind::Full { part, lines } => {
                 for server in self.some_servers(part) {
                     self.servers[server].central.lines = lines;
--- a/lab/tests/rules.rs
+++ b/lab/tests/rules.rs
@@ -33,6 +33,16 @@
     assert_eq!(text(&first), text(&again));
 }
 
+#[test]
+fn lost_answers_leave_one_answer_a_conversation_and_no_early_shot() {
+    let world = play("kind:answer_lost", 16.0, Routing::Ours, Broken::default());
+    let lost: u64 = world.servers.iter().map(|stand| stand.central.lost).sum();
+    assert!(lost > 50, "{lost} lost");
+    let [answers, .., releases] = &world.witness.verdicts;
+    assert!(answers.checked > 1000 && releases.checked > 20, "{:?}", world.witness.verdicts);
+    assert_eq!((answers.broken, releases.broken), (0, 0), "{:?}", world.witness.verdicts);
+}
+
 #[rstest]
 #[case::as_they_will_be(false, true)]
 #[case::probed_as_before(true, false)]
@@ -61,7 +71,8 @@
         "retry_abuse",
         "balancer_stall",
         "peer_down",
-        "ageing"
+        "ageing",
+        "answer_lost"
     )]
     kind: &str,
 ) {
