--- a/proxy/src/watch.rs
+++ b/proxy/src/watch.rs
@@ -5,7 +5,7 @@
 //! the counts. A turn begins from what has really happened, so differences do not add up from turn to turn.
 //! Within one turn, a first difference can move later draws of chance.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use frostthread::Proxy;
 use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, Suspicion, Terms, View};
@@ -46,13 +46,13 @@
     to: Option<&'a mut H>,
     shots: HashMap<Handle, (Server, f64)>,
     given_up: HashMap<Handle, Option<f64>>,
-    cancelled: Vec<Handle>,
+    cancelled: HashSet<Handle>,
     probes: u64,
 }
 
 impl<'a, H> Asked<'a, H> {
     fn of(to: Option<&'a mut H>) -> Self {
-        Self { to, shots: HashMap::new(), given_up: HashMap::new(), cancelled: Vec::new(), probes: 0 }
+        Self { to, shots: HashMap::new(), given_up: HashMap::new(), cancelled: HashSet::new(), probes: 0 }
     }
 }
 
@@ -76,7 +76,7 @@
         }
     }
     fn cancel(&mut self, handle: Handle, shot: u16) {
-        self.cancelled.push(handle);
+        self.cancelled.insert(handle);
         if let Some(to) = &mut self.to {
             to.cancel(handle, shot);
         }
@@ -126,8 +126,7 @@
         }
         let anew = other.given_up.keys().filter(|&handle| !now.given_up.contains_key(handle));
         self.given_up += anew.count() as u64;
-        let only = |a: &[Handle], b: &[Handle]| a.iter().filter(|&handle| !b.contains(handle)).count() as u64;
-        self.called_off += only(&now.cancelled, &other.cancelled) + only(&other.cancelled, &now.cancelled);
+        self.called_off += now.cancelled.symmetric_difference(&other.cancelled).count() as u64;
         self.unprobed += now.probes.saturating_sub(other.probes);
         self.probed += other.probes.saturating_sub(now.probes);
         self.differing += u64::from(*self != before);
