--- a/src/choice.rs
+++ b/src/choice.rs
@@ -877,7 +877,8 @@
                 // The first wait is drawn from the start on, so that the proxies do not all ask at once.
                 let first = central.probe_at == f64::NEG_INFINITY;
                 central.probe_at = now + span * (self.rng.random::<f64>() + if first { 0.0 } else { 0.5 });
-                if !first {
+                // Answers that came meanwhile have told what a probe would ask for.
+                if !first && now - central.told_rate >= span {
                     host.probe(Server(i as u32));
                 }
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -311,6 +311,23 @@
     assert!((1..=16).contains(&sent), "{sent} in 5 s");
 }
 
+#[test]
+fn a_cold_central_server_whose_answers_tell_its_rate_is_not_probed_for_it() {
+    let mut story = Story::with(2);
+    story.pass(20_000.0);
+    story.list(&[line(1, State::Running, Some(19_900.0))]);
+    for _ in 0..100 {
+        story.proxy.reported(Server(1), Report { rate: Some(10.0), ..Report::default() });
+        story.answer(0, 20.0);
+        story.pass(80.0);
+    }
+    assert!(
+        story.host.probes.is_empty(),
+        "hundreds of proxies would ask for what they know: {:?}",
+        story.host.probes
+    );
+}
+
 #[test]
 fn a_line_that_rests_for_long_is_probed_and_opened_by_a_told_rate_near_the_best() {
     let mut story = Story::among(2, Terms { proxies: 250, ..terms() });
