--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -3,15 +3,16 @@
 use std::path::Path;
 
 use anyhow::{Context, Result};
-use border::status::{GossipStatus, Status};
+use border::status::{GossipStatus, LimitsStatus, Status};
 use serde::de::DeserializeOwned;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot};
 
-const WORDS: &str = "status, members, suspicions, gossip, rekey or stop";
+const WORDS: &str = "status, members, suspicions, gossip, limits, rekey or stop";
 /// What a proxy without gossip says of it.
 pub const NO_GOSSIP: &str = "this proxy has no [gossip]";
+const NO_FLEET: &str = "this proxy has no [fleet]";
 
 /// What an operator asks for, with where the answer goes.
 #[derive(Debug)]
@@ -19,6 +20,8 @@
     Status(oneshot::Sender<Box<Status>>),
     /// None where there is no gossip.
     Gossip(oneshot::Sender<Option<GossipStatus>>),
+    /// None where there are no limits of the fleet.
+    Limits(oneshot::Sender<Option<LimitsStatus>>),
     /// Read the key files again; what is wrong with them, if anything.
     Rekey(oneshot::Sender<Result<(), String>>),
     Stop,
@@ -57,6 +60,14 @@
                     (Some(gossip), _) => serde_json::to_string(&gossip)?,
                 }
             }
+            "limits" => {
+                let (give, take) = oneshot::channel();
+                asks.send(Ask::Limits(give)).await?;
+                match take.await? {
+                    None => serde_json::json!({ "error": NO_FLEET }).to_string(),
+                    Some(limits) => serde_json::to_string(&limits)?,
+                }
+            }
             "rekey" => {
                 let (give, take) = oneshot::channel();
                 asks.send(Ask::Rekey(give)).await?;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, Result};
-use border::status::{GossipStatus, MemberStatus, Status, SuspicionStatus};
+use border::status::{GossipStatus, LimitStatus, LimitsStatus, MemberStatus, Status, SuspicionStatus};
 use clap::{Parser, Subcommand, ValueEnum};
 use daemon::records::{self, RecordsCommand};
 use daemon::settings::{self, Plan};
@@ -61,6 +61,13 @@
         #[arg(long)]
         json: bool,
     },
+    /// Ask a running border proxy where it stands with the limits of the fleet
+    Limits {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
     /// Have a running border proxy read its key files and roster again
     Rekey {
         #[arg(long)]
@@ -174,6 +181,10 @@
             let Some(gossip) = ask::<GossipStatus>(&config, "gossip")? else { return Ok(wrong) };
             tell(json, &gossip.suspicions, || show_suspicions(&gossip))?;
         }
+        Command::Limits { config, json } => {
+            let Some(limits) = ask::<LimitsStatus>(&config, "limits")? else { return Ok(wrong) };
+            tell(json, &limits, || show_limits(&limits))?;
+        }
         Command::Status { config, json } => {
             let Some(status) = ask::<Status>(&config, "status")? else { return Ok(wrong) };
             tell(json, &status, || show(&status))?;
@@ -262,6 +273,45 @@
     println!("{}", Table::new(gossip.suspicions.iter().map(row)).with(Style::sharp()));
 }
 
+fn show_limits(status: &LimitsStatus) {
+    #[derive(Tabled)]
+    struct Row<'a> {
+        server: &'a str,
+        limit: String,
+        own: usize,
+        lent: usize,
+        borrowed: usize,
+        used: usize,
+        free: usize,
+        why: &'a str,
+    }
+    fn row(l: &LimitStatus) -> Row<'_> {
+        Row {
+            server: &l.server,
+            limit: format!("{} in {:.1} s", l.permits, l.window_ms / 1000.0),
+            own: l.part,
+            lent: l.lent,
+            borrowed: l.borrowed,
+            used: l.resting,
+            free: l.free,
+            why: &l.why,
+        }
+    }
+    println!("{}", Table::new(status.limits.iter().map(row)).with(Style::sharp()));
+    let counts = status.counts;
+    println!(
+        "asked {}, lent {}, borrowed {}, missed {}; dropped: malformed {}, unknown {}, over {}, stray {}",
+        counts.asked,
+        counts.lent,
+        counts.borrowed,
+        counts.missed,
+        counts.malformed,
+        counts.unknown,
+        counts.over,
+        counts.stray
+    );
+}
+
 fn show(status: &Status) {
     let row = |server: &border::status::ServerStatus| Row {
         server: server.name.clone(),
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -223,6 +223,9 @@
         tokio::spawn(listen(socket.clone(), Side::Peers, None, arrivals_in.clone()));
         let terms = gossip_terms(gossip, socket.local_addr()?, plan.terms.servers.resend);
         proxy.join(Node::new(terms, secrets, roster, seed, clock.now(), unix()));
+        if let Some(limits) = plan.fleet {
+            proxy.limit(limits, seed, clock.now());
+        }
         peers = Some(socket);
     }
     let (synced_in, mut synced) = mpsc::channel(4);
@@ -307,6 +310,7 @@
         match asked {
             Some(Ask::Status(to)) => drop(to.send(Box::new(proxy.status()))),
             Some(Ask::Gossip(to)) => drop(to.send(proxy.gossip())),
+            Some(Ask::Limits(to)) => drop(to.send(proxy.limits())),
             Some(Ask::Rekey(to)) => {
                 let done = match &plan.gossip {
                     None => Err(control::NO_GOSSIP.to_owned()),
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -7,8 +7,10 @@
 use std::path::PathBuf;
 
 use border::ProxyTerms;
+use border::limits::LimitTerms;
 use border::routes::{Route, Routes};
 use border::watch::ToCome;
+use fleet::{FleetTerms, LoanTerms};
 use frostthread::host::{GradeTerms, TenantTerms, Terms};
 use iax2::Limits;
 use records::commit::Promise;
@@ -46,6 +48,8 @@
     pub standing: f64,
     pub receive_buffer: Option<usize>,
     pub gossip: Option<GossipPlan>,
+    /// Limits that hold for the whole fleet, where there are any.
+    pub fleet: Option<LimitTerms>,
     pub records: Option<RecordsPlan>,
     /// Terms that are watched: what would be decided under them is counted.
     pub to_come: Option<ToCome>,
@@ -290,6 +294,7 @@
         self.done(pool);
 
         let gossip = self.gossip(&mut top);
+        let fleet = self.fleet(&mut top);
         let records = self.records(&mut top, state.as_deref().unwrap_or_default());
         let limits = self.limits(&mut top);
         let mut stop = self.rows(&mut top, "stop", false);
@@ -332,6 +337,7 @@
             feed: feed?,
             standing: standing?,
             gossip,
+            fleet,
             records,
             to_come,
             names: (
@@ -417,6 +423,35 @@
         })
     }
 
+    fn fleet(&mut self, top: &mut Rows) -> Option<LimitTerms> {
+        let gossips = top.table.is_some_and(|table| table.contains_key("gossip"));
+        let mut rows = self.rows(top, "fleet", false);
+        let table = rows.table?;
+        if !gossips {
+            self.fault(
+                rows.line,
+                rows.key(""),
+                "no [gossip]",
+                "[gossip] beside it, which carries what members say",
+            );
+        }
+        let window = self.time(&mut rows, "window", Some(1000.0));
+        let beat = self.time(&mut rows, "beat", Some(100.0));
+        let lease = self.time(&mut rows, "lease", Some(2000.0));
+        let drift = self.number(&mut rows, "drift", 0.0, 0.5, Some(0.001));
+        let spread = self.time(&mut rows, "spread", Some(20.0));
+        let floor = self.number(&mut rows, "floor", 0.0, 1.0, Some(0.25));
+        let most = self.number(&mut rows, "most", 0.0, 1e6, Some(0.0)).filter(|_| table.contains_key("most"));
+        let (line, key) = (rows.line, rows.key("lease"));
+        self.done(rows);
+        let (window, beat, lease) = (window?, beat?, lease?);
+        if lease < 2.0 * beat {
+            self.fault(line, key, format!("{lease} ms, with a beat of {beat} ms"), "two beats or more");
+        }
+        let loans = LoanTerms { lease, drift: drift?, spread: spread?, floor: floor? };
+        Some(LimitTerms { fleet: FleetTerms { loans, beat }, window, most })
+    }
+
     /// The rules of a table, into `terms`; what is left out stands as in `base`, where there is one.
     fn rules(&mut self, rows: &mut Rows, terms: Terms, resend: f64, base: Option<&Terms>) -> Terms {
         let advised = rows.table.is_some_and(|table| table.contains_key("longest_advice"));
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -50,18 +50,22 @@
 #[test]
 fn the_example_with_its_optional_tables_passes_too() {
     let keys = ["[", "listen", "address", "seeds", "key", "fleet_keys", "roster", "cap", "beat", "liars"];
+    let fleet = ["window", "lease", "drift", "spread", "floor", "most"];
     let more = ["folder", "promise", "delay", "patience", "segment", "share", "probe", "setups_repeat"];
     let whole: Vec<&str> = EXAMPLE
         .lines()
         .map(|line| {
             let bare = line.strip_prefix("# ").unwrap_or(line);
             let key = bare.split(" = ").next().unwrap_or_default();
-            let optional = bare.starts_with('[') || keys.contains(&key) || more.contains(&key);
+            let optional =
+                bare.starts_with('[') || keys.contains(&key) || fleet.contains(&key) || more.contains(&key);
             if optional { bare } else { line }
         })
         .collect();
     let plan = settings::read(&whole.join("\n")).expect("sound");
-    assert!(plan.gossip.is_some() && plan.records.is_some() && plan.to_come.is_some());
+    assert!(
+        plan.gossip.is_some() && plan.fleet.is_some() && plan.records.is_some() && plan.to_come.is_some()
+    );
 }
 
 #[test]
@@ -76,6 +80,18 @@
     assert!(settings::read(EXAMPLE).expect("fit").to_come.is_none());
 }
 
+#[test]
+fn a_limit_without_gossip_and_a_lease_under_two_beats_are_told() {
+    let file =
+        EXAMPLE.replace("[iax2]\n", "[fleet]\nlease = \"100 ms\"\nbeat = \"80 ms\"\nrate = 3\n[iax2]\n");
+    let faults = settings::read(&file).expect_err("unfit");
+    let told: Vec<(&str, &str)> = faults.iter().map(|f| (&f.key[..], &f.wanted[..])).collect();
+    assert!(told.contains(&("fleet.lease", "two beats or more")), "{told:?}");
+    assert!(told.iter().any(|(key, _)| *key == "fleet.rate"), "{told:?}");
+    assert!(told.iter().any(|(_, wanted)| wanted.starts_with("[gossip] beside it")), "{told:?}");
+    assert!(settings::read(EXAMPLE).expect("fit").fleet.is_none(), "off by default");
+}
+
 #[test]
 fn an_unknown_rule_to_come_is_told_with_its_key() {
     let file = EXAMPLE.replace("[iax2]\n", "[watch]\nprobes = false\ncold_from = 3.0\n[iax2]\n");
--- a/proxy/src/border.rs
+++ b/proxy/src/border.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use frostthread::Proxy;
-use frostthread::host::{Call, Ending, Handle, Host, Server, State, Suspicion, Terms};
+use frostthread::host::{Call, Ending, Handle, Host, Report, Server, State, Suspicion, Terms};
 use gossip::Node;
 use gossip::evidence::Evidence;
 use gossip::keys::{Roster, Secrets};
@@ -25,10 +25,11 @@
 use crate::decisions::Decisions;
 use crate::errands::Errands;
 use crate::hints::Hints;
+use crate::limits::{FleetLimits, LimitTerms};
 use crate::pool::{News, PoolList, Unfit};
 use crate::routes::Routes;
 use crate::scribe::Scribe;
-use crate::status::{GossipStatus, Present, ServerStatus, Status, Tally};
+use crate::status::{GossipStatus, LimitsStatus, Present, ServerStatus, Status, Tally};
 
 /// Elements of a caller's NEW that its shots carry on.
 const CARRIED: [u8; 7] = [
@@ -106,6 +107,7 @@
     /// Servers that are believed silent.
     believed: Vec<Server>,
     scribe: Option<Scribe>,
+    limits: Option<FleetLimits>,
 }
 
 /// One border proxy, with what decides for it.
@@ -184,6 +186,9 @@
             return self.errands.unheard(handle, Ending::Moot);
         };
         self.tally.shots += 1;
+        if let Some(limits) = &mut self.limits {
+            limits.take(now, server);
+        }
         let serial = self.conversation(handle).expect("just there").serial;
         if let Some(scribe) = &mut self.scribe {
             scribe.shot(now, serial, self.pool.name(server));
@@ -259,6 +264,7 @@
                 gossiped: false,
                 believed: Vec::new(),
                 scribe: None,
+                limits: None,
             },
             module,
             number_key: (seed, !seed),
@@ -288,11 +294,29 @@
         self.hands.gossip = Some(node);
     }
 
+    /// Holds the fleet's limits on central servers from now on, with those it gossips with; nothing where it does not.
+    pub fn limit(&mut self, terms: LimitTerms, seed: u64, now: f64) {
+        let limits = self.hands.gossip.as_ref().map(|node| FleetLimits::new(node, terms, seed, now));
+        self.hands.limits = limits;
+        if let Some(limits) = &mut self.hands.limits {
+            limits.listed(now, &self.hands.pool);
+        }
+    }
+
+    /// Where this proxy stands with the fleet's limits, if it holds any.
+    pub fn limits(&mut self) -> Option<LimitsStatus> {
+        let now = self.hands.now;
+        self.hands.limits.as_mut().map(|limits| LimitsStatus::of(limits.standings(now)))
+    }
+
     /// Goes on gossiping with other keys: its own stays the same.
     pub fn rekey(&mut self, secrets: Secrets, roster: Roster) {
         if let Some(node) = &mut self.hands.gossip {
             node.rekey(secrets, roster);
             self.hands.gossiped = true;
+            if let Some(limits) = &mut self.hands.limits {
+                limits.set_members(node);
+            }
         }
     }
 
@@ -331,6 +355,9 @@
                 if let Some(node) = &mut self.hands.gossip {
                     node.receive(now, peer, datagram);
                     self.hands.gossiped = true;
+                    if let Some(limits) = &mut self.hands.limits {
+                        limits.exchange(now, node);
+                    }
                 }
             }
         }
@@ -353,6 +380,9 @@
         self.at(now);
         let lines = self.hands.pool.apply(news, now, unix)?;
         self.module.listed(&lines, news.whole, &mut self.hands);
+        if let Some(limits) = &mut self.hands.limits {
+            limits.listed(now, &self.hands.pool);
+        }
         Ok(())
     }
 
@@ -370,6 +400,9 @@
             node.turn(now);
             self.hands.gossiped = true;
         }
+        if let Some((limits, node)) = self.hands.limits.as_mut().zip(self.hands.gossip.as_mut()) {
+            limits.exchange(now, node);
+        }
         self.hear_callers(0.0);
         self.hear_servers();
         while let Some(leg) = self.hands.errands.timed_out(now) {
@@ -387,6 +420,7 @@
             self.suspect();
         }
         loop {
+            self.allot();
             self.module.settle(&mut self.hands);
             // Each of these uses up a shot of its conversation, so there is an end to it.
             let unheard = self.hands.errands.take_unheard();
@@ -399,6 +433,16 @@
         }
     }
 
+    /// Brings what the fleet's limits leave here to whoever decides, and back what it was short of.
+    fn allot(&mut self) {
+        let now = self.hands.now;
+        let Some(limits) = &mut self.hands.limits else { return };
+        for server in self.hands.pool.servers() {
+            let short = self.module.allotted(server, limits.free(now, server));
+            limits.missed(now, server, short);
+        }
+    }
+
     /// Brings what is believed of servers to whoever decides.
     fn suspect(&mut self) {
         let Some(node) = &self.hands.gossip else { return };
@@ -416,7 +460,8 @@
     pub fn due(&self) -> f64 {
         let hands = &self.hands;
         let node = hands.gossip.as_ref().map(Node::due);
-        let legs = [hands.callers.due(), hands.servers.due(), node];
+        let limits = hands.limits.as_ref().map(|limits| limits.due(hands.now));
+        let legs = [hands.callers.due(), hands.servers.due(), node, limits];
         legs.into_iter().flatten().fold(hands.errands.due(), f64::min)
     }
 
@@ -517,6 +562,13 @@
         self.module.ended(handle, ending, false, &mut self.hands);
     }
 
+    fn reported(&mut self, server: Server, report: Report) {
+        if let Some((limits, rate)) = self.hands.limits.as_mut().zip(report.rate) {
+            limits.told(server, rate);
+        }
+        self.module.reported(server, report);
+    }
+
     fn hear_callers(&mut self, waited: f64) {
         while let Some((leg, happening)) = self.hands.callers.happening() {
             match happening {
@@ -639,7 +691,7 @@
                     if let Some(server) = self.hands.pool.at(peer) {
                         let now = self.hands.now;
                         self.hands.witness(server, |evidence, life| evidence.answered(now, life));
-                        self.module.reported(server, Hints::read(&elements).report());
+                        self.reported(server, Hints::read(&elements).report());
                     }
                 }
                 Happening::Poked(poke) => self.hands.servers.pong(&poke, &Elements::new()),
@@ -669,7 +721,7 @@
         match happening {
             Happening::Accepted(elements) => {
                 let first = !std::mem::replace(&mut conversation.accepted, true);
-                self.module.reported(server, Hints::read(&elements).report());
+                self.reported(server, Hints::read(&elements).report());
                 if first {
                     self.hands.callers.accept(now, caller, &elements.only(&[element::FORMAT]));
                 }
@@ -690,7 +742,7 @@
                     scribe.answered(now, serial);
                 }
                 self.hands.callers.answer(now, caller, &Elements::new());
-                self.module.reported(server, Hints::read(&elements).report());
+                self.reported(server, Hints::read(&elements).report());
                 self.module.stood(handle);
             }
             Happening::Media(media) if conversation.stands => self.hands.callers.media(now, caller, &media),
@@ -701,7 +753,7 @@
 
     fn shot_ended(&mut self, handle: Handle, server: Server, end: &End) {
         if let End::Peer { elements, .. } = end {
-            self.module.reported(server, Hints::read(elements).report());
+            self.reported(server, Hints::read(elements).report());
         }
         let Some(conversation) = self.hands.conversation(handle) else { return };
         let shot = conversation.shot.take().expect("it ended");
--- a/proxy/src/decisions.rs
+++ b/proxy/src/decisions.rs
@@ -12,6 +12,10 @@
     fn listed(&mut self, lines: &[Listed], whole: bool, host: &mut impl Host);
     fn reported(&mut self, server: Server, report: Report);
     fn suspected(&mut self, server: Server, suspicion: Option<Suspicion>);
+    /// A limit of the whole fleet; gives how many conversations the former word alone kept away.
+    fn allotted(&mut self, _server: Server, _shots: Option<u32>) -> u32 {
+        0
+    }
     fn take(&mut self, call: &Call) -> Handle;
     fn place(&mut self, handle: Handle);
     fn stood(&mut self, handle: Handle);
@@ -38,6 +42,9 @@
     fn suspected(&mut self, server: Server, suspicion: Option<Suspicion>) {
         self.suspected(server, suspicion);
     }
+    fn allotted(&mut self, server: Server, shots: Option<u32>) -> u32 {
+        self.allotted(server, shots)
+    }
     fn take(&mut self, call: &Call) -> Handle {
         self.take(call)
     }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -11,6 +11,7 @@
 mod decisions;
 mod errands;
 pub mod hints;
+pub mod limits;
 pub mod pool;
 pub mod routes;
 pub mod scribe;
--- /dev/null
+++ b/proxy/src/limits.rs
@@ -0,0 +1,121 @@
+//! The tie between the fleet's limits, the list of central servers and the gossip that carries what members say.
+//! [`FleetLimits`] is told rates; [`FleetLimits::exchange`] moves words both ways.
+
+use fleet::{Counts, Fleet, FleetTerms, LimitStanding};
+use frostthread::host::{Server, State};
+use gossip::Node;
+
+use crate::pool::PoolList;
+
+/// What is agreed for limits on central servers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitTerms {
+    pub fleet: FleetTerms,
+    /// Whole set-ups are counted in windows of this length, in milliseconds.
+    pub window: f64,
+    /// Set-ups a second that any central server gets at the most, whatever it tells.
+    pub most: Option<f64>,
+}
+
+/// The limits on central servers that hold for the whole fleet.
+pub struct FleetLimits {
+    fleet: Fleet,
+    terms: LimitTerms,
+    /// Names by server, as members speak of them: one life of it.
+    names: Vec<Option<String>>,
+    told: Vec<Option<f64>>,
+}
+
+impl FleetLimits {
+    /// For the member that gossips as `node`.
+    pub fn new(node: &Node, terms: LimitTerms, seed: u64, now: f64) -> Self {
+        let fleet = Fleet::new(node.id(), node.fleet(), terms.fleet, seed, now);
+        Self { fleet, terms, names: Vec::new(), told: Vec::new() }
+    }
+
+    /// The list has changed: limits on what runs no more are withdrawn, a new life is another server.
+    pub fn listed(&mut self, now: f64, pool: &PoolList) {
+        for server in pool.servers() {
+            let index = server.0 as usize;
+            if self.names.len() <= index {
+                self.names.resize(index + 1, None);
+                self.told.resize(index + 1, None);
+            }
+            let life = pool.life(server).filter(|_| pool.state(server) == State::Running);
+            let name = life.map(|life| format!("{}@{}", pool.name(server), life.started));
+            if name != self.names[index] {
+                if let Some(former) = std::mem::replace(&mut self.names[index], name) {
+                    self.fleet.withdraw(now, &former);
+                }
+                self.told[index] = None;
+                self.set(server);
+            }
+        }
+    }
+
+    /// A central server has told how many set-ups a second it can take.
+    pub fn told(&mut self, server: Server, rate: f64) {
+        if let Some(told) = self.told.get_mut(server.0 as usize) {
+            *told = Some(rate);
+            self.set(server);
+        }
+    }
+
+    fn set(&mut self, server: Server) {
+        let index = server.0 as usize;
+        let rate = match (self.told[index], self.terms.most) {
+            (Some(told), Some(most)) => told.min(most),
+            (told, most) => match told.or(most) {
+                Some(rate) => rate,
+                None => return,
+            },
+        };
+        if let Some(name) = &self.names[index] {
+            self.fleet.limit(name, rate, self.terms.window);
+        }
+    }
+
+    /// How many set-ups may go there now; none told where there is no limit.
+    pub fn free(&mut self, now: f64, server: Server) -> Option<u32> {
+        let name = self.names.get(server.0 as usize)?.as_ref()?;
+        self.fleet.free(now, name).map(|free| free as u32)
+    }
+
+    /// A set-up has been sent there.
+    pub fn take(&mut self, now: f64, server: Server) {
+        if let Some(Some(name)) = self.names.get(server.0 as usize) {
+            let taken = self.fleet.take(now, name);
+            debug_assert!(taken, "the module sends no more than it is allotted");
+        }
+    }
+
+    pub fn missed(&mut self, now: f64, server: Server, count: u32) {
+        if let Some(Some(name)) = self.names.get(server.0 as usize) {
+            self.fleet.missed(now, name, count as usize);
+        }
+    }
+
+    /// Does what has fallen due, and moves words between the fleet and the gossip.
+    pub fn exchange(&mut self, now: f64, node: &mut Node) {
+        while let Some((from, bytes)) = node.said_to() {
+            self.fleet.receive(now, from, &bytes);
+        }
+        self.fleet.turn(now);
+        while let Some(out) = self.fleet.outgoing() {
+            // What the cap forbids is lost, as on the network: it lapses.
+            node.say_to(now, out.to, out.bytes);
+        }
+    }
+
+    pub fn due(&self, now: f64) -> f64 {
+        self.fleet.due(now)
+    }
+
+    pub fn set_members(&mut self, node: &Node) {
+        self.fleet.set_members(node.fleet());
+    }
+
+    pub fn standings(&mut self, now: f64) -> (Vec<LimitStanding>, Counts) {
+        (self.fleet.standings(now), self.fleet.counts())
+    }
+}
--- a/proxy/src/status.rs
+++ b/proxy/src/status.rs
@@ -140,3 +140,54 @@
         }
     }
 }
+
+/// The fleet's limits at this proxy.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitsStatus {
+    pub limits: Vec<LimitStatus>,
+    pub counts: fleet::Counts,
+}
+
+/// One limit: whole set-ups in each window over all proxies, and where this one stands with them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LimitStatus {
+    pub server: String,
+    pub permits: usize,
+    pub window_ms: f64,
+    /// Its own, lent to others, borrowed from others, used within the window, and free now.
+    pub part: usize,
+    pub lent: usize,
+    pub borrowed: usize,
+    pub resting: usize,
+    pub free: usize,
+    /// Why no more may go now; empty where more may.
+    pub why: String,
+}
+
+impl LimitsStatus {
+    pub fn of((standings, counts): (Vec<fleet::LimitStanding>, fleet::Counts)) -> Self {
+        let row = |limit: fleet::LimitStanding| {
+            let fleet::Standing { part, lent, borrowed, resting, free, waits_out } = limit.standing;
+            let why = match (free, waits_out) {
+                (1.., _) => "",
+                (0, true) => "started lately: what an earlier process may have lent is waited out",
+                (0, false) if part + borrowed == 0 => "no part of it, and none borrowed",
+                (0, false) if resting > 0 => "all used within the window",
+                (0, false) => "lent to others",
+            };
+            let (server, permits, window_ms) = (limit.name, limit.permits, limit.window);
+            LimitStatus {
+                server,
+                permits,
+                window_ms,
+                part,
+                lent,
+                borrowed,
+                resting,
+                free,
+                why: why.to_owned(),
+            }
+        };
+        Self { limits: standings.into_iter().map(row).collect(), counts }
+    }
+}
--- a/proxy/src/watch.rs
+++ b/proxy/src/watch.rs
@@ -184,6 +184,9 @@
     fn suspected(&mut self, server: Server, suspicion: Option<Suspicion>) {
         self.module.suspected(server, suspicion);
     }
+    fn allotted(&mut self, server: Server, shots: Option<u32>) -> u32 {
+        self.module.allotted(server, shots)
+    }
     fn take(&mut self, call: &Call) -> Handle {
         self.module.take(call)
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -124,6 +124,8 @@
     over: bool,
     /// Not sent again before this.
     rest_until: f64,
+    /// Was kept away from a central server by the fleet's limit alone, and counted.
+    short: bool,
 }
 
 /// A called number that was lately given up, or whose lines were all busy.
@@ -193,6 +195,9 @@
     suspicion: Option<Suspicion>,
     heard: f64,
     trial: f64,
+    /// How many shots the whole fleet's limit leaves here now, and conversations that it alone kept away lately.
+    allotted: Option<u32>,
+    short: u32,
 }
 
 /// The decisions of one border proxy.
@@ -257,6 +262,8 @@
             suspicion: None,
             heard: f64::NEG_INFINITY,
             trial: f64::NEG_INFINITY,
+            allotted: None,
+            short: 0,
         }
     }
 
@@ -515,6 +522,14 @@
         central.suspicion.is_some_and(silent) && self.now < central.trial
     }
 
+    /// How many shots may go to a central server now by a limit that holds for the whole fleet, or none where there is no
+    /// limit; to be told before each [`Proxy::settle`]. Gives how many conversations the former word alone kept away.
+    pub fn allotted(&mut self, server: Server, shots: Option<u32>) -> u32 {
+        let Some(Some(central)) = self.centrals.get_mut(server.0 as usize) else { return 0 };
+        central.allotted = shots;
+        std::mem::take(&mut central.short)
+    }
+
     /// What this proxy makes of a central server, for operators to look at.
     pub fn view(&self, server: Server) -> Option<View> {
         let central = self.centrals.get(server.0 as usize)?.as_ref()?;
@@ -565,6 +580,7 @@
             stands: false,
             over: false,
             rest_until: f64::NEG_INFINITY,
+            short: false,
         };
         Handle(self.conversations.insert(conversation) as u32)
     }
@@ -606,7 +622,10 @@
     /// part of what it could bear, entered at a time drawn by chance, and beyond that single shots while it
     /// answers quickly. What others carry tells nothing: their speeds differ widely.
     fn too_cold(&self, central: &Central) -> bool {
-        if self.now - central.started >= self.terms.cold {
+        // Departure: under a limit of the whole fleet no proxy need keep to an equal part, which starves busy ones.
+        if self.now - central.started >= self.terms.cold
+            || (central.allotted.is_some() && central.tells_rate())
+        {
             return false;
         }
         let quick = COLD_QUICK * (self.terms.fall_multiple - 1.0) * self.terms.fall_span;
@@ -734,6 +753,18 @@
         let conversation = &self.conversations[handle.key()];
         let mut passing: Vec<usize> =
             (0..self.centrals.len()).filter(|&i| self.passes(i, conversation)).collect();
+        // Departure: the fleet's limit comes last, so that it never opens what all else closes; whom it alone keeps away
+        // is counted where it would have gone.
+        let first = conversation.first;
+        let kept_away = |&&i: &&usize| self.centrals[i].as_ref().is_some_and(|c| c.allotted == Some(0));
+        let away: Vec<usize> = passing.iter().filter(kept_away).copied().collect();
+        passing.retain(|i| !away.contains(i));
+        let meant = |&&i: &&usize| self.centrals[i].as_ref().is_some_and(|c| c.pool == first);
+        let meant = away.iter().find(meant).or(away.first().filter(|_| passing.is_empty())).copied();
+        if let Some(central) = meant.and_then(|i| self.centrals[i].as_mut()) {
+            central.short += u32::from(!std::mem::replace(&mut self.conversations[handle.key()].short, true));
+        }
+        let conversation = &self.conversations[handle.key()];
         // Departure: after a shot that found nobody, no answer or a fault the others go first. Guards against
         // spending all shots at one silent or faulty server whose line is still wide, and shows whether a fault
         // is the conversation's own; hurts where the answer alone was lost.
@@ -775,6 +806,7 @@
         conversation.shot = Some(Shot { server: index, at: now });
         central.out.push(Out { handle, at: now, overtaken: false, cancelled: false });
         central.sent.push_back(now);
+        central.allotted = central.allotted.map(|shots| shots.saturating_sub(1));
         central.dither = self.rng.random();
         if central.suspicion.is_some() {
             central.trial = now + gap * (0.5 + self.rng.random::<f64>());
