--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -219,3 +219,77 @@
     assert_eq!(outcomes.len(), 3, "{shown}");
     assert!(outcomes.iter().all(|of| of["outcome"] == "Refused" && of["called"] == "155"), "{shown}");
 }
+
+/// A configuration as the platform gives it; nobody is at any of its addresses but the proxy's own.
+fn configuration(listen: SocketAddr) -> serde_json::Value {
+    let profile = serde_json::json!({"name": "voice", "objective": 2.0, "deadline": 9.0, "worth": 1.0, "late_worth": 0.1,
+        "effect": "repeatable", "streamed": true});
+    serde_json::json!({
+        "name": "n0", "listen": listen, "seed": "8c1f30d27a5be964", "changelog": "127.0.0.1:1",
+        "limits": {"cores": 1.0, "memory_mb": 48, "sockets": 72},
+        "known": {"seq": 1, "results": [{"seq": 1, "fleet": {"index": 1, "snapshot": true, "endpoints": []}}]},
+        "settings": {
+            "balancers": 1, "over_share_worth": 0.2, "profiles": [profile], "tenants": [],
+            "bounds": {"cancel": true, "connect_timeout": 0.5, "max_attempts": 4, "max_retry_after": 2.0,
+                "may_probe": true, "open_cap": 100, "peers": true, "retry_after": false},
+            "domain": {"clear_wait": 0.3, "gives_wait": false, "mean_hold": [8.0], "network_form": "skills",
+                "pools_by_class": [[0]], "repeat": 0.5},
+            "feedback": {"how": "piggyback", "names": []},
+            "rules": {"cold": 14.0, "cold_from": 0.28, "fall": 1.0, "overload_factor": 2.5},
+        },
+    })
+}
+
+/// Starts `serve` as the deploy file's `run` does, by a shell that makes way for it, with a folder of its own for files.
+fn serve(folder: &Path, configuration: &str) -> Command {
+    let file = folder.join("config.json");
+    fs::write(&file, configuration).expect("written");
+    fs::create_dir_all(folder.join("tmp")).expect("made");
+    let mut command = Command::new("/bin/sh");
+    let run = format!("exec {} serve", env!("CARGO_BIN_EXE_frostthread"));
+    command
+        .args(["-c", &run])
+        .env("LB_CONFIG", file)
+        .env_remove("LB_LISTEN")
+        .env("TMPDIR", folder.join("tmp"));
+    command.current_dir(folder.join("tmp"));
+    command
+}
+
+#[test]
+fn serve_is_one_process_that_listens_on_no_unix_socket_and_leaves_no_file() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let listen = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let mut command = serve(folder.path(), &configuration(listen).to_string());
+    let mut running = Running(command.stderr(Stdio::null()).spawn().expect("started"));
+    until("its ear", || std::net::TcpStream::connect(listen).ok());
+    let process = PathBuf::from(format!("/proc/{}", running.0.id()));
+    let read = |name: &str| fs::read_to_string(process.join(name)).expect("read");
+    assert!(read("cmdline").contains("serve") && !read("cmdline").contains("/bin/sh"), "the shell made way");
+    for thread in fs::read_dir(process.join("task")).expect("listed") {
+        let children = thread.expect("a thread").path().join("children");
+        assert_eq!(fs::read_to_string(children).unwrap_or_default().trim(), "", "no other process");
+    }
+    assert!(read("maps").contains("libc.so"), "linked to the C library as it runs");
+    let open = fs::read_dir(process.join("fd")).expect("listed").flatten();
+    let open: Vec<String> =
+        open.filter_map(|fd| Some(fs::read_link(fd.path()).ok()?.to_string_lossy().into_owned())).collect();
+    // Flags 00010000 are a socket that listens, columns as in proc(5).
+    let unix = fs::read_to_string("/proc/net/unix").expect("read");
+    let ears = unix.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    let mut ears = ears.filter(|columns| columns.len() > 6 && columns[3] == "00010000");
+    assert!(!ears.any(|columns| open.contains(&format!("socket:[{}]", columns[6]))), "{open:?}");
+    stop(&mut running);
+    assert_eq!(fs::read_dir(folder.path().join("tmp")).expect("listed").count(), 0, "no file is left");
+}
+
+#[rstest]
+#[case::cut_off("{\"name\": \"n0\"", "config.json")]
+#[case::without_a_field("{\"name\": \"n0\"}", "missing field")]
+fn a_configuration_that_cant_be_read_ends_the_start_with_one_line(#[case] text: &str, #[case] told: &str) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let ended = serve(folder.path(), text).output().expect("ran");
+    assert!(!ended.status.success());
+    let said = String::from_utf8_lossy(&ended.stderr).into_owned();
+    assert!(said.lines().count() == 1 && said.contains(told), "{said}");
+}
