Laboratory: one limit of the whole fleet under faults, beside baselines that the check catches

Need: the figures of docs/fleet.md came from an ignored test, and nothing showed that the check over windows can fail.

Change: lab/src/permits.rs and `frostthread-lab limits`: lent permits, an equal part each, and parts by gossiped counts (baselines); losses, halves, a one-way cut, restarts, stops, demand that moves; exit code 1 with the window named.

--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod link;
 pub mod page;
 pub mod peers;
+pub mod permits;
 pub mod platform;
 pub mod report;
 pub mod simulated;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,11 +8,12 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, Result};
-use clap::{Args, Parser, Subcommand};
+use clap::{Args, Parser, Subcommand, ValueEnum};
 use lab::alone::{self, ServerPlay};
 use lab::baseline::{Broken, Plain, Routing};
 use lab::drill::{Drill, LinkFaults, Tenant};
 use lab::events::Events;
+use lab::permits::{self, Case, Fault, Outcome, Way};
 use lab::report::{self, Summary};
 use lab::{page, platform, simulated, sockets};
 use tabled::{Table, Tabled, settings::Style};
@@ -51,6 +52,25 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Play one limit of a whole fleet under faults, virtual; exit code 1 if a window had more than the limit
+    Limits {
+        #[arg(long, default_value_t = 40)]
+        members: usize,
+        /// Set-ups a second over all of them
+        #[arg(long, default_value_t = 80.0)]
+        rate: f64,
+        /// What is wanted, over the rate
+        #[arg(long, num_args = 1.., default_values_t = [0.7, 1.5])]
+        load: Vec<f64>,
+        #[arg(long, default_value_t = 10)]
+        seeds: u64,
+        /// How the limit is held
+        #[arg(long, value_enum, num_args = 1.., default_values_t = [Way::Alone, Way::Lent])]
+        way: Vec<Way>,
+        /// Only these faults
+        #[arg(long, value_enum, num_args = 1..)]
+        fault: Vec<Fault>,
+    },
     /// Run a stand-in central server; prints its entry for the pool list, then serves
     Server(ServerLine),
     /// Serve a pool list from a file of entries, one JSON object a line, and its changes as they are made
@@ -219,6 +239,13 @@
         Command::Drill(line) => drill(&line),
         Command::Load { rate, seconds, hold } => load(&rate, seconds, hold),
         Command::Sizes { proxies, out } => sizes(&proxies, &out),
+        Command::Limits { members, rate, load, seeds, way, fault } => {
+            let faults = if fault.is_empty() { Fault::value_variants().to_vec() } else { fault };
+            let case = |load, fault, way| Case { way, fault, members, rate, load, seed: 0 };
+            let cases = load.into_iter().flat_map(|load| faults.iter().map(move |&fault| (load, fault)));
+            let cases = cases.flat_map(|(load, fault)| way.iter().map(move |&way| case(load, fault, way)));
+            Ok(limits(cases, seeds))
+        }
         Command::Server(line) => server(line),
         Command::List { file, listen, late, seconds } => {
             block_on(alone::list(listen, &file, late, seconds)).map(|()| ExitCode::SUCCESS)
@@ -364,6 +391,43 @@
     Ok(ExitCode::SUCCESS)
 }
 
+fn name_of(value: &impl ValueEnum) -> String {
+    value.to_possible_value().map_or(String::new(), |value| value.get_name().to_owned())
+}
+
+/// Plays each case by several seeds, and tells of the first window that had more than the limit.
+fn limits(cases: impl Iterator<Item = Case>, seeds: u64) -> ExitCode {
+    let mut broken = None;
+    for case in cases {
+        let (fault, way) = (name_of(&case.fault), name_of(&case.way));
+        let outcomes: Vec<Outcome> = (0..seeds).map(|seed| permits::play(Case { seed, ..case })).collect();
+        let used = |pick: fn(f64, f64) -> f64, from| outcomes.iter().map(|o| o.used).fold(from, pick);
+        let (least, greatest) = (used(f64::min, f64::INFINITY), used(f64::max, 0.0));
+        let mean = outcomes.iter().map(|o| o.used).sum::<f64>() / outcomes.len().max(1) as f64;
+        let most = outcomes.iter().map(|o| o.most).max().unwrap_or(0);
+        let bytes = outcomes.iter().map(|o| o.bytes).max().unwrap_or(0);
+        let over = most.saturating_sub(case.rate as usize);
+        println!(
+            "load {}, {fault}, {way}: over by {over}; used {mean:.3} ({least:.3} to {greatest:.3}); {bytes} bytes",
+            case.load
+        );
+        let first = (0..).zip(&outcomes).find(|(_, o)| o.most > case.rate as usize);
+        broken = broken.or(first.map(|(seed, o)| {
+            format!(
+                "{way}, {fault}, seed {seed}: {} set-ups in the window that ends at {:.0} ms",
+                o.most, o.at
+            )
+        }));
+    }
+    match broken {
+        Some(broken) => {
+            println!("BROKEN: {broken}");
+            ExitCode::FAILURE
+        }
+        None => ExitCode::SUCCESS,
+    }
+}
+
 fn sizes(proxies: &[usize], out: &Path) -> Result<ExitCode> {
     let mut summaries = Vec::new();
     for &size in proxies {
