Gossip: no accusation acts that may be older than stated; looks are not starved by news

Seen: a statement that is held back or passed on late counted as fresh from when it came (statements.rs, accused(), 'came'), so no bound on how old a verdict is held; authors' clocks were taken from how their statements came, seconds late at 400 members (merge(), 'epoch'), so answers from before a fall looked like later ones; an author that refuted its death lost its clock ('same_life' by incarnation). Looks at others: 17 of some 500 a second reached anybody while news was pushed (budget.rs, Probe behind News), counted in a test of 100 members. Change: the author is asked for its clock at first hand, and an accusation acts only while it is known to be younger than 75 beats; a statement names its process; looks go before the pushing of news. Packet version 2.

--- a/gossip/src/budget.rs
+++ b/gossip/src/budget.rs
@@ -16,10 +16,12 @@
 pub enum Priority {
     /// Answers that somebody waits for.
     Answer,
-    /// News that changes what is decided.
+    /// What changes a decision here or at one other.
     News,
-    /// The regular look at others.
+    /// The regular look at others, which carries news along. Behind what only spreads news it starved while much was new.
     Probe,
+    /// News pushed to any others.
+    Spread,
     /// What repairs losses over a longer time.
     Repair,
 }
@@ -30,7 +32,8 @@
         match self {
             Self::Answer => 0.0,
             Self::News => 0.1,
-            Self::Probe => 0.25,
+            Self::Probe => 0.1,
+            Self::Spread => 0.2,
             Self::Repair => 0.5,
         }
     }
--- a/gossip/src/node.rs
+++ b/gossip/src/node.rs
@@ -17,6 +17,8 @@
 
 /// Helpers asked to reach one that does not answer.
 const HELPERS: usize = 3;
+/// Authors that are asked for their clocks at once, in a beat, where a server's standing hangs on what they say.
+const CLOCKS: usize = 4;
 /// Others that news is pushed to at each beat.
 const FAN_OUT: usize = 2;
 /// A comparison goes out once in so many beats, and names so many authors.
@@ -30,7 +32,7 @@
 const RESTATE_BEATS: f64 = 25.0;
 /// An answer is said for accused servers if it is no older than so many beats.
 const VOUCH_BEATS: f64 = 50.0;
-/// Statements older than this many beats accuse nobody any more.
+/// Statements that may be older than this many beats accuse nobody any more, however late they came.
 const AGED_BEATS: f64 = 75.0;
 /// An accusation is believed so many beats after it began at the earliest: it has to reach those who had
 /// answers meanwhile, and their word has to come back.
@@ -114,7 +116,10 @@
 struct Ping {
     target: Id,
     until: f64,
+    asked: f64,
     helped: bool,
+    /// Only its clock is asked for: no answer says nothing of it.
+    for_clock: bool,
     /// Who asked for it, and by which nonce.
     for_other: Option<(SocketAddr, u64)>,
 }
@@ -131,6 +136,8 @@
     pub evidence: Evidence,
     budget: Budget,
     incarnation: u64,
+    /// The incarnation that this process began with.
+    life: u64,
     /// The clock at which this life began, which statements count from.
     began: f64,
     counter: u64,
@@ -165,6 +172,7 @@
             chance,
             statements: Statements::default(),
             incarnation: unix.max(1.0) as u64,
+            life: unix.max(1.0) as u64,
             began: now,
             counter: 0,
             version: 0,
@@ -243,7 +251,7 @@
     /// Servers that are accused, and whether it is believed.
     pub fn accused(&self, now: f64) -> Vec<Accused> {
         let ripe = now - RIPE_BEATS * self.terms.beat;
-        self.statements.accused(self.terms.liars, now - AGED_BEATS * self.terms.beat, ripe)
+        self.statements.accused(now, self.terms.liars, AGED_BEATS * self.terms.beat, ripe)
     }
 
     /// What the members say.
@@ -284,8 +292,9 @@
             author: self.id,
             incarnation: self.incarnation,
             version: self.version,
+            life: self.life,
             address: self.terms.address,
-            clock: (now - self.began).max(0.0) as u32,
+            clock: self.clock(now),
             leaves: self.leaving,
             claims: claims.clone(),
         };
@@ -293,6 +302,12 @@
         let signed = Signed::new(&statement, &self.secrets);
         let passes = self.members.passes();
         self.statements.merge(now, statement, signed, passes);
+        self.statements.clock(self.id, self.life, self.clock(now), now, now);
+    }
+
+    /// Milliseconds since this life began.
+    fn clock(&self, now: f64) -> u32 {
+        (now - self.began).max(0.0) as u32
     }
 
     /// Since when the server is accused, if this member's word for it is wanted: as many as outweigh those who
@@ -385,14 +400,18 @@
         let fresh = self.statements.fresh(self.terms.liars);
         if !fresh.is_empty() {
             for peer in self.members.some(&mut self.chance, FAN_OUT, None) {
-                self.send(now, peer, Message::Carry, Priority::News);
+                self.send(now, peer, Message::Carry, Priority::Spread);
             }
         }
+        self.ask_clocks(now);
         if let Some(target) = self.members.next(&mut self.chance) {
             let nonce = self.chance.random();
             if self.send(now, target, Message::Ping { nonce }, Priority::Probe) {
                 let until = now + self.members.patience();
-                self.pings.insert(nonce, Ping { target, until, helped: false, for_other: None });
+                self.pings.insert(
+                    nonce,
+                    Ping { target, until, asked: now, helped: false, for_clock: false, for_other: None },
+                );
             }
         }
         if self.beats.is_multiple_of(COMPARE_BEATS) {
@@ -400,6 +419,27 @@
         }
     }
 
+    /// Asks authors for their clocks where it matters how old their words are.
+    fn ask_clocks(&mut self, now: f64) {
+        let aged = AGED_BEATS * self.terms.beat;
+        let authors = self.statements.unproven(now, self.terms.liars, aged);
+        let mut asks: Vec<(bool, u32, Id)> = Vec::new();
+        for (author, accuses) in authors.into_iter().filter(|(author, _)| *author != self.id) {
+            asks.push((!accuses, self.chance.random(), author));
+        }
+        asks.sort_unstable();
+        for (_, _, target) in asks.into_iter().take(CLOCKS) {
+            let nonce = self.chance.random();
+            let Some(address) = self.members.get(target).map(|member| member.address) else { continue };
+            if self.send_with(now, address, Message::Clock { nonce }, Priority::News, Vec::new()) {
+                let until = now + self.members.patience();
+                let ping =
+                    Ping { target, until, asked: now, helped: false, for_clock: true, for_other: None };
+                self.pings.insert(nonce, ping);
+            }
+        }
+    }
+
     /// Repairs what loss hid: shows a peer what this member has of some authors, a range after the other.
     fn compare(&mut self, now: f64) {
         let Some(&peer) = self.members.some(&mut self.chance, 1, None).first() else { return };
@@ -413,7 +453,7 @@
 
     fn unanswered(&mut self, now: f64, nonce: u64) {
         let Some(ping) = self.pings.remove(&nonce) else { return };
-        if ping.for_other.is_some() {
+        if ping.for_other.is_some() || ping.for_clock {
             return;
         }
         if ping.helped {
@@ -558,10 +598,15 @@
     fn answer(&mut self, now: f64, from: SocketAddr, packet: Packet) {
         match packet.message {
             Message::Ping { nonce } => {
-                let id = self.id;
-                self.send_to(now, from, Message::Ack { nonce, of: id }, Priority::Answer);
+                let (of, life, clock) = (self.id, self.life, self.clock(now));
+                self.send_to(now, from, Message::Ack { nonce, of, life, clock }, Priority::Answer);
             }
-            Message::Ack { nonce, of } => {
+            Message::Clock { nonce } => {
+                let (of, life, clock) = (self.id, self.life, self.clock(now));
+                let answer = Message::Ack { nonce, of, life, clock };
+                self.send_with(now, from, answer, Priority::Answer, Vec::new());
+            }
+            Message::Ack { nonce, of, life, clock } => {
                 let Some(ping) = self.pings.get(&nonce) else { return };
                 // Only it can answer for itself, unless helpers were asked.
                 if of != ping.target || (packet.from != of && !ping.helped) {
@@ -569,8 +614,12 @@
                 }
                 let ping = self.pings.remove(&nonce).expect("just seen");
                 self.members.answered(now, of);
+                // A helper could say what it likes of another's clock.
+                if packet.from == of {
+                    self.statements.clock(of, life, clock, ping.asked, now);
+                }
                 if let Some((asker, nonce)) = ping.for_other {
-                    self.send_to(now, asker, Message::Ack { nonce, of }, Priority::Answer);
+                    self.send_to(now, asker, Message::Ack { nonce, of, life, clock }, Priority::Answer);
                 }
             }
             Message::PingFor { nonce, target } => {
@@ -578,7 +627,10 @@
                 if self.send(now, target, Message::Ping { nonce: own }, Priority::Answer) {
                     let until = now + self.members.patience();
                     let for_other = Some((from, nonce));
-                    self.pings.insert(own, Ping { target, until, helped: true, for_other });
+                    self.pings.insert(
+                        own,
+                        Ping { target, until, asked: now, helped: true, for_clock: false, for_other },
+                    );
                 }
             }
             Message::Compare { from: low, to, have, asks } => {
--- a/gossip/src/statements.rs
+++ b/gossip/src/statements.rs
@@ -11,17 +11,22 @@
 use std::collections::BTreeMap;
 
 use crate::keys::Id;
-use crate::wire::{Kind, Life, Signed, Statement};
+use crate::wire::{Claim, Kind, Life, Signed, Statement};
 
 /// An author's clock is known too late by as much as its quickest statement was on its way: milliseconds.
 const WAY: f64 = 1_500.0;
 
+/// A clock that was asked for stands for so many times the longest age of a statement.
+const PROVEN: f64 = 10.0;
+
 struct Held {
     statement: Statement,
     signed: Signed,
     /// The author's clock 0 on this proxy's clock, by the quickest way that any of its statements came: never
     /// earlier than it was.
     epoch: f64,
+    /// The author's clock 0 at the earliest, and when it was asked: it answered with its clock.
+    proof: Option<(f64, f64)>,
     /// How often it may still be passed on unasked.
     passes: u32,
     /// It takes back what the author's former statement vouched for.
@@ -29,6 +34,13 @@
     came: f64,
 }
 
+impl Held {
+    /// How old the statement is at the most, where that is known.
+    fn age(&self, now: f64) -> Option<f64> {
+        self.proof.map(|(earliest, _)| now - earliest - f64::from(self.statement.clock))
+    }
+}
+
 /// All statements that this member holds.
 #[derive(Default)]
 pub struct Statements {
@@ -40,6 +52,8 @@
 pub struct Accused {
     pub life: Life,
     pub accusers: usize,
+    /// Those of them whose words are known to be young enough to act.
+    pub acting: usize,
     /// Members that had an answer after enough accusations had begun.
     pub vouchers: usize,
     /// Since when, on this proxy's clock.
@@ -71,13 +85,47 @@
             let mut lives = former.statement.claims.iter().map(|claim| claim.life);
             lives.any(|life| vouches(life, &former.statement) && !vouches(life, &statement))
         });
-        let same_life = former.filter(|held| held.statement.incarnation == statement.incarnation);
+        let same_life = former.filter(|held| held.statement.life == statement.life);
         // An author's clock may run slow, or be lied about: what it says of the past is never ahead of now.
         let epoch = same_life.map_or(epoch, |held| held.epoch.min(epoch));
-        self.held.insert(statement.author, Held { statement, signed, epoch, passes, withdraws, came: now });
+        let proof = same_life.and_then(|held| held.proof);
+        self.held
+            .insert(statement.author, Held { statement, signed, epoch, proof, passes, withdraws, came: now });
         true
     }
 
+    /// The author itself, asked at `asked`, has just told its clock: so it is known not only how new, but how old what it
+    /// said can be, whoever passed it on and however late.
+    pub fn clock(&mut self, author: Id, life: u64, clock: u32, asked: f64, now: f64) {
+        let held = self.held.get_mut(&author).filter(|held| held.statement.life == life);
+        if let Some(held) = held {
+            held.epoch = held.epoch.min(now - f64::from(clock));
+            held.proof = Some((asked - f64::from(clock), asked));
+        }
+    }
+
+    /// Authors whose clocks are to be asked for, since what they say would tell whether a server is believed silent, and
+    /// whether they accuse it.
+    pub fn unproven(&self, now: f64, liars: usize, aged: f64) -> Vec<(Id, bool)> {
+        let accused = self.accused(now, liars, aged, f64::INFINITY);
+        let disputed = |life: Life| accused.iter().find(|of| of.life == life && of.accusers > liars);
+        let asked = |held: &Held| held.proof.is_some_and(|(_, asked)| now - asked < PROVEN * aged);
+        // Once enough accusations act no more are asked for: each author answers all members.
+        let accuses = |claim: &Claim| {
+            claim.kind == Kind::Silent
+                && disputed(claim.life).is_some_and(|of| of.acting <= liars + of.vouchers)
+        };
+        let vouches = |claim: &Claim| claim.kind != Kind::Silent && disputed(claim.life).is_some();
+        let mut unproven = Vec::new();
+        for (&id, held) in self.held.iter().filter(|(_, held)| !asked(held)) {
+            let claims = &held.statement.claims;
+            if claims.iter().any(|claim| accuses(claim) || vouches(claim)) {
+                unproven.push((id, claims.iter().any(accuses)));
+            }
+        }
+        unproven
+    }
+
     pub fn get(&self, author: Id) -> Option<&Statement> {
         self.held.get(&author).map(|held| &held.statement)
     }
@@ -127,14 +175,14 @@
     /// taken back first, then what was passed on least.
     pub fn fresh(&self, liars: usize) -> Vec<Id> {
         let believed: Vec<Life> = self
-            .accused(liars, f64::INFINITY, f64::INFINITY)
+            .accused(0.0, liars, f64::INFINITY, f64::INFINITY)
             .into_iter()
             .filter(|a| a.believed)
             .map(|a| a.life)
             .collect();
         let mut fresh: Vec<(bool, u32, Id)> = Vec::new();
         for (&id, held) in self.held.iter().filter(|(_, held)| held.passes > 0) {
-            let urgent = |c: &crate::wire::Claim| (c.kind == Kind::Silent) != believed.contains(&c.life);
+            let urgent = |c: &Claim| (c.kind == Kind::Silent) != believed.contains(&c.life);
             let urgent = held.withdraws || held.statement.claims.iter().any(urgent);
             fresh.push((!urgent, u32::MAX - held.passes, id));
         }
@@ -149,20 +197,23 @@
         }
     }
 
-    /// Servers' lives that anybody accuses. `liars` is how many may lie; statements older than `aged` are
-    /// passed over (infinity for none).
+    /// Servers' lives that anybody accuses. `liars` is how many may lie; what came longer than `aged` ago is passed over,
+    /// and no accusation acts that may have been said longer ago (infinity for none).
     ///
     /// Accusations that began after `ripe` are not believed yet: those who had answers are to be heard first.
-    pub fn accused(&self, liars: usize, fresh_since: f64, ripe: f64) -> Vec<Accused> {
-        let fresh = |held: &&Held| fresh_since == f64::INFINITY || held.came >= fresh_since;
-        let mut begun: BTreeMap<Life, Vec<f64>> = BTreeMap::new();
+    pub fn accused(&self, now: f64, liars: usize, aged: f64, ripe: f64) -> Vec<Accused> {
+        let fresh = |held: &&Held| aged == f64::INFINITY || now - held.came <= aged;
+        let proven = |held: &Held| aged == f64::INFINITY || held.age(now).is_some_and(|age| age <= aged);
+        let mut begun: BTreeMap<Life, (Vec<f64>, usize)> = BTreeMap::new();
         for held in self.held.values().filter(fresh).filter(|held| !held.statement.leaves) {
             for claim in held.statement.claims.iter().filter(|claim| claim.kind == Kind::Silent) {
-                begun.entry(claim.life).or_default().push(held.epoch + f64::from(claim.at));
+                let (begun, acting) = begun.entry(claim.life).or_default();
+                begun.push(held.epoch + f64::from(claim.at));
+                *acting += usize::from(proven(held));
             }
         }
         let mut all = Vec::new();
-        for (life, mut begun) in begun {
+        for (life, (mut begun, acting)) in begun {
             begun.sort_by(f64::total_cmp);
             let since = begun[liars.min(begun.len() - 1)];
             // Each voucher itself holds its answer against when the accusations began, as far as it knows, and
@@ -174,8 +225,8 @@
             };
             let vouchers = self.held.values().filter(fresh).filter(vouches).count();
             let accusers = begun.len();
-            let believed = accusers > liars + vouchers && since <= ripe;
-            all.push(Accused { life, accusers, vouchers, since, believed });
+            let believed = acting > liars + vouchers && since <= ripe;
+            all.push(Accused { life, accusers, acting, vouchers, since, believed });
         }
         all
     }
--- a/gossip/src/wire.rs
+++ b/gossip/src/wire.rs
@@ -10,7 +10,7 @@
 
 use crate::keys::{Id, Roster, SIGNATURE, Secrets, TAG};
 
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Bytes of the largest datagram, which fits any path without being cut up.
 pub const LARGEST: usize = 1200;
 /// The longest lists.
@@ -73,6 +73,8 @@
     /// Grows with each life of the member, and when it refutes its own death.
     pub incarnation: u64,
     pub version: u32,
+    /// The incarnation that this process began with: its clock counts from there.
+    pub life: u64,
     pub address: SocketAddr,
     /// The author's clock when it said this.
     pub clock: u32,
@@ -133,10 +135,12 @@
     Ping {
         nonce: u64,
     },
-    /// Answers a ping; `of` is who was reached.
+    /// Answers a ping; `of` is who was reached, with its life and its clock then.
     Ack {
         nonce: u64,
         of: Id,
+        life: u64,
+        clock: u32,
     },
     /// Please ping that one for me.
     PingFor {
@@ -157,6 +161,10 @@
     Words {
         bytes: Vec<u8>,
     },
+    /// Please answer with your clock, and carry nothing else.
+    Clock {
+        nonce: u64,
+    },
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -186,6 +194,7 @@
         let digests = match message {
             Message::Compare { have, .. } => have.len() * 25,
             Message::Words { bytes } => bytes.len(),
+            Message::Ack { .. } => 16,
             _ => 0,
         };
         80 + SIGNATURE + TAG + digests + rumours * 21
--- a/gossip/tests/stories.rs
+++ b/gossip/tests/stories.rs
@@ -165,6 +165,7 @@
         author: secrets(author).id(),
         incarnation,
         version,
+        life: incarnation,
         address: fleet::address(author),
         clock: 5_000,
         leaves: false,
@@ -174,11 +175,40 @@
     (statement, signed)
 }
 
+/// Three members say at 5 s of their clocks that a server is silent; what they say comes at 61 s here.
+#[rstest]
+#[case::said_just_now(Some(5_500), true)]
+#[case::held_back_for_a_minute(Some(60_000), false)]
+#[case::nobody_knows_how_old_it_is(None, false)]
+fn no_accusation_acts_that_may_be_older_than_stated(#[case] clock: Option<u32>, #[case] believed: bool) {
+    let mut statements = Statements::default();
+    for author in 1..=3 {
+        let (statement, signed) = statement(author, 1, 1);
+        statements.merge(61_000.0, statement, signed, 1);
+        if let Some(clock) = clock {
+            statements.clock(secrets(author).id(), 1, clock, 60_900.0, 61_000.0);
+        }
+    }
+    let accused = statements.accused(61_000.0, 2, 15_000.0, f64::INFINITY);
+    assert_eq!((accused.len(), accused[0].accusers), (1, 3));
+    assert_eq!(accused[0].believed, believed);
+    // And it ends by itself, though nobody takes it back.
+    assert!(!statements.accused(76_000.0, 2, 15_000.0, f64::INFINITY).iter().any(|of| of.believed));
+}
+
 fn packet(from: usize, counter: u64, statements: Vec<Signed>) -> Vec<u8> {
     let message = Message::Ping { nonce: 5 };
     let from_id = secrets(from).id();
-    Packet { version: 1, from: from_id, incarnation: 1, counter, message, rumours: Vec::new(), statements }
-        .seal(&secrets(from))
+    Packet {
+        version: wire::VERSION,
+        from: from_id,
+        incarnation: 1,
+        counter,
+        message,
+        rumours: Vec::new(),
+        statements,
+    }
+    .seal(&secrets(from))
 }
 
 #[test]
@@ -287,7 +317,7 @@
         let mut spent: Vec<(f64, usize)> = Vec::new();
         for (gap, bytes, priority) in asks {
             now += f64::from(gap);
-            let priority = [Priority::Answer, Priority::News, Priority::Probe, Priority::Repair][priority];
+            let priority = [Priority::Answer, Priority::News, Priority::Spread, Priority::Repair][priority];
             if budget.take(now, bytes, priority) {
                 spent.push((now, bytes));
                 let second: usize = spent.iter().filter(|s| s.0 > now - 1000.0).map(|s| s.1).sum();
