Tenants' shares are counted over the whole fleet where share_window is set

Seen: in_share (src/choice.rs) takes one proxy's traffic times the number of proxies for everyone's; with a tenth of the proxies at half of the traffic it counts a tenant over its share at those and within it at the others. Ruled out: parts by gossiped counts (over by staleness, docs/fleet.md). Stories: the module each way (within, over, not known), a share over time at one member, settings.

--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -224,7 +224,8 @@
         let terms = gossip_terms(gossip, socket.local_addr()?, plan.terms.servers.resend);
         proxy.join(Node::new(terms, secrets, roster, seed, clock.now(), unix()));
         if let Some(limits) = plan.fleet {
-            proxy.limit(limits, seed, clock.now());
+            let shares = plan.terms.terms.tenants.iter().map(|tenant| tenant.quota);
+            proxy.limit(limits, plan.names.1.iter().cloned().zip(shares), seed, clock.now());
         }
         peers = Some(socket);
     }
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -442,6 +442,8 @@
         let spread = self.time(&mut rows, "spread", Some(20.0));
         let floor = self.number(&mut rows, "floor", 0.0, 1.0, Some(0.25));
         let most = self.number(&mut rows, "most", 0.0, 1e6, Some(0.0)).filter(|_| table.contains_key("most"));
+        let shared = table.contains_key("share_window");
+        let share_window = self.time(&mut rows, "share_window", Some(1000.0)).filter(|_| shared);
         let (line, key) = (rows.line, rows.key("lease"));
         self.done(rows);
         let (window, beat, lease) = (window?, beat?, lease?);
@@ -449,7 +451,7 @@
             self.fault(line, key, format!("{lease} ms, with a beat of {beat} ms"), "two beats or more");
         }
         let loans = LoanTerms { lease, drift: drift?, spread: spread?, floor: floor? };
-        Some(LimitTerms { fleet: FleetTerms { loans, beat }, window, most })
+        Some(LimitTerms { fleet: FleetTerms { loans, beat }, window, most, share_window })
     }
 
     /// The rules of a table, into `terms`; what is left out stands as in `base`, where there is one.
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -50,7 +50,7 @@
 #[test]
 fn the_example_with_its_optional_tables_passes_too() {
     let keys = ["[", "listen", "address", "seeds", "key", "fleet_keys", "roster", "cap", "beat", "liars"];
-    let fleet = ["window", "lease", "drift", "spread", "floor", "most"];
+    let fleet = ["window", "lease", "drift", "spread", "floor", "most", "share_window"];
     let more = ["folder", "promise", "delay", "patience", "segment", "share", "probe", "setups_repeat"];
     let whole: Vec<&str> = EXAMPLE
         .lines()
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -126,12 +126,13 @@
         members.dedup();
         let mut chance = Pcg64Mcg::seed_from_u64(seed);
         let beat_at = now + terms.beat * chance.random::<f64>();
+        let unclear: BTreeSet<Id> = members.iter().copied().filter(|&member| member != id).collect();
         Self {
             id,
             life: chance.random(),
             terms,
-            unclear: members.iter().copied().filter(|&member| member != id).collect(),
-            cleared: None,
+            cleared: unclear.is_empty().then_some(now),
+            unclear,
             members,
             limits: BTreeMap::new(),
             chance,
@@ -199,6 +200,11 @@
         Some(limit.ledger.free(now))
     }
 
+    /// Whether this member knows for sure what it lent before it started.
+    pub fn is_sure(&self, now: f64, name: &str) -> bool {
+        self.limits.get(&limit_id(name)).is_some_and(|limit| limit.ledger.is_sure(now))
+    }
+
     /// A set-up goes. False where none may.
     pub fn take(&mut self, now: f64, name: &str) -> bool {
         self.limits.get_mut(&limit_id(name)).is_none_or(|limit| limit.ledger.take(now))
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -201,6 +201,11 @@
         self.sure_at = self.sure_at.min(now + self.rest);
     }
 
+    /// Whether all that an earlier life gave away has lapsed, or been let go of, and rested.
+    pub fn is_sure(&self, now: f64) -> bool {
+        now >= self.sure_at
+    }
+
     /// A lender has started again: what its earlier life lent, or was asked for, is not used any more.
     pub fn forsake(&mut self, lender: Id) {
         self.pending.remove(&lender);
--- a/lab/src/baseline.rs
+++ b/lab/src/baseline.rs
@@ -288,6 +288,12 @@
     fn suspected(&mut self, server: Server, suspicion: Option<Suspicion>) {
         pass_on!(self, suspected(server, suspicion));
     }
+    fn allotted(&mut self, server: Server, shots: Option<u32>) -> u32 {
+        pass_on!(self, allotted(server, shots))
+    }
+    fn shared(&mut self, tenant: usize, within: Option<bool>) {
+        pass_on!(self, shared(tenant, within));
+    }
     fn take(&mut self, call: &Call) -> Handle {
         pass_on!(self, take(call))
     }
--- a/proxy/src/border.rs
+++ b/proxy/src/border.rs
@@ -295,8 +295,16 @@
     }
 
     /// Holds the fleet's limits on central servers from now on, with those it gossips with; nothing where it does not.
-    pub fn limit(&mut self, terms: LimitTerms, seed: u64, now: f64) {
-        let limits = self.hands.gossip.as_ref().map(|node| FleetLimits::new(node, terms, seed, now));
+    /// `tenants` are their names and shares, as in [`FleetLimits::new`].
+    pub fn limit(
+        &mut self,
+        terms: LimitTerms,
+        tenants: impl IntoIterator<Item = (String, f64)>,
+        seed: u64,
+        now: f64,
+    ) {
+        let node = self.hands.gossip.as_ref();
+        let limits = node.map(|node| FleetLimits::new(node, terms, tenants, seed, now));
         self.hands.limits = limits;
         if let Some(limits) = &mut self.hands.limits {
             limits.listed(now, &self.hands.pool);
@@ -626,6 +634,9 @@
             redial: hints.redial,
         };
         self.hands.tally.taken += 1;
+        if let Some((limits, tenant)) = self.hands.limits.as_mut().zip(call.tenant) {
+            self.module.shared(tenant, limits.within_share(now, tenant));
+        }
         let scribe = self.hands.scribe.as_mut();
         let serial = scribe.map_or(0, |scribe| scribe.opened(now, calling, called, grade, call.tenant));
         let handle = self.module.take(&call);
--- a/proxy/src/decisions.rs
+++ b/proxy/src/decisions.rs
@@ -16,6 +16,8 @@
     fn allotted(&mut self, _server: Server, _shots: Option<u32>) -> u32 {
         0
     }
+    /// Whether a tenant's next conversation is within its share, where the fleet knows.
+    fn shared(&mut self, _tenant: usize, _within: Option<bool>) {}
     fn take(&mut self, call: &Call) -> Handle;
     fn place(&mut self, handle: Handle);
     fn stood(&mut self, handle: Handle);
@@ -45,6 +47,9 @@
     fn allotted(&mut self, server: Server, shots: Option<u32>) -> u32 {
         self.allotted(server, shots)
     }
+    fn shared(&mut self, tenant: usize, within: Option<bool>) {
+        self.shared(tenant, within);
+    }
     fn take(&mut self, call: &Call) -> Handle {
         self.take(call)
     }
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -15,6 +15,9 @@
     pub window: f64,
     /// Set-ups a second that any central server gets at the most, whatever it tells.
     pub most: Option<f64>,
+    /// Tenants' shares are counted over the whole fleet in windows of this length, in milliseconds; guessed by each proxy
+    /// where there is none.
+    pub share_window: Option<f64>,
 }
 
 /// The limits on central servers that hold for the whole fleet.
@@ -24,13 +27,44 @@
     /// Names by server, as members speak of them: one life of it.
     names: Vec<Option<String>>,
     told: Vec<Option<f64>>,
+    /// Names of tenants' shares, by tenant.
+    shares: Vec<String>,
 }
 
 impl FleetLimits {
-    /// For the member that gossips as `node`.
-    pub fn new(node: &Node, terms: LimitTerms, seed: u64, now: f64) -> Self {
-        let fleet = Fleet::new(node.id(), node.fleet(), terms.fleet, seed, now);
-        Self { fleet, terms, names: Vec::new(), told: Vec::new() }
+    /// For the member that gossips as `node`; `tenants` are their names and what is in their shares, in conversations a
+    /// second over all proxies.
+    pub fn new(
+        node: &Node,
+        terms: LimitTerms,
+        tenants: impl IntoIterator<Item = (String, f64)>,
+        seed: u64,
+        now: f64,
+    ) -> Self {
+        let mut fleet = Fleet::new(node.id(), node.fleet(), terms.fleet, seed, now);
+        let mut shares = Vec::new();
+        for (name, quota) in tenants.into_iter().take_while(|_| terms.share_window.is_some()) {
+            // No server's name ends so.
+            let name = format!("{name} (tenant)");
+            let window = terms.share_window.unwrap_or_default();
+            // Under one whole conversation in a window nobody could have any: that is guessed.
+            if quota * window >= 1000.0 {
+                fleet.limit(&name, quota, window);
+            }
+            shares.push(name);
+        }
+        Self { fleet, terms, names: Vec::new(), told: Vec::new(), shares }
+    }
+
+    /// A conversation of a tenant has come: whether it is within the tenant's share; none where that is not known, as for
+    /// a while after a start.
+    pub fn within_share(&mut self, now: f64, tenant: usize) -> Option<bool> {
+        let name = self.shares.get(tenant)?;
+        let free = self.fleet.free(now, name).filter(|_| self.fleet.is_sure(now, name))?;
+        if free == 0 {
+            self.fleet.missed(now, name, 1);
+        }
+        Some(free > 0 && self.fleet.take(now, name))
     }
 
     /// The list has changed: limits on what runs no more are withdrawn, a new life is another server.
--- a/proxy/src/watch.rs
+++ b/proxy/src/watch.rs
@@ -187,6 +187,9 @@
     fn allotted(&mut self, server: Server, shots: Option<u32>) -> u32 {
         self.module.allotted(server, shots)
     }
+    fn shared(&mut self, tenant: usize, within: Option<bool>) {
+        self.module.shared(tenant, within);
+    }
     fn take(&mut self, call: &Call) -> Handle {
         self.module.take(call)
     }
--- a/proxy/tests/stories.rs
+++ b/proxy/tests/stories.rs
@@ -3,13 +3,17 @@
 mod fixture;
 
 use border::hints::Hints;
+use border::limits::{FleetLimits, LimitTerms};
 use border::pool::{News, PoolList, Readiness, Unfit};
 use border::watch::{Differences, ToCome};
 use border::{Decisions, Side, Watched};
 use bytes::Bytes;
 use fixture::{Story, address, entry};
+use fleet::{FleetTerms, LoanTerms};
 use frostthread::Proxy;
 use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, State, Terms};
+use gossip::keys::{Roster, Secrets};
+use gossip::{GossipTerms, Node};
 use iax2::element::{self, Elements};
 use iax2::frame::kind;
 use iax2::{End, Endpoint, Happening, Limits, Media, cause};
@@ -33,6 +37,32 @@
     assert_eq!(story.proxy.conversations(), 0);
 }
 
+#[test]
+fn a_tenants_share_holds_in_every_window_and_is_not_told_before_it_is_known() {
+    let secrets = Secrets::new([7; 32], vec![[9; 32]]).expect("a key");
+    let roster = Roster::new([("p", secrets.public())]).expect("one member");
+    let gossip = GossipTerms {
+        address: address(1),
+        seeds: Vec::new(),
+        cap: 16_000.0,
+        beat: 200.0,
+        liars: 0,
+        resend: 500.0,
+    };
+    let node = Node::new(gossip, secrets, roster, 1, 0.0, 1.0);
+    let loans = LoanTerms { lease: 2000.0, drift: 0.0, spread: 0.0, floor: 1.0 };
+    let fleet = FleetTerms { loans, beat: 100.0 };
+    let terms = LimitTerms { fleet, window: 1000.0, most: None, share_window: Some(2000.0) };
+    let shares = [("gold".to_owned(), 2.0), ("under one in a window".to_owned(), 0.1)];
+    let mut limits = FleetLimits::new(&node, terms, shares, 1, 0.0);
+    assert_eq!(limits.within_share(1000.0, 0), None, "an earlier life may have used it");
+    let within: Vec<_> = (0..6).map(|_| limits.within_share(4000.0, 0) == Some(true)).collect();
+    assert_eq!(within, [true, true, true, true, false, false]);
+    assert_eq!(limits.within_share(5999.0, 0), Some(false));
+    assert_eq!(limits.within_share(6000.0, 0), Some(true));
+    assert_eq!(limits.within_share(6000.0, 1), None);
+}
+
 #[test]
 fn what_the_caller_says_of_itself_is_carried_on() {
     let mut story = Story::new();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -224,8 +224,9 @@
     /// How long a caller waits for a try, as a share of the time limit: what most ask for, and how firmly.
     patience: (f64, u32),
     numbers: HashMap<u64, Number>,
-    /// When conversations were last taken, by tenant.
+    /// When conversations were last taken, by tenant, and whether the next is within its share, where the fleet knows.
     tenants: Vec<VecDeque<f64>>,
+    shares: Vec<Option<bool>>,
 }
 
 impl Central {
@@ -378,6 +379,7 @@
         let standing = standing(&terms, shortest_quoted);
         Self {
             tenants: terms.tenants.iter().map(|_| VecDeque::new()).collect(),
+            shares: vec![None; terms.tenants.len()],
             terms,
             grades,
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -530,6 +532,12 @@
         std::mem::take(&mut central.short)
     }
 
+    /// Whether a tenant's next conversation is within its share of all proxies' traffic, or none where that is not known; to
+    /// be told before each [`Proxy::take`].
+    pub fn shared(&mut self, tenant: usize, within: Option<bool>) {
+        self.shares[tenant] = within;
+    }
+
     /// What this proxy makes of a central server, for operators to look at.
     pub fn view(&self, server: Server) -> Option<View> {
         let central = self.centrals.get(server.0 as usize)?.as_ref()?;
@@ -604,7 +612,8 @@
     }
 
     /// The part of its earnings that the tenant's next conversation may expect to keep, taking this
-    /// proxy's traffic for a fair sample of everyone's.
+    /// proxy's traffic for a fair sample of everyone's. Departure: where the fleet counts, what it says stands instead,
+    /// since traffic is uneven: busy proxies took their own for everyone's.
     fn in_share(&mut self, tenant: usize) -> f64 {
         let (now, window) = (self.now, self.window);
         let recent = &mut self.tenants[tenant];
@@ -613,7 +622,8 @@
             recent.pop_front();
         }
         let rate = recent.len() as f64 / window * 1000.0 * f64::from(self.terms.proxies);
-        let inside = (self.terms.tenants[tenant].quota / rate).min(1.0);
+        let guess = (self.terms.tenants[tenant].quota / rate).min(1.0);
+        let inside = self.shares[tenant].map_or(guess, f64::from);
         inside + (1.0 - inside) * self.terms.over_share
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -379,6 +379,29 @@
     assert!(order(rich) < order(poor), "{:?}", story.host);
 }
 
+/// The tenant's quota is tiny, so that a guess by this proxy's traffic has it far over.
+#[rstest]
+#[case::within(Some(true), true)]
+#[case::over(Some(false), false)]
+#[case::not_known(None, false)]
+fn what_the_fleet_counts_of_a_tenants_share_stands_for_the_guess(
+    #[case] within: Option<bool>,
+    #[case] goes_first: bool,
+) {
+    let mut story = Story::with(1);
+    let full: Vec<_> = (0..2).map(|_| story.call(1, 0)).collect();
+    story.proxy.shared(1, within);
+    let of_tenant = story.call_of(0, 0, 1);
+    let other = story.call_of(0, 0, 0);
+    story.pass(50.0);
+    for handle in full {
+        story.stood(handle);
+        story.pass(50.0);
+    }
+    let order = |h| story.host.shots.iter().position(|shot| shot.0 == h).unwrap_or(usize::MAX);
+    assert_eq!(order(of_tenant) < order(other), goes_first, "{:?}", story.host);
+}
+
 #[test]
 fn a_caller_that_has_gone_is_not_answered() {
     let mut story = Story::with(1);
