Drill fleet-limits: 40 processes hold one limit on six servers while links fail

Seen: what the fleet's limits hold was shown with five processes and one server only, and virtual members had no sockets. Change: drills may set a limit on each server, cut members apart (both ways or one), lose, double and hold back what they say; the witness counts set-ups by server in every second, exit code 1 with the windows named. Seen in the drill: loans were refused their renewal while any member had gone without in the last lease and rest (ledger.rs, pass(), askers), and lapsed ones rested for the longest that they could have been used (until + rest). Ruled out: the cap (13,186 of 16,000 bytes).

--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -246,6 +246,9 @@
                     words.entry(lender).or_default().push(Word::Return { limit: id, serial });
                 }
             }
+            for (lender, serial) in limit.ledger.ended(now) {
+                words.entry(lender).or_default().push(Word::Return { limit: id, serial });
+            }
             let need = limit.ledger.need(now);
             let mut asks: Vec<(Id, usize)> = limit.ledger.ending(now);
             asks.retain(|&(_, count)| need + count as isize > 0);
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -108,6 +108,8 @@
     borrowed: BTreeMap<Id, Borrowed>,
     /// What it has asked for and not heard of.
     pending: BTreeMap<Id, Pending>,
+    /// Lenders whose loans have lapsed and rested here, and are not told yet.
+    ended: BTreeSet<Id>,
     /// Lenders that left an ask unanswered to its end.
     mute: BTreeSet<Id>,
     serial: u64,
@@ -135,6 +137,7 @@
             lent: BTreeMap::new(),
             borrowed: BTreeMap::new(),
             pending: BTreeMap::new(),
+            ended: BTreeSet::new(),
             mute: BTreeSet::new(),
             serial,
             askers: BTreeMap::new(),
@@ -175,7 +178,9 @@
         for borrowed in self.borrowed.values_mut() {
             rested(&mut borrowed.used);
         }
-        self.borrowed.retain(|_, b| b.until > now || !b.used.is_empty());
+        for (lender, _) in self.borrowed.extract_if(.., |_, b| b.until <= now && b.used.is_empty()) {
+            self.ended.insert(lender);
+        }
         // Whoever had it may have used it until the very end.
         for loans in self.lent.values_mut() {
             loans.retain(|loan| loan.until + rest > now);
@@ -184,7 +189,7 @@
         for (lender, _) in self.pending.extract_if(.., |_, asked| now - asked.at >= lease) {
             self.mute.insert(lender);
         }
-        self.askers.retain(|_, asker| now - asker.at < lease + rest);
+        self.askers.retain(|_, asker| now - asker.at < rest);
     }
 
     /// Set aside for a borrower: it uses one loan at a time, whichever came to it last.
@@ -436,6 +441,17 @@
         Some(self.serial)
     }
 
+    /// Lenders whose loans have lapsed and rested here, each once, with the serial up to which nothing is used any more:
+    /// told so they need not wait for the longest that it could have been.
+    pub fn ended(&mut self, now: f64) -> Vec<(Id, u64)> {
+        self.pass(now);
+        let ended = std::mem::take(&mut self.ended);
+        // What is asked for again may be granted already.
+        let over =
+            ended.into_iter().filter(|lender| !self.awaits(*lender) && !self.borrowed.contains_key(lender));
+        over.map(|lender| (lender, self.serial)).collect()
+    }
+
     /// Lenders with more than is wanted: those that can be given back whole.
     pub fn spare(&mut self, now: f64) -> Vec<Id> {
         let mut over = -self.need(now);
--- a/fleet/tests/sum.rs
+++ b/fleet/tests/sum.rs
@@ -142,11 +142,12 @@
             Step::Lose => drop(self.letters.remove(0)),
             Step::Double => self.letters.push(self.letters[0].clone()),
             Step::GiveBack(i) => {
-                if !self.members[i].awaits(0) && self.members[i].lent_by(0, self.clock(i)) == 0 {
-                    return (false, true);
-                }
                 let now = self.clock(i);
-                let Some(serial) = self.members[i].give_back(now, 0) else { return (false, true) };
+                // What has lapsed and rested is told in the same way.
+                let ended = self.members[i].ended(now).first().map(|&(_, serial)| serial);
+                let has = self.members[i].awaits(0) || self.members[i].lent_by(0, now) > 0;
+                let given = ended.or_else(|| self.members[i].give_back(now, 0).filter(|_| has));
+                let Some(serial) = given else { return (false, true) };
                 self.letters.push(Letter::Return { from: i, life: self.lives[i], serial });
             }
             Step::Take(i) => {
--- a/lab/src/alone.rs
+++ b/lab/src/alone.rs
@@ -218,7 +218,7 @@
     let watch = Watch::new(Some(drill.seconds + longest));
     let mut callers = Callers::new(&drill, Pcg64Mcg::seed_from_u64(drill.seed));
     callers.proxies = proxies.iter().copied().map(Some).collect();
-    let mut witness = Witness::new(crate::sockets::SLACK);
+    let mut witness = Witness::new(crate::sockets::SLACK, None);
     let mut buffer = BytesMut::new();
     while !watch.over() {
         if let Some((from, bytes)) = arrival(&socket, &watch, callers.due(), &mut buffer).await {
--- a/lab/src/drill.rs
+++ b/lab/src/drill.rs
@@ -4,9 +4,12 @@
 
 use anyhow::{Context, Result, bail, ensure};
 use border::ProxyTerms;
+use border::limits::LimitTerms;
 use border::routes::{Route, Routes};
+use fleet::{FleetTerms, LoanTerms};
 use frostthread::host::{GradeTerms, TenantTerms, Terms};
 use iax2::Limits;
+use rand::Rng;
 use serde::{Deserialize, Serialize};
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -100,11 +103,24 @@
     pub cap: f64,
     /// Seconds between a proxy's looks at others.
     pub beat: f64,
+    /// Set-ups that each server may get from all proxies in any second; 0 for no such limit.
+    pub limit: usize,
+    /// Whether the proxies are told of it. Where not, the check is to catch them.
+    pub limit_told: bool,
 }
 
 impl Default for GossipPlay {
     fn default() -> Self {
-        Self { on: false, loss: 0.0, liars: 0, liars_borne: 2, cap: 16_000.0, beat: 0.2 }
+        Self {
+            on: false,
+            loss: 0.0,
+            liars: 0,
+            liars_borne: 2,
+            cap: 16_000.0,
+            beat: 0.2,
+            limit: 0,
+            limit_told: true,
+        }
     }
 }
 
@@ -187,6 +203,21 @@
     BalancerStall { part: f64, stall: f64, gap: f64 },
     /// Messages between proxies are lost.
     PeerDown {},
+    /// Such a part of the members hears nothing of the others, and they nothing of it unless the cut is one way.
+    PeerCut {
+        part: f64,
+        #[serde(default)]
+        one_way: bool,
+    },
+    /// Messages between members are lost, doubled, and held back by up to so many seconds, so that they overtake each other.
+    PeerLink {
+        #[serde(default)]
+        loss: f64,
+        #[serde(default)]
+        double: f64,
+        #[serde(default)]
+        late: f64,
+    },
     /// Processors get slower and slower, up to so many times, then crash and come back cold.
     Ageing { part: f64, factor: f64 },
     /// Such a part of set-ups is ended by a fault.
@@ -212,6 +243,12 @@
 pub const ANSWER_LEAD: f64 = 40.0;
 pub const OVER_SHARE: f64 = 0.2;
 
+/// How limits of the whole fleet are held in drills, in milliseconds. The spread is for a machine that plays many proxies.
+pub const LIMIT_WINDOW: f64 = 1_000.0;
+const LIMIT_BEAT: f64 = 100.0;
+const LEASE: f64 = 2_000.0;
+const SPREAD: f64 = 250.0;
+
 /// Work beside a conversation's set-up, in set-ups.
 pub const ANSWER_WORK: f64 = 0.2;
 pub const RELEASE_WORK: f64 = 0.2;
@@ -237,6 +274,7 @@
         match name {
             "bad-day" => Self::read(include_str!("../drills/bad-day.toml")),
             "gossip-100" => Self::read(include_str!("../drills/gossip-100.toml")),
+            "fleet-limits" => Self::read(include_str!("../drills/fleet-limits.toml")),
             "new-shape" => Self::read(include_str!("../drills/new-shape.toml")),
             "calm" => Self::read(include_str!("../drills/calm.toml")),
             file => Self::read(&std::fs::read_to_string(file).with_context(|| format!("drill {file}"))?),
@@ -325,12 +363,56 @@
         }
     }
 
-    /// When messages between proxies are all lost: from and until, in milliseconds.
-    pub fn peers_down(&self, now: f64) -> bool {
-        let down = |t: &Trouble| {
-            matches!(t.kind, Kind::PeerDown {}) && (t.at..t.at + t.lasts).contains(&(now / 1000.0))
-        };
-        self.troubles.iter().any(down)
+    /// By how many milliseconds each copy of a message between two members is held back: none is lost, one or two come.
+    pub fn peer_copies(&self, now: f64, from: usize, to: usize, chance: &mut impl Rng) -> Vec<f64> {
+        let lasts = |t: &&Trouble| (t.at..t.at + t.lasts).contains(&(now / 1000.0));
+        let mut copies = vec![0.0];
+        if chance.random::<f64>() < self.gossip.loss {
+            return Vec::new();
+        }
+        for trouble in self.troubles.iter().filter(lasts) {
+            match trouble.kind {
+                Kind::PeerDown {} => return Vec::new(),
+                Kind::PeerCut { part, one_way } => {
+                    let apart = |member: usize| (member as f64) < part * self.members() as f64;
+                    if apart(from) != apart(to) && (!one_way || apart(to)) {
+                        return Vec::new();
+                    }
+                }
+                Kind::PeerLink { loss, double, late } => {
+                    if chance.random::<f64>() < loss {
+                        return Vec::new();
+                    }
+                    if chance.random::<f64>() < double {
+                        copies.push(0.0);
+                    }
+                    copies.iter_mut().for_each(|copy| *copy += late * 1000.0 * chance.random::<f64>());
+                }
+                _ => {}
+            }
+        }
+        copies
+    }
+
+    /// What proxies hold the limit on servers by, where there is one that they are told of.
+    pub fn limit_terms(&self) -> Option<LimitTerms> {
+        let loans = LoanTerms { lease: LEASE, drift: 0.001, spread: SPREAD, floor: 0.25 };
+        let fleet = FleetTerms { loans, beat: LIMIT_BEAT };
+        let most = Some(self.gossip.limit as f64).filter(|&most| most > 0.0 && self.gossip.limit_told)?;
+        Some(LimitTerms { fleet, window: LIMIT_WINDOW, most: Some(most), share_window: None })
+    }
+
+    /// The same as settings, empty where there is none.
+    pub fn limit_settings(&self) -> String {
+        self.limit_terms().map_or(String::new(), |LimitTerms { fleet, window, most, .. }| {
+            let LoanTerms { lease, drift, spread, floor } = fleet.loans;
+            format!(
+                "\n[fleet]\nwindow = \"{window} ms\"\nbeat = \"{} ms\"\nlease = \"{lease} ms\"\ndrift = {drift:?}\n\
+                 spread = \"{spread} ms\"\nfloor = {floor:?}\nmost = {:?}\n",
+                fleet.beat,
+                most.unwrap_or_default()
+            )
+        })
     }
 
     /// What each proxy of the drill runs by.
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -223,6 +223,9 @@
     /// Of how many members it is borne that they lie
     #[arg(long)]
     liars_borne: Option<usize>,
+    /// Do not tell the proxies of the fleet's limit: the check is to catch them
+    #[arg(long)]
+    unlimited: bool,
     /// Play it again without gossip
     #[arg(long)]
     without_gossip: bool,
@@ -284,6 +287,7 @@
     drill.seconds = line.seconds.unwrap_or(drill.seconds);
     drill.seed = line.seed.unwrap_or(drill.seed);
     drill.gossip.on |= line.gossip;
+    drill.gossip.limit_told &= !line.unlimited;
     drill.gossip.loss = line.gossip_loss.unwrap_or(drill.gossip.loss);
     set(&mut drill.gossip.liars, line.liars);
     set(&mut drill.gossip.liars_borne, line.liars_borne);
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -54,6 +54,8 @@
     /// Shots at servers that had been silent for five seconds.
     pub late_shots: u64,
     pub gossip: Option<GossipSummary>,
+    /// Where each server may get so many set-ups a second from all proxies: that, the most it got, and what broke it.
+    pub limit: Option<(usize, usize, Verdict)>,
     /// Conversations a second that all servers could carry, by second.
     pub capacity: Vec<f64>,
 }
@@ -166,17 +168,24 @@
             by_second,
             late_shots: world.peers.late_shots,
             gossip: drill.gossip.on.then(|| GossipSummary::of(world)),
+            limit: (drill.gossip.limit > 0)
+                .then(|| (drill.gossip.limit, world.witness.most, world.witness.limited.clone())),
             capacity: world.capacity.clone(),
             fallen_servers: world.servers.iter().filter(|s| s.central.fallen).count(),
         }
     }
 
     pub fn broken(&self) -> u64 {
-        self.rules.iter().map(|rule| rule.verdict.broken).sum()
+        let limited = self.limit.as_ref().map_or(0, |(.., limited)| limited.broken);
+        self.rules.iter().map(|rule| rule.verdict.broken).sum::<u64>() + limited
     }
 
     /// The rules with their counts, and the first breaks in full.
     pub fn print_rules(&self) {
+        if let Some((limit, most, limited)) = &self.limit {
+            println!("limit of the fleet: at most {most} of {limit} set-ups in any second at any server");
+            limited.told.iter().for_each(|told| println!("BROKEN: {told}"));
+        }
         #[derive(Tabled)]
         struct Row {
             rule: &'static str,
--- a/lab/src/simulated.rs
+++ b/lab/src/simulated.rs
@@ -129,6 +129,9 @@
         let mut core = Core::deciding(module, self.terms.clone(), seed, self.now);
         if self.world.drill.gossip.on {
             core.join(self.node(proxy));
+            if let Some(terms) = self.world.drill.limit_terms() {
+                core.limit(terms, [], seed, self.now);
+            }
         }
         let seat = &mut self.seats[proxy];
         if let Ok(news) = PoolList::from_cache(&seat.cache) {
@@ -208,17 +211,15 @@
     fn pass(&mut self, from: usize, to: SocketAddr, bytes: Bytes) {
         let now = self.now;
         self.world.peers.sent(now, from, bytes.len());
-        let lost = self.chance.random::<f64>() < self.world.drill.gossip.loss;
-        if lost || self.world.drill.peers_down(now) {
-            return;
+        let (to, sender) = (index(to), address(PEERS, from));
+        for late in self.world.drill.peer_copies(now, from, to, &mut self.chance) {
+            let at = now + late + PEER_WAY * (0.2 + 1.8 * self.chance.random::<f64>());
+            let what = match self.seats.get(to) {
+                Some(seat) => Come::Proxy(to, seat.life, at, Side::Peers, sender, bytes.clone()),
+                None => Come::Liar(to, sender, bytes.to_vec()),
+            };
+            self.come(at, what);
         }
-        let (to, from) = (index(to), address(PEERS, from));
-        let at = now + PEER_WAY * (0.2 + 1.8 * self.chance.random::<f64>());
-        let what = match self.seats.get(to) {
-            Some(seat) => Come::Proxy(to, seat.life, at, Side::Peers, from, bytes),
-            None => Come::Liar(to, from, bytes.to_vec()),
-        };
-        self.come(at, what);
     }
 
     fn play(&mut self) {
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -330,7 +330,7 @@
         let seeds: Vec<String> = terms.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
         Ok(format!(
             "\n[gossip]\nlisten = \"127.0.0.1:0\"\naddress = \"{}\"\nseeds = [{}]\nkey = {key:?}\nfleet_keys = [{:?}]\n\
-             roster = {:?}\ncap = {}\nbeat = \"{} ms\"\nliars = {}\n",
+             roster = {:?}\ncap = {}\nbeat = \"{} ms\"\nliars = {}\n{}",
             terms.address,
             seeds.join(", "),
             folder.join("fleet.key"),
@@ -338,24 +338,28 @@
             terms.cap,
             terms.beat,
             terms.liars,
+            self.world.drill.limit_settings(),
         ))
     }
 
     /// Passes a message on between members, or loses it.
     fn pass(&mut self, from: usize, to: usize, bytes: &Bytes) {
-        if self.chance.random::<f64>() < self.world.drill.gossip.loss
-            || self.world.drill.peers_down(self.now())
-        {
-            return;
-        }
-        match self.seats.get(to) {
-            // The other one sees it come from the address that it knows the sender by.
-            Some(Seat { peers: Some(peer), .. }) => drop(self.switch[from].try_send_to(bytes, *peer)),
-            Some(_) => {}
-            None => {
-                let now = self.now();
-                self.liars.receive(now, to, self.switched[from], bytes);
-                self.hear_liars();
+        let now = self.now();
+        for late in self.world.drill.peer_copies(now, from, to, &mut self.chance) {
+            match self.seats.get(to) {
+                // The other one sees it come from the address that it knows the sender by.
+                Some(Seat { peers: Some(peer), .. }) => {
+                    let (socket, peer, bytes) = (self.switch[from].clone(), *peer, bytes.clone());
+                    tokio::spawn(async move {
+                        tokio::time::sleep(Duration::from_secs_f64(late / 1000.0)).await;
+                        let _ = socket.try_send_to(&bytes, peer);
+                    });
+                }
+                Some(_) => {}
+                None => {
+                    self.liars.receive(now, to, self.switched[from], bytes);
+                    self.hear_liars();
+                }
             }
         }
     }
--- a/lab/src/witness.rs
+++ b/lab/src/witness.rs
@@ -16,7 +16,7 @@
 use iax2::frame::{self, Frame, Full, control, iax, kind};
 use serde::Serialize;
 
-use crate::drill::{COLD, DRAIN_GRACE, FALL_MULTIPLE, FALL_SPAN, RELEASE};
+use crate::drill::{COLD, DRAIN_GRACE, FALL_MULTIPLE, FALL_SPAN, LIMIT_WINDOW, RELEASE};
 
 /// Most breaks of a rule that are told in full.
 const MOST_TOLD: usize = 5;
@@ -72,6 +72,12 @@
     /// By proxy and server name: since when it has been told not to send there.
     closed: HashMap<(usize, String), f64>,
     arrivals: Vec<VecDeque<f64>>,
+    /// Set-ups that each server may get in any window of [`LIMIT_WINDOW`], if there is a limit; the last window's by server;
+    /// and the most that any had.
+    limit: Option<usize>,
+    windows: Vec<VecDeque<f64>>,
+    pub most: usize,
+    pub limited: Verdict,
     pub verdicts: [Verdict; 5],
     /// Set-ups that reached servers, copies of them, and NEWs so late that their wait could not be known.
     pub setups: u64,
@@ -117,7 +123,8 @@
 }
 
 impl Witness {
-    pub fn new(slack: f64) -> Self {
+    /// `limit` is how many set-ups each server may get from all proxies in any window, if it is to be checked.
+    pub fn new(slack: f64, limit: Option<usize>) -> Self {
         Self {
             slack,
             asked: BTreeMap::new(),
@@ -127,6 +134,10 @@
             of_try: HashMap::new(),
             closed: HashMap::new(),
             arrivals: Vec::new(),
+            limit,
+            windows: Vec::new(),
+            most: 0,
+            limited: Verdict::default(),
             verdicts: Default::default(),
             setups: 0,
             copies: 0,
@@ -309,11 +320,35 @@
             let late = now - since;
             self.broken_for(3, number, &format!("shot at {} {late:.0} ms after it was told", facts.name));
         }
+        self.count(now, key.0, facts.name);
         if now - facts.started < COLD {
             self.cold_setup(now, key.0, facts);
         }
     }
 
+    fn count(&mut self, now: f64, server: usize, name: &str) {
+        let Some(limit) = self.limit else { return };
+        if self.windows.len() <= server {
+            self.windows.resize_with(server + 1, VecDeque::new);
+        }
+        let window = &mut self.windows[server];
+        window.push_back(now);
+        while window.front().is_some_and(|&at| at <= now - LIMIT_WINDOW) {
+            window.pop_front();
+        }
+        let came = window.len();
+        self.most = self.most.max(came);
+        self.limited.checked += 1;
+        if came > limit {
+            self.limited.broken += 1;
+            if self.limited.told.len() < MOST_TOLD {
+                self.limited.told.push(format!(
+                    "{name} had {came} set-ups in the window that ends at {now:.0} ms, {limit} allowed"
+                ));
+            }
+        }
+    }
+
     fn cold_setup(&mut self, now: f64, server: usize, facts: &ServerFacts) {
         if self.arrivals.len() <= server {
             self.arrivals.resize_with(server + 1, VecDeque::new);
@@ -362,8 +397,10 @@
         let mut there: Vec<_> = self.shots.keys().filter(|key| key.0 == server).copied().collect();
         there.sort_unstable();
         there.into_iter().for_each(|key| self.shot_over(now, key, false));
-        if let Some(arrivals) = self.arrivals.get_mut(server) {
-            arrivals.clear();
+        for of in [&mut self.arrivals, &mut self.windows] {
+            if let Some(of) = of.get_mut(server) {
+                of.clear();
+            }
         }
     }
 
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -149,7 +149,7 @@
             servers,
             callers: Callers::new(&drill, own()),
             link: Link::new(drill.link, own()),
-            witness: Witness::new(slack),
+            witness: Witness::new(slack, (drill.gossip.limit > 0).then_some(drill.gossip.limit)),
             feed: None,
             flights: BinaryHeap::new(),
             cargo: HashMap::new(),
@@ -546,7 +546,7 @@
                 }
             }
             // Whoever carries the proxies' messages looks it up in the drill.
-            Kind::PeerDown {} => {}
+            Kind::PeerDown {} | Kind::PeerCut { .. } | Kind::PeerLink { .. } => {}
             Kind::Ageing { part, factor } => {
                 for server in self.some_servers(part) {
                     self.servers[server].central.ageing = (at, until, factor);
--- a/lab/tests/rules.rs
+++ b/lab/tests/rules.rs
@@ -133,7 +133,7 @@
     let (proxy, caller) =
         ("127.0.0.1:9".parse().expect("an address"), "127.0.0.1:8".parse().expect("an address"));
     let facts = ServerFacts { name: "central-0", started: f64::NEG_INFINITY, capacity: 10.0 };
-    let mut witness = Witness::new(0.0);
+    let mut witness = Witness::new(0.0, None);
     witness.from_caller(0.0, caller, &new(1, 5), |_| (0, 3000.0));
     witness.to_server(10.0, 0, proxy, &new(2, 5), &facts);
     witness.to_server(510.0, 0, proxy, &new(2, 5), &facts);
@@ -146,7 +146,7 @@
 #[test]
 fn answered_twice_breaks_the_first_rule() {
     let proxy = "127.0.0.1:9".parse().expect("an address");
-    let mut witness = Witness::new(0.0);
+    let mut witness = Witness::new(0.0, None);
     witness.from_caller(0.0, proxy, &new(1, 5), |_| (0, 3000.0));
     let end = |oseq, subclass| {
         let body = Bytes::new();
