--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,5 +1,6 @@
 //! The border proxy as a daemon: [`settings`] reads and checks its file, [`run`] drives it on sockets,
-//! [`serve`] does the same where the platform's protocol is spoken, [`control`] is the socket that operators ask.
+//! [`serve`] does the same where the platform's protocol is spoken, [`control`] is the socket that operators
+//! ask.
 
 #![forbid(unsafe_code)]
 
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -1,5 +1,5 @@
-//! Drives one border proxy where the platform's protocol is spoken: connections, the change log, the clock and
-//! signals in; bytes out. Nothing is decided here. [`serve`] runs it as the platform starts it.
+//! Drives one border proxy where the platform's protocol is spoken: connections, the change log, the clock
+//! and signals in; bytes out. Nothing is decided here. [`serve`] runs it as the platform starts it.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -29,8 +29,8 @@
 const BATCH: usize = 128;
 /// Bytes that wait for a connection which does not read; past that it is closed.
 const OUTBOX: usize = 256 * 1024;
-/// A connection that was dismissed reads on for so long, and no more than so many bytes, so that what it was told
-/// last is not lost with what it still sends.
+/// A connection that was dismissed reads on for so long, and no more than so many bytes, so that what it was
+/// told last is not lost with what it still sends.
 const DISMISSED: Duration = Duration::from_millis(2000);
 const DISCARDED: usize = 128 << 20;
 /// Between two looks after accepting failed, as it does without descriptors.
--- a/daemon/src/watch_log.rs
+++ b/daemon/src/watch_log.rs
@@ -1,4 +1,5 @@
-//! Follows the change log over HTTP for as long as the proxy lives: asked again whenever it breaks or says nothing.
+//! Follows the change log over HTTP for as long as the proxy lives: asked again whenever it breaks or says
+//! nothing.
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -1,5 +1,5 @@
-//! Five processes of the program hold one limit together while links between them fail and they are killed, stopped and
-//! started again. What counts is what came to the central server's socket.
+//! Five processes of the program hold one limit together while links between them fail and they are killed,
+//! stopped and started again. What counts is what came to the central server's socket.
 
 use std::collections::HashMap;
 use std::fs;
--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -240,7 +240,8 @@
     })
 }
 
-/// Starts `serve` as the deploy file's `run` does, by a shell that makes way for it, with a folder of its own for files.
+/// Starts `serve` as the deploy file's `run` does, by a shell that makes way for it, with a folder of its own
+/// for files.
 fn serve(folder: &Path, configuration: &str) -> Command {
     let file = folder.join("config.json");
     fs::write(&file, configuration).expect("written");
--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -112,8 +112,8 @@
 }
 
 impl Fleet {
-    /// `members` are all that belong to the fleet, this one too: the same at each of them. Start it with the process,
-    /// since it waits out what an earlier life of this member may have lent.
+    /// `members` are all that belong to the fleet, this one too: the same at each of them. Start it with the
+    /// process, since it waits out what an earlier life of this member may have lent.
     pub fn new(
         id: Id,
         members: impl IntoIterator<Item = Id>,
@@ -159,7 +159,8 @@
         }
     }
 
-    /// A limit for the whole fleet: so many set-ups a second, whole ones in each window. False where there are too many.
+    /// A limit for the whole fleet: so many set-ups a second, whole ones in each window. False where there
+    /// are too many.
     pub fn limit(&mut self, name: &str, rate: f64, window: f64) -> bool {
         let id = limit_id(name);
         let permits = (rate.max(0.0) * window / 1000.0).min(f64::from(u16::MAX)) as usize;
@@ -258,7 +259,8 @@
                 for (rank, &lender) in
                     limit.ranks.iter().enumerate().filter(|(_, lender)| **lender != self.id)
                 {
-                    // Those that said they can, then those of whom nothing is known, in an order drawn by chance.
+                    // Those that said they can, then those of whom nothing is known, in an order drawn by
+                    // chance.
                     let left = limit.left.get(&lender).map(|&(left, _)| left);
                     if limit.part_at(rank) > 0 && left != Some(0) && !limit.ledger.awaits(lender) {
                         lenders.push((left.is_none(), self.chance.random(), lender));
@@ -267,7 +269,8 @@
                 lenders.sort_unstable();
                 lenders.truncate(ASKED);
                 let each = (need as usize).div_ceil(lenders.len().max(1));
-                // A later loan takes the place of an earlier one of the same lender, so that is asked for with it.
+                // A later loan takes the place of an earlier one of the same lender, so that is asked for
+                // with it.
                 for (_, _, lender) in lenders {
                     asks.retain(|(other, _)| *other != lender);
                     asks.push((lender, limit.ledger.lent_by(lender, now) + each));
@@ -378,8 +381,8 @@
     }
 }
 
-/// The members in an order of their own for each limit, so that the odd permits of many limits do not all fall to the
-/// same ones.
+/// The members in an order of their own for each limit, so that the odd permits of many limits do not all
+/// fall to the same ones.
 fn ranks(members: &[Id], limit: LimitId) -> Vec<Id> {
     let drawn = |id: Id| {
         let mut hasher = SipHasher13::new_with_keys(limit, id);
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -1,11 +1,11 @@
 //! One limit at one member: the permits that it has a part of, has lent and has borrowed. No I/O.
 //!
-//! A limit of `n` set-ups in any window is `n` permits; one that was used rests for a window. Each member has a part of
-//! its own for good ([`Ledger::set_part`]) and may lend of it. [`Ledger::take`] uses a permit, if one is free.
-//! [`Ledger::ask`], [`Ledger::asked`], [`Ledger::granted`], [`Ledger::give_back`] and [`Ledger::returned`] move permits
-//! between two members: whoever lends lets go first, and what is lent lapses by itself on both clocks, on the taker's
-//! first. docs/fleet.md proves that all members together never pass the limit. Times are milliseconds on the member's
-//! own clock.
+//! A limit of `n` set-ups in any window is `n` permits; one that was used rests for a window. Each member has
+//! a part of its own for good ([`Ledger::set_part`]) and may lend of it. [`Ledger::take`] uses a permit, if
+//! one is free. [`Ledger::ask`], [`Ledger::asked`], [`Ledger::granted`], [`Ledger::give_back`] and
+//! [`Ledger::returned`] move permits between two members: whoever lends lets go first, and what is lent
+//! lapses by itself on both clocks, on the taker's first. docs/fleet.md proves that all members together
+//! never pass the limit. Times are milliseconds on the member's own clock.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -117,15 +117,16 @@
     askers: BTreeMap<Id, Asker>,
     /// Where others go without, this member's own use and a loan take turns.
     own_turn: bool,
-    /// Set-ups that went or found no permit over a lease and a rest, in a few spans: what is lent is missing for so long.
+    /// Set-ups that went or found no permit over a lease and a rest, in a few spans: what is lent is missing
+    /// for so long.
     demand: VecDeque<(f64, usize)>,
     /// Set-ups that found no permit over a rest, in a few spans.
     short: VecDeque<(f64, usize)>,
 }
 
 impl Ledger {
-    /// `began` is when the process started: what it lent in an earlier life lapses from then on. `serial` is drawn by
-    /// chance, so that what was meant for an earlier life is not taken for this one's.
+    /// `began` is when the process started: what it lent in an earlier life lapses from then on. `serial` is
+    /// drawn by chance, so that what was meant for an earlier life is not taken for this one's.
     pub fn new(terms: LoanTerms, window: f64, began: f64, serial: u64) -> Self {
         Self {
             terms,
@@ -201,7 +202,8 @@
         self.lent.values().map(|loans| Self::set_aside(loans)).sum()
     }
 
-    /// All members have let go of what an earlier life of this one lent them; they may have used it just before.
+    /// All members have let go of what an earlier life of this one lent them; they may have used it just
+    /// before.
     pub fn cleared(&mut self, now: f64) {
         self.sure_at = self.sure_at.min(now + self.rest);
     }
@@ -230,9 +232,10 @@
         own.saturating_sub(self.lent() + self.used.len() + self.promised())
     }
 
-    /// Kept free for whoever has no permit at all, where it is not this member's own turn: else those, as where there are
-    /// fewer permits than members, would never get any from members that have demand of their own. Never of the
-    /// floor. Costs what lies idle until one asks again; such as ask without need take every other permit at most.
+    /// Kept free for whoever has no permit at all, where it is not this member's own turn: else those, as
+    /// where there are fewer permits than members, would never get any from members that have demand of their
+    /// own. Never of the floor. Costs what lies idle until one asks again; such as ask without need take
+    /// every other permit at most.
     fn promised(&self) -> usize {
         let waits = !self.own_turn && self.askers.values().any(|asker| asker.bare);
         usize::from(waits && self.part > self.floor())
@@ -301,8 +304,8 @@
         rests.chain(sure).chain(lapses).filter(|&at| at > now).fold(f64::INFINITY, f64::min)
     }
 
-    /// How many permits more than it has would serve what was lately wanted, one to spare; less than none where it
-    /// has more.
+    /// How many permits more than it has would serve what was lately wanted, one to spare; less than none
+    /// where it has more.
     pub fn need(&mut self, now: f64) -> isize {
         self.pass(now);
         let has = self.own_free(now) + self.used.len();
@@ -326,8 +329,8 @@
         self.pending.contains_key(&lender)
     }
 
-    /// Whether a lender's answers may not come through, as where a link is cut one way: it is asked for nothing first, since
-    /// what it grants would lie idle there.
+    /// Whether a lender's answers may not come through, as where a link is cut one way: it is asked for
+    /// nothing first, since what it grants would lie idle there.
     pub fn is_mute(&self, lender: Id) -> bool {
         self.mute.contains(&lender)
     }
@@ -349,8 +352,8 @@
         self.serial
     }
 
-    /// What was asked a while ago, or said again, and not answered: lenders, serials and how many were wanted. To be
-    /// said again just so, since a grant that was lost lies idle at the lender.
+    /// What was asked a while ago, or said again, and not answered: lenders, serials and how many were
+    /// wanted. To be said again just so, since a grant that was lost lies idle at the lender.
     pub fn unanswered(&mut self, now: f64, gap: f64) -> Vec<(Id, u64, usize)> {
         let until = 0.5 * self.terms.usable(self.terms.lease);
         let late = |asked: &&mut Pending| now - asked.said >= gap && now - asked.at < until;
@@ -364,8 +367,8 @@
         again
     }
 
-    /// Another asks for permits: gives how many it is lent, which may be none, and how many more could be. From now on
-    /// they are not used here until they have lapsed and rested.
+    /// Another asks for permits: gives how many it is lent, which may be none, and how many more could be.
+    /// From now on they are not used here until they have lapsed and rested.
     pub fn asked(
         &mut self,
         now: f64,
@@ -384,8 +387,8 @@
         let keep = self.floor().max(self.used.len()).max(self.usual().min(self.part - self.promised()));
         let room = if now >= self.sure_at { self.part.saturating_sub(keep) } else { 0 };
         let left = room.saturating_sub(others);
-        // What many want is shared evenly, but a loan in use goes on: one that lapses rests before another has it. Only who
-        // has no permit at all goes before that.
+        // What many want is shared evenly, but a loan in use goes on: one that lapses rests before another
+        // has it. Only who has no permit at all goes before that.
         let others_short = |bare: bool| {
             let waits = |(id, asker): &(&Id, &Asker)| **id != from.0 && asker.short && (asker.bare || !bare);
             self.askers.iter().filter(waits).count()
@@ -413,7 +416,8 @@
         (count, left.saturating_sub(count))
     }
 
-    /// A lender's answer. False where nothing of the kind was asked, or it comes too late: nothing changes then.
+    /// A lender's answer. False where nothing of the kind was asked, or it comes too late: nothing changes
+    /// then.
     pub fn granted(&mut self, now: f64, lender: Id, serial: u64, count: usize, lease: f64) -> bool {
         let Some(&Pending { at, .. }) = self.pending.get(&lender).filter(|asked| asked.serial == serial)
         else {
@@ -430,8 +434,8 @@
         true
     }
 
-    /// Lets go of what a lender lent, before it is told so: gives the serial up to which all is given back. None where
-    /// it was used and has not rested since: the lender could use it at once.
+    /// Lets go of what a lender lent, before it is told so: gives the serial up to which all is given back.
+    /// None where it was used and has not rested since: the lender could use it at once.
     pub fn give_back(&mut self, now: f64, lender: Id) -> Option<u64> {
         self.pass(now);
         if self.borrowed.get(&lender).is_some_and(|borrowed| !borrowed.used.is_empty()) {
@@ -441,8 +445,8 @@
         Some(self.serial)
     }
 
-    /// Lenders whose loans have lapsed and rested here, each once, with the serial up to which nothing is used any more:
-    /// told so they need not wait for the longest that it could have been.
+    /// Lenders whose loans have lapsed and rested here, each once, with the serial up to which nothing is
+    /// used any more: told so they need not wait for the longest that it could have been.
     pub fn ended(&mut self, now: f64) -> Vec<(Id, u64)> {
         self.pass(now);
         let ended = std::mem::take(&mut self.ended);
@@ -465,7 +469,8 @@
         spare
     }
 
-    /// A borrower has let go of all that it was lent up to a serial, which had rested there ([`Ledger::give_back`]).
+    /// A borrower has let go of all that it was lent up to a serial, which had rested there
+    /// ([`Ledger::give_back`]).
     pub fn returned(&mut self, now: f64, from: Borrower, serial: u64) {
         for loan in self.lent.get_mut(&from).into_iter().flatten().filter(|loan| loan.serial <= serial) {
             loan.until = loan.until.min(now - self.rest);
--- a/fleet/src/wire.rs
+++ b/fleet/src/wire.rs
@@ -1,10 +1,11 @@
-//! What members say to each other of limits, in postcard's compact encoding. Who says it is proved by what carries it.
+//! What members say to each other of limits, in postcard's compact encoding. Who says it is proved by what
+//! carries it.
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// The most words of one message, and its bytes: with the longest words and all the rumours that a packet takes along it
-/// stays under what is read as a packet.
+/// The most words of one message, and its bytes: with the longest words and all the rumours that a packet
+/// takes along it stays under what is read as a packet.
 pub const MOST_WORDS: usize = 20;
 pub const LARGEST: usize = 800;
 
@@ -35,8 +36,8 @@
     Words,
 }
 
-/// `life` is the speaker's process: what was lent to an earlier one is not this one's. It is drawn at the start, and no
-/// incarnation of the gossip's, which a member raises whenever others doubt it.
+/// `life` is the speaker's process: what was lent to an earlier one is not this one's. It is drawn at the
+/// start, and no incarnation of the gossip's, which a member raises whenever others doubt it.
 pub fn write(life: u64, words: &[Word]) -> Vec<u8> {
     postcard::to_stdvec(&(life, words)).expect("plain data")
 }
--- a/fleet/tests/net/mod.rs
+++ b/fleet/tests/net/mod.rs
@@ -1,4 +1,5 @@
-//! Members on one virtual clock, each with a clock of its own that runs fast or slow, and the network between them.
+//! Members on one virtual clock, each with a clock of its own that runs fast or slow, and the network between
+//! them.
 
 use std::collections::BTreeMap;
 
--- a/fleet/tests/stories.rs
+++ b/fleet/tests/stories.rs
@@ -1,4 +1,5 @@
-//! Members of a fleet hold one limit together while the network between them fails, members die and clocks differ.
+//! Members of a fleet hold one limit together while the network between them fails, members die and clocks
+//! differ.
 
 mod net;
 
@@ -130,8 +131,8 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 40, failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Losses, doubling, late letters, cuts one way and both, restarts, stops, clocks that differ and demand that moves:
-    /// no window ever has more than the limit.
+    /// Losses, doubling, late letters, cuts one way and both, restarts, stops, clocks that differ and demand
+    /// that moves: no window ever has more than the limit.
     #[test]
     fn whatever_fails_the_sum_holds(seed: u64, rate in 3.0f64..60.0, members in 2usize..12) {
         let mut net = Net::new(members, rate, seed);
--- a/fleet/tests/sum.rs
+++ b/fleet/tests/sum.rs
@@ -1,5 +1,5 @@
-//! The sum over all members never passes the limit: every order of what can happen, to a stated depth, and long random
-//! ones. Three faults put in on purpose are each found by the same search.
+//! The sum over all members never passes the limit: every order of what can happen, to a stated depth, and
+//! long random ones. Three faults put in on purpose are each found by the same search.
 
 use fleet::LoanTerms;
 use fleet::ledger::Ledger;
--- a/gossip/src/budget.rs
+++ b/gossip/src/budget.rs
@@ -1,24 +1,25 @@
 //! Shares out a hard cap of bytes a second among background work by priority. Nothing in it is about gossip.
 //!
 //! Ask [`Budget::take`] before each piece of work; what is refused waits for a later beat. Any one second,
-//! wherever it begins, holds at most the cap: the bucket holds [`BURST`] of it and fills with less than the rest,
-//! so that packets which bunch up a little on their way do not break it either.
+//! wherever it begins, holds at most the cap: the bucket holds [`BURST`] of it and fills with less than the
+//! rest, so that packets which bunch up a little on their way do not break it either.
 
 /// The part of the cap that can be spent at once.
 const BURST: f64 = 0.2;
-/// The part of the cap that comes in each second. With the burst it makes up 0.95 of the cap: what is sent within
-/// 1.07 s may be seen within one.
+/// The part of the cap that comes in each second. With the burst it makes up 0.95 of the cap: what is sent
+/// within 1.07 s may be seen within one.
 const FILL: f64 = 0.75;
 
-/// What the work is for; the first goes first. Each may only spend while so much of the bucket is left, so that
-/// the less urgent cannot starve the more urgent.
+/// What the work is for; the first goes first. Each may only spend while so much of the bucket is left, so
+/// that the less urgent cannot starve the more urgent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Priority {
     /// Answers that somebody waits for.
     Answer,
     /// What changes a decision here or at one other.
     News,
-    /// The regular look at others, which carries news along. Behind what only spreads news it starved while much was new.
+    /// The regular look at others, which carries news along. Behind what only spreads news it starved while
+    /// much was new.
     Probe,
     /// News pushed to any others.
     Spread,
--- a/gossip/src/members.rs
+++ b/gossip/src/members.rs
@@ -1,9 +1,10 @@
 //! Who is there: SWIM with Lifeguard's lessons, without I/O.
 //!
-//! A member is looked at in turn; one that answers neither directly nor through helpers is suspected, and dead
-//! when it does not speak up in time. Only a member itself can raise its incarnation, so that no rumour brings
-//! back the dead and none kills for good: [`better`] is the whole of the merge, and any order, loss or doubling
-//! of the same rumours gives the same view. A member that finds itself slow waits longer before it doubts others.
+//! A member is looked at in turn; one that answers neither directly nor through helpers is suspected, and
+//! dead when it does not speak up in time. Only a member itself can raise its incarnation, so that no rumour
+//! brings back the dead and none kills for good: [`better`] is the whole of the merge, and any order, loss or
+//! doubling of the same rumours gives the same view. A member that finds itself slow waits longer before it
+//! doubts others.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -53,7 +54,8 @@
         Self { own, members: BTreeMap::new(), round: Vec::new(), doubt: 0, beat, fleet }
     }
 
-    /// What is thought of whoever is at the address, if it is no good: told to itself, so that it can refute it.
+    /// What is thought of whoever is at the address, if it is no good: told to itself, so that it can refute
+    /// it.
     pub fn doubted_at(&self, address: SocketAddr) -> Option<Rumour> {
         let mut doubted =
             self.members.iter().filter(|(_, m)| m.address == address && m.standing != Standing::Alive);
@@ -172,8 +174,8 @@
         }
     }
 
-    /// The next to look at: all in turn, in an order drawn anew each round. The dead are looked at too, one in
-    /// a while, so that two halves of a fleet that were cut apart find each other again.
+    /// The next to look at: all in turn, in an order drawn anew each round. The dead are looked at too, one
+    /// in a while, so that two halves of a fleet that were cut apart find each other again.
     pub fn next(&mut self, chance: &mut impl Rng) -> Option<Id> {
         loop {
             if self.round.is_empty() {
--- a/gossip/src/node.rs
+++ b/gossip/src/node.rs
@@ -17,7 +17,8 @@
 
 /// Helpers asked to reach one that does not answer.
 const HELPERS: usize = 3;
-/// Authors that are asked for their clocks at once, in a beat, where a server's standing hangs on what they say.
+/// Authors that are asked for their clocks at once, in a beat, where a server's standing hangs on what they
+/// say.
 const CLOCKS: usize = 4;
 /// Others that news is pushed to at each beat.
 const FAN_OUT: usize = 2;
@@ -216,8 +217,8 @@
         self.budget.refused()
     }
 
-    /// Goes on with other keys, as in a rotation; whoever is no more in the roster is forgotten with all that it
-    /// said. Its own key must be the same: another would be another member.
+    /// Goes on with other keys, as in a rotation; whoever is no more in the roster is forgotten with all that
+    /// it said. Its own key must be the same: another would be another member.
     pub fn rekey(&mut self, secrets: Secrets, roster: Roster) {
         if secrets.id() != self.id {
             return;
@@ -310,8 +311,8 @@
         (now - self.began).max(0.0) as u32
     }
 
-    /// Since when the server is accused, if this member's word for it is wanted: as many as outweigh those who
-    /// accuse are enough, and those who spoke up stand by it.
+    /// Since when the server is accused, if this member's word for it is wanted: as many as outweigh those
+    /// who accuse are enough, and those who spoke up stand by it.
     fn to_vouch(&self, accused: &[Accused], life: Life) -> Option<f64> {
         let of = accused.iter().find(|of| of.life == life)?;
         let spoke = self.said.as_ref().is_some_and(|(said, _)| {
@@ -391,7 +392,8 @@
             }
         } else if self.beats.is_multiple_of(SEED_BEATS) && self.members.all().count() + 1 < self.roster.len()
         {
-            // Groups that came together by different seeds know nothing of each other until one asks a seed again.
+            // Groups that came together by different seeds know nothing of each other until one asks a seed
+            // again.
             if let Some(&seed) = seeds.choose(&mut self.chance) {
                 let nonce = self.chance.random();
                 self.send_to(now, seed, Message::Ping { nonce }, Priority::Repair);
--- a/gossip/src/statements.rs
+++ b/gossip/src/statements.rs
@@ -5,8 +5,8 @@
 //!
 //! **Believing.** A server's life is believed silent when more members accuse it than `liars` and all those
 //! together that had an answer after the first `liars + 1` accusations had begun. So at most `liars` who lie
-//! cannot get a server shunned unless more honest members accuse it than vouch for it; and they cannot save one
-//! that more than twice as many honest members accuse and none vouches for. docs/gossip.md has the proof.
+//! cannot get a server shunned unless more honest members accuse it than vouch for it; and they cannot save
+//! one that more than twice as many honest members accuse and none vouches for. docs/gossip.md has the proof.
 
 use std::collections::BTreeMap;
 
@@ -94,8 +94,8 @@
         true
     }
 
-    /// The author itself, asked at `asked`, has just told its clock: so it is known not only how new, but how old what it
-    /// said can be, whoever passed it on and however late.
+    /// The author itself, asked at `asked`, has just told its clock: so it is known not only how new, but how
+    /// old what it said can be, whoever passed it on and however late.
     pub fn clock(&mut self, author: Id, life: u64, clock: u32, asked: f64, now: f64) {
         let held = self.held.get_mut(&author).filter(|held| held.statement.life == life);
         if let Some(held) = held {
@@ -104,8 +104,8 @@
         }
     }
 
-    /// Authors whose clocks are to be asked for, since what they say would tell whether a server is believed silent, and
-    /// whether they accuse it.
+    /// Authors whose clocks are to be asked for, since what they say would tell whether a server is believed
+    /// silent, and whether they accuse it.
     pub fn unproven(&self, now: f64, liars: usize, aged: f64) -> Vec<(Id, bool)> {
         let accused = self.accused(now, liars, aged, f64::INFINITY);
         let disputed = |life: Life| accused.iter().find(|of| of.life == life && of.accusers > liars);
@@ -171,8 +171,8 @@
             .any(|(id, incarnation, version)| held(id).is_none_or(|held| held < (*incarnation, *version)))
     }
 
-    /// Authors whose statements are still to be passed on: accusations of what is not believed yet and vouching that is
-    /// taken back first, then what was passed on least.
+    /// Authors whose statements are still to be passed on: accusations of what is not believed yet and
+    /// vouching that is taken back first, then what was passed on least.
     pub fn fresh(&self, liars: usize) -> Vec<Id> {
         let believed: Vec<Life> = self
             .accused(0.0, liars, f64::INFINITY, f64::INFINITY)
@@ -197,8 +197,8 @@
         }
     }
 
-    /// Servers' lives that anybody accuses. `liars` is how many may lie; what came longer than `aged` ago is passed over,
-    /// and no accusation acts that may have been said longer ago (infinity for none).
+    /// Servers' lives that anybody accuses. `liars` is how many may lie; what came longer than `aged` ago is
+    /// passed over, and no accusation acts that may have been said longer ago (infinity for none).
     ///
     /// Accusations that began after `ripe` are not believed yet: those who had answers are to be heard first.
     pub fn accused(&self, now: f64, liars: usize, aged: f64, ripe: f64) -> Vec<Accused> {
@@ -216,8 +216,8 @@
         for (life, (mut begun, acting)) in begun {
             begun.sort_by(f64::total_cmp);
             let since = begun[liars.min(begun.len() - 1)];
-            // Each voucher itself holds its answer against when the accusations began, as far as it knows, and
-            // takes its word back; until that has come, what it says of the time is checked here.
+            // Each voucher itself holds its answer against when the accusations began, as far as it knows,
+            // and takes its word back; until that has come, what it says of the time is checked here.
             let vouches = |held: &&Held| {
                 let mut claims = held.statement.claims.iter();
                 let after = |at: u32| held.epoch + f64::from(at) > since + WAY;
--- a/lab/src/central.rs
+++ b/lab/src/central.rs
@@ -1,7 +1,7 @@
 //! A stand-in central server: an IAX2 endpoint before a processor with one line. Set-up, answer and release
 //! cost it work, a set-up that is sent again costs as much as a new one. It repeats nothing that RFC 5456
-//! does not, and can be cold, slow, hung, ageing, faulty, losing answers, full or pushed over; who is silent or down is the
-//! [`crate::world`]'s to say.
+//! does not, and can be cold, slow, hung, ageing, faulty, losing answers, full or pushed over; who is silent
+//! or down is the [`crate::world`]'s to say.
 
 use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddr;
--- a/lab/src/drill.rs
+++ b/lab/src/drill.rs
@@ -203,13 +203,15 @@
     BalancerStall { part: f64, stall: f64, gap: f64 },
     /// Messages between proxies are lost.
     PeerDown {},
-    /// Such a part of the members hears nothing of the others, and they nothing of it unless the cut is one way.
+    /// Such a part of the members hears nothing of the others, and they nothing of it unless the cut is one
+    /// way.
     PeerCut {
         part: f64,
         #[serde(default)]
         one_way: bool,
     },
-    /// Messages between members are lost, doubled, and held back by up to so many seconds, so that they overtake each other.
+    /// Messages between members are lost, doubled, and held back by up to so many seconds, so that they
+    /// overtake each other.
     PeerLink {
         #[serde(default)]
         loss: f64,
@@ -243,7 +245,8 @@
 pub const ANSWER_LEAD: f64 = 40.0;
 pub const OVER_SHARE: f64 = 0.2;
 
-/// How limits of the whole fleet are held in drills, in milliseconds. The spread is for a machine that plays many proxies.
+/// How limits of the whole fleet are held in drills, in milliseconds. The spread is for a machine that plays
+/// many proxies.
 pub const LIMIT_WINDOW: f64 = 1_000.0;
 const LIMIT_BEAT: f64 = 100.0;
 const LEASE: f64 = 2_000.0;
@@ -363,7 +366,8 @@
         }
     }
 
-    /// By how many milliseconds each copy of a message between two members is held back: none is lost, one or two come.
+    /// By how many milliseconds each copy of a message between two members is held back: none is lost, one or
+    /// two come.
     pub fn peer_copies(&self, now: f64, from: usize, to: usize, chance: &mut impl Rng) -> Vec<f64> {
         let lasts = |t: &&Trouble| (t.at..t.at + t.lasts).contains(&(now / 1000.0));
         let mut copies = vec![0.0];
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -102,8 +102,8 @@
         #[arg(long)]
         seconds: Option<f64>,
     },
-    /// Start a border proxy as the platform does, before stand-in SIP servers, and call it; exit code 1 unless
-    /// every call stood and was released
+    /// Start a border proxy as the platform does, before stand-in SIP servers, and call it; exit code 1
+    /// unless every call stood and was released
     Platform {
         #[arg(long, default_value_t = 100)]
         calls: usize,
--- a/lab/src/permits.rs
+++ b/lab/src/permits.rs
@@ -1,5 +1,6 @@
-//! One limit of a whole fleet under faults, virtual: who holds it how, the most that passed in any window, and how much
-//! of it was of use. [`play`] runs one case; ways beside the program's own are baselines, for the check to catch.
+//! One limit of a whole fleet under faults, virtual: who holds it how, the most that passed in any window,
+//! and how much of it was of use. [`play`] runs one case; ways beside the program's own are baselines, for
+//! the check to catch.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -28,7 +29,8 @@
     Lent,
     /// An equal part each.
     Alone,
-    /// Parts by the demand that members last told each other of. A baseline: it passes the limit when links fail.
+    /// Parts by the demand that members last told each other of. A baseline: it passes the limit when links
+    /// fail.
     Counts,
 }
 
--- a/lab/src/platform.rs
+++ b/lab/src/platform.rs
@@ -1,6 +1,6 @@
-//! Stand-ins for the platform's protocol on loopback: central servers that speak SIP, a change log, callers, and a
-//! border proxy started as the platform starts one. What a central server does with a set-up is a [`Script`]'s to say.
-//! [`visit`] plays a short calm visit for a first look.
+//! Stand-ins for the platform's protocol on loopback: central servers that speak SIP, a change log, callers,
+//! and a border proxy started as the platform starts one. What a central server does with a set-up is a
+//! [`Script`]'s to say. [`visit`] plays a short calm visit for a first look.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
@@ -440,8 +440,8 @@
     format!("{:016x}", 0x9b1f_03aa_5c7e_0000_u64 + n as u64)
 }
 
-/// A border proxy before two stand-in central servers takes so many calls, each of which is cleared soon after.
-/// Gives how many stood and were released as they should.
+/// A border proxy before two stand-in central servers takes so many calls, each of which is cleared soon
+/// after. Gives how many stood and were released as they should.
 pub fn visit(program: &Path, words: &[&str], calls: usize) -> Result<usize> {
     let script =
         |setup: &Message| Play { release: Some((Duration::from_millis(200), 16)), ..Play::stand(setup) };
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -55,10 +55,11 @@
     /// Shots at servers that had been silent for five seconds.
     pub late_shots: u64,
     pub gossip: Option<GossipSummary>,
-    /// On sockets, of the proxies that ran throughout, on average: milliseconds of processor time, and bytes of memory at
-    /// the end. A process and its cores are no virtual clock's.
+    /// On sockets, of the proxies that ran throughout, on average: milliseconds of processor time, and bytes
+    /// of memory at the end. A process and its cores are no virtual clock's.
     pub cost: Option<(f64, f64)>,
-    /// Where each server may get so many set-ups a second from all proxies: that, the most it got, and what broke it.
+    /// Where each server may get so many set-ups a second from all proxies: that, the most it got, and what
+    /// broke it.
     pub limit: Option<(usize, usize, Verdict)>,
     /// Conversations a second that all servers could carry, by second.
     pub capacity: Vec<f64>,
--- a/lab/src/witness.rs
+++ b/lab/src/witness.rs
@@ -72,8 +72,8 @@
     /// By proxy and server name: since when it has been told not to send there.
     closed: HashMap<(usize, String), f64>,
     arrivals: Vec<VecDeque<f64>>,
-    /// Set-ups that each server may get in any window of [`LIMIT_WINDOW`], if there is a limit; the last window's by server;
-    /// and the most that any had.
+    /// Set-ups that each server may get in any window of [`LIMIT_WINDOW`], if there is a limit; the last
+    /// window's by server; and the most that any had.
     limit: Option<usize>,
     windows: Vec<VecDeque<f64>>,
     pub most: usize,
@@ -123,7 +123,8 @@
 }
 
 impl Witness {
-    /// `limit` is how many set-ups each server may get from all proxies in any window, if it is to be checked.
+    /// `limit` is how many set-ups each server may get from all proxies in any window, if it is to be
+    /// checked.
     pub fn new(slack: f64, limit: Option<usize>) -> Self {
         Self {
             slack,
--- a/proxy/src/border.rs
+++ b/proxy/src/border.rs
@@ -294,8 +294,8 @@
         self.hands.gossip = Some(node);
     }
 
-    /// Holds the fleet's limits on central servers from now on, with those it gossips with; nothing where it does not.
-    /// `tenants` are their names and shares, as in [`FleetLimits::new`].
+    /// Holds the fleet's limits on central servers from now on, with those it gossips with; nothing where it
+    /// does not. `tenants` are their names and shares, as in [`FleetLimits::new`].
     pub fn limit(
         &mut self,
         terms: LimitTerms,
--- a/proxy/src/errands.rs
+++ b/proxy/src/errands.rs
@@ -1,5 +1,5 @@
-//! What every entry keeps for the module, whatever its wire: shots' time-outs, when it wants to be woken, and shots that
-//! ended while it was speaking, which it must be told of when it has finished.
+//! What every entry keeps for the module, whatever its wire: shots' time-outs, when it wants to be woken, and
+//! shots that ended while it was speaking, which it must be told of when it has finished.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -1,5 +1,5 @@
-//! The tie between the fleet's limits, the list of central servers and the gossip that carries what members say.
-//! [`FleetLimits`] is told rates; [`FleetLimits::exchange`] moves words both ways.
+//! The tie between the fleet's limits, the list of central servers and the gossip that carries what members
+//! say. [`FleetLimits`] is told rates; [`FleetLimits::exchange`] moves words both ways.
 
 use fleet::{Counts, Fleet, FleetTerms, LimitStanding};
 use frostthread::host::{Server, State};
@@ -15,8 +15,8 @@
     pub window: f64,
     /// Set-ups a second that any central server gets at the most, whatever it tells.
     pub most: Option<f64>,
-    /// Tenants' shares are counted over the whole fleet in windows of this length, in milliseconds; guessed by each proxy
-    /// where there is none.
+    /// Tenants' shares are counted over the whole fleet in windows of this length, in milliseconds; guessed
+    /// by each proxy where there is none.
     pub share_window: Option<f64>,
 }
 
@@ -32,8 +32,8 @@
 }
 
 impl FleetLimits {
-    /// For the member that gossips as `node`; `tenants` are their names and what is in their shares, in conversations a
-    /// second over all proxies.
+    /// For the member that gossips as `node`; `tenants` are their names and what is in their shares, in
+    /// conversations a second over all proxies.
     pub fn new(
         node: &Node,
         terms: LimitTerms,
@@ -56,8 +56,8 @@
         Self { fleet, terms, names: Vec::new(), told: Vec::new(), shares }
     }
 
-    /// A conversation of a tenant has come: whether it is within the tenant's share; none where that is not known, as for
-    /// a while after a start.
+    /// A conversation of a tenant has come: whether it is within the tenant's share; none where that is not
+    /// known, as for a while after a start.
     pub fn within_share(&mut self, now: f64, tenant: usize) -> Option<bool> {
         let name = self.shares.get(tenant)?;
         let free = self.fleet.free(now, name).filter(|_| self.fleet.is_sure(now, name))?;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -195,7 +195,8 @@
     suspicion: Option<Suspicion>,
     heard: f64,
     trial: f64,
-    /// How many shots the whole fleet's limit leaves here now, and conversations that it alone kept away lately.
+    /// How many shots the whole fleet's limit leaves here now, and conversations that it alone kept away
+    /// lately.
     allotted: Option<u32>,
     short: u32,
 }
@@ -224,7 +225,8 @@
     /// How long a caller waits for a try, as a share of the time limit: what most ask for, and how firmly.
     patience: (f64, u32),
     numbers: HashMap<u64, Number>,
-    /// When conversations were last taken, by tenant, and whether the next is within its share, where the fleet knows.
+    /// When conversations were last taken, by tenant, and whether the next is within its share, where the
+    /// fleet knows.
     tenants: Vec<VecDeque<f64>>,
     shares: Vec<Option<bool>>,
 }
@@ -524,16 +526,17 @@
         central.suspicion.is_some_and(silent) && self.now < central.trial
     }
 
-    /// How many shots may go to a central server now by a limit that holds for the whole fleet, or none where there is no
-    /// limit; to be told before each [`Proxy::settle`]. Gives how many conversations the former word alone kept away.
+    /// How many shots may go to a central server now by a limit that holds for the whole fleet, or none where
+    /// there is no limit; to be told before each [`Proxy::settle`]. Gives how many conversations the former
+    /// word alone kept away.
     pub fn allotted(&mut self, server: Server, shots: Option<u32>) -> u32 {
         let Some(Some(central)) = self.centrals.get_mut(server.0 as usize) else { return 0 };
         central.allotted = shots;
         std::mem::take(&mut central.short)
     }
 
-    /// Whether a tenant's next conversation is within its share of all proxies' traffic, or none where that is not known; to
-    /// be told before each [`Proxy::take`].
+    /// Whether a tenant's next conversation is within its share of all proxies' traffic, or none where that
+    /// is not known; to be told before each [`Proxy::take`].
     pub fn shared(&mut self, tenant: usize, within: Option<bool>) {
         self.shares[tenant] = within;
     }
@@ -612,8 +615,8 @@
     }
 
     /// The part of its earnings that the tenant's next conversation may expect to keep, taking this
-    /// proxy's traffic for a fair sample of everyone's. Departure: where the fleet counts, what it says stands instead,
-    /// since traffic is uneven: busy proxies took their own for everyone's.
+    /// proxy's traffic for a fair sample of everyone's. Departure: where the fleet counts, what it says
+    /// stands instead, since traffic is uneven: busy proxies took their own for everyone's.
     fn in_share(&mut self, tenant: usize) -> f64 {
         let (now, window) = (self.now, self.window);
         let recent = &mut self.tenants[tenant];
@@ -632,7 +635,8 @@
     /// part of what it could bear, entered at a time drawn by chance, and beyond that single shots while it
     /// answers quickly. What others carry tells nothing: their speeds differ widely.
     fn too_cold(&self, central: &Central) -> bool {
-        // Departure: under a limit of the whole fleet no proxy need keep to an equal part, which starves busy ones.
+        // Departure: under a limit of the whole fleet no proxy need keep to an equal part, which starves busy
+        // ones.
         if self.now - central.started >= self.terms.cold
             || (central.allotted.is_some() && central.tells_rate())
         {
@@ -763,8 +767,8 @@
         let conversation = &self.conversations[handle.key()];
         let mut passing: Vec<usize> =
             (0..self.centrals.len()).filter(|&i| self.passes(i, conversation)).collect();
-        // Departure: the fleet's limit comes last, so that it never opens what all else closes; whom it alone keeps away
-        // is counted where it would have gone.
+        // Departure: the fleet's limit comes last, so that it never opens what all else closes; whom it alone
+        // keeps away is counted where it would have gone.
         let first = conversation.first;
         let kept_away = |&&i: &&usize| self.centrals[i].as_ref().is_some_and(|c| c.allotted == Some(0));
         let away: Vec<usize> = passing.iter().filter(kept_away).copied().collect();
@@ -776,8 +780,8 @@
         }
         let conversation = &self.conversations[handle.key()];
         // Departure: after a shot that found nobody, no answer or a fault the others go first. Guards against
-        // spending all shots at one silent or faulty server whose line is still wide, and shows whether a fault
-        // is the conversation's own; hurts where the answer alone was lost.
+        // spending all shots at one silent or faulty server whose line is still wide, and shows whether a
+        // fault is the conversation's own; hurts where the answer alone was lost.
         if passing.len() > 1 {
             passing.retain(|&i| conversation.failed_at != Some(i));
         }
