Fleet: who joins the roster after a start has to let go too before all is known

Seen on rereading: set_members (fleet/src/fleet.rs) did not add new members to those who may hold loans of an earlier life, so a start was taken for cleared without them. Ruled out by the search: members of one roster. Change: they are added; a story, with a word that was meant for another process.

--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -149,9 +149,12 @@
 
     /// Who belongs to the fleet has changed. Until all members have been told, their parts may not go up.
     pub fn set_members(&mut self, members: impl IntoIterator<Item = Id>) {
-        self.members = members.into_iter().collect();
+        let former = std::mem::replace(&mut self.members, members.into_iter().collect());
         self.members.sort_unstable();
         self.members.dedup();
+        // Who has come may hold what an earlier life of this one lent under another roster.
+        let come = self.members.iter().filter(|&member| former.binary_search(member).is_err());
+        self.unclear.extend(come.filter(|&&member| member != self.id));
         let members = self.members.clone();
         for (&id, limit) in &mut self.limits {
             limit.ranks = ranks(&members, id);
--- a/fleet/tests/stories.rs
+++ b/fleet/tests/stories.rs
@@ -121,6 +121,23 @@
     assert_eq!((standing.lent, standing.resting), (3, 2), "however often it asks");
 }
 
+#[test]
+fn who_joins_after_a_start_has_to_let_go_too_before_all_is_known() {
+    let mut one = Fleet::new(1, [1, 2], terms(), 1, 0.0);
+    assert!(one.limit(SERVER, 10.0, WINDOW));
+    one.set_members([1, 2, 3]);
+    one.turn(200.0);
+    let (life, _) =
+        wire::read(&one.outgoing().expect("it tells that it has started").bytes).expect("its own");
+    let rested = 300.0 + terms().loans.rest(WINDOW);
+    for (member, sure) in [(2, false), (3, true)] {
+        one.receive(300.0, member, &wire::write(7, &[Word::Cleared { life: life + 1 }]));
+        assert!(!one.is_sure(rested, SERVER), "meant for another process");
+        one.receive(300.0, member, &wire::write(7, &[Word::Cleared { life }]));
+        assert_eq!(one.is_sure(rested, SERVER), sure);
+    }
+}
+
 #[test]
 fn a_flood_of_names_does_not_grow_the_books() {
     let (mut one, ..) = pair();
