Gossip: a clock that was asked for lapses, as the bound on a word's age says

Seen on rereading: docs/gossip.md states the bound with clocks that stand for ten times the longest age, but accused() (statements.rs, age()) used a clock however long ago it was asked for, as of an author behind a cut. Change: it lapses, and is asked anew at half of that; a story.

--- a/gossip/src/statements.rs
+++ b/gossip/src/statements.rs
@@ -35,9 +35,12 @@
 }
 
 impl Held {
-    /// How old the statement is at the most, where that is known.
-    fn age(&self, now: f64) -> Option<f64> {
-        self.proof.map(|(earliest, _)| now - earliest - f64::from(self.statement.clock))
+    /// Whether the statement is known to be no older than `aged`, by a clock that was asked for lately
+    /// enough.
+    fn acts(&self, now: f64, aged: f64) -> bool {
+        self.proof.is_some_and(|(earliest, asked)| {
+            now - asked <= PROVEN * aged && now - earliest - f64::from(self.statement.clock) <= aged
+        })
     }
 }
 
@@ -78,12 +81,11 @@
         if !self.newer(&statement) {
             return false;
         }
-        let vouches = |life, of: &Statement| {
-            of.claims.iter().any(|claim| claim.life == life && claim.kind == Kind::Answering)
+        let stands = |claim: &Claim| {
+            statement.claims.iter().any(|now| (now.life, now.kind) == (claim.life, claim.kind))
         };
         let withdraws = former.is_some_and(|former| {
-            let mut lives = former.statement.claims.iter().map(|claim| claim.life);
-            lives.any(|life| vouches(life, &former.statement) && !vouches(life, &statement))
+            former.statement.claims.iter().any(|claim| claim.kind == Kind::Answering && !stands(claim))
         });
         let same_life = former.filter(|held| held.statement.life == statement.life);
         // An author's clock may run slow, or be lied about: what it says of the past is never ahead of now.
@@ -109,7 +111,8 @@
     pub fn unproven(&self, now: f64, liars: usize, aged: f64) -> Vec<(Id, bool)> {
         let accused = self.accused(now, liars, aged, f64::INFINITY);
         let disputed = |life: Life| accused.iter().find(|of| of.life == life && of.accusers > liars);
-        let asked = |held: &Held| held.proof.is_some_and(|(_, asked)| now - asked < PROVEN * aged);
+        // Asked anew before it lapses.
+        let asked = |held: &Held| held.proof.is_some_and(|(_, asked)| now - asked < 0.5 * PROVEN * aged);
         // Once enough accusations act no more are asked for: each author answers all members.
         let accuses = |claim: &Claim| {
             claim.kind == Kind::Silent
@@ -203,7 +206,7 @@
     /// Accusations that began after `ripe` are not believed yet: those who had answers are to be heard first.
     pub fn accused(&self, now: f64, liars: usize, aged: f64, ripe: f64) -> Vec<Accused> {
         let fresh = |held: &&Held| aged == f64::INFINITY || now - held.came <= aged;
-        let proven = |held: &Held| aged == f64::INFINITY || held.age(now).is_some_and(|age| age <= aged);
+        let proven = |held: &Held| aged == f64::INFINITY || held.acts(now, aged);
         let mut begun: BTreeMap<Life, (Vec<f64>, usize)> = BTreeMap::new();
         for held in self.held.values().filter(fresh).filter(|held| !held.statement.leaves) {
             for claim in held.statement.claims.iter().filter(|claim| claim.kind == Kind::Silent) {
--- a/gossip/tests/stories.rs
+++ b/gossip/tests/stories.rs
@@ -196,6 +196,25 @@
     assert!(!statements.accused(76_000.0, 2, 15_000.0, f64::INFINITY).iter().any(|of| of.believed));
 }
 
+#[test]
+fn a_clock_that_was_asked_for_long_ago_proves_nothing_any_more() {
+    let mut statements = Statements::default();
+    let believed_at =
+        |statements: &Statements, now| statements.accused(now, 0, 15_000.0, f64::INFINITY)[0].believed;
+    let say = |statements: &mut Statements, now: f64, version| {
+        let (mut said, _) = statement(1, 1, version);
+        said.clock = now as u32;
+        let signed = Signed::new(&said, &secrets(1));
+        statements.merge(now, said, signed, 1);
+    };
+    say(&mut statements, 5_000.0, 1);
+    statements.clock(secrets(1).id(), 1, 5_000, 4_900.0, 5_000.0);
+    for (now, believed) in [(5_000.0, true), (150_000.0, true), (160_000.0, false)] {
+        say(&mut statements, now, now as u32);
+        assert_eq!(believed_at(&statements, now), believed, "at {now}, said just then");
+    }
+}
+
 fn packet(from: usize, counter: u64, statements: Vec<Signed>) -> Vec<u8> {
     let message = Message::Ping { nonce: 5 };
     let from_id = secrets(from).id();
