--- a/fleet/src/fleet.rs
+++ b/fleet/src/fleet.rs
@@ -42,7 +42,8 @@
     pub asked: u64,
     pub lent: u64,
     pub borrowed: u64,
-    /// Of no form, of a limit that is not known here, more than the limit, not asked for or too late.
+    /// Of no form, of a limit or a member that is not known here, more than the limit, not asked for or too
+    /// late.
     pub malformed: u64,
     pub unknown: u64,
     pub over: u64,
@@ -314,6 +315,10 @@
             self.counts.malformed += 1;
             return;
         };
+        if self.members.binary_search(&from).is_err() {
+            self.counts.unknown += words.len() as u64;
+            return;
+        }
         let mut answers = Vec::new();
         for word in words {
             let id = match word {
@@ -330,8 +335,7 @@
                     continue;
                 }
             };
-            let Some(limit) = self.limits.get_mut(&id).filter(|_| self.members.binary_search(&from).is_ok())
-            else {
+            let Some(limit) = self.limits.get_mut(&id) else {
                 self.counts.unknown += 1;
                 continue;
             };
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -481,7 +481,7 @@
         let free = self.free(now);
         let borrowed = self.borrowed.values().filter(|b| now < b.until).map(|b| b.count).sum();
         let resting = self.used.len() + self.borrowed.values().map(|b| b.used.len()).sum::<usize>();
-        let (part, lent, waits_out) = (self.part, self.lent(), now < self.sure_at);
+        let (part, lent, waits_out) = (self.part, self.lent(), !self.is_sure(now));
         Standing { part, lent, borrowed, resting, free, waits_out }
     }
 }
--- a/fleet/tests/stories.rs
+++ b/fleet/tests/stories.rs
@@ -110,6 +110,8 @@
         |serial| wire::write(7, &[Word::Ask { limit: limit_id(SERVER), serial, want: u16::MAX, bare: true }]);
     one.receive(now, 3, &ask(1));
     assert_eq!((one.counts().unknown, one.free(now, SERVER)), (1, Some(5)));
+    one.receive(now, 3, &wire::write(7, &[Word::Started]));
+    assert_eq!((one.counts().unknown, one.outgoing()), (2, None), "nor is it answered");
     assert!(one.take(now, SERVER) && one.take(now, SERVER));
     one.receive(now, 2, &ask(1));
     assert_eq!(one.counts().lent, 3, "two rest after use");
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -186,10 +186,11 @@
         self.rules.iter().map(|rule| rule.verdict.broken).sum::<u64>() + limited
     }
 
-    /// The same with what its proxies cost.
+    /// The same with what its proxies cost, if any ran throughout.
     pub fn costing(self, costs: &[Cost]) -> Self {
-        let mean = |of: fn(&Cost) -> f64| costs.iter().map(of).sum::<f64>() / costs.len().max(1) as f64;
-        Self { cost: Some((mean(|cost| cost.cpu), mean(|cost| cost.memory[1]))), ..self }
+        let mean = |of: fn(&Cost) -> f64| costs.iter().map(of).sum::<f64>() / costs.len() as f64;
+        let cost = (!costs.is_empty()).then(|| (mean(|cost| cost.cpu), mean(|cost| cost.memory[1])));
+        Self { cost, ..self }
     }
 
     /// The rules with their counts, and the first breaks in full.
--- a/proxy/src/status.rs
+++ b/proxy/src/status.rs
@@ -151,6 +151,7 @@
 /// One limit: whole set-ups in each window over all proxies, and where this one stands with them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LimitStatus {
+    /// The server with its life, or the tenant.
     pub server: String,
     pub permits: usize,
     pub window_ms: f64,
