--- /dev/null
+++ b/frames/src/lib.rs
@@ -0,0 +1,96 @@
+//! Frames of bytes by length and checksum, without I/O. [`write`] frames a body, [`read`] finds all that are sound.
+//!
+//! A frame is two bytes of mark, two of length, four of CRC-32 over length and body, and the body. A torn tail is
+//! told as such; after a damaged place reading goes on at the next sound frame, and the place is told. The mark is no
+//! valid UTF-8, so no text in a body can hold a frame, not even where the frame around it is damaged.
+
+#![forbid(unsafe_code)]
+
+const MARK: [u8; 2] = [0xC7, 0x5D];
+const HEAD: usize = 8;
+/// Bytes of the longest body.
+pub const LONGEST: usize = 4096;
+
+/// A stretch that holds no sound frame.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Damage {
+    pub at: usize,
+    pub bytes: usize,
+    /// At the end, as a crash in the middle of a write leaves it.
+    pub torn: bool,
+}
+
+/// What some bytes hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Found<T> {
+    pub entries: Vec<T>,
+    pub damage: Vec<Damage>,
+    /// Up to where it is sound: what follows is cut before anything is appended.
+    pub sound: usize,
+}
+
+impl<T> Default for Found<T> {
+    fn default() -> Self {
+        Self { entries: Vec::new(), damage: Vec::new(), sound: 0 }
+    }
+}
+
+fn sum(length: [u8; 2], body: &[u8]) -> [u8; 4] {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&length);
+    hasher.update(body);
+    hasher.finalize().to_le_bytes()
+}
+
+/// Appends a framed body.
+///
+/// # Panics
+///
+/// Where the body is over [`LONGEST`]: whoever frames knows how long what it writes can be.
+pub fn write(to: &mut Vec<u8>, body: &[u8]) {
+    assert!(body.len() <= LONGEST, "a body of {} bytes", body.len());
+    let length = (body.len() as u16).to_le_bytes();
+    to.extend(MARK);
+    to.extend(length);
+    to.extend(sum(length, body));
+    to.extend(body);
+}
+
+/// The sound body that begins at the front of some bytes, with its frame's size.
+fn frame(bytes: &[u8]) -> Option<(&[u8], usize)> {
+    let (head, rest) = bytes.split_first_chunk::<HEAD>()?;
+    let [m0, m1, l0, l1, sum_then @ ..] = *head;
+    let length = usize::from(u16::from_le_bytes([l0, l1]));
+    if [m0, m1] != MARK || length > LONGEST {
+        return None;
+    }
+    let body = rest.get(..length)?;
+    (sum([l0, l1], body) == sum_then).then_some((body, HEAD + length))
+}
+
+/// All that is sound in some bytes. A body that `take` makes nothing of is damage too.
+pub fn read<T>(bytes: &[u8], take: impl Fn(&[u8]) -> Option<T>) -> Found<T> {
+    let mut found = Found::default();
+    let mut at = 0;
+    let mut bad = None;
+    while at < bytes.len() {
+        match frame(&bytes[at..]).and_then(|(body, size)| Some((take(body)?, size))) {
+            Some((body, size)) => {
+                if let Some(from) = bad.take() {
+                    found.damage.push(Damage { at: from, bytes: at - from, torn: false });
+                }
+                found.entries.push(body);
+                at += size;
+                found.sound = at;
+            }
+            None => {
+                bad.get_or_insert(at);
+                at += 1;
+            }
+        }
+    }
+    if let Some(from) = bad {
+        found.damage.push(Damage { at: from, bytes: bytes.len() - from, torn: true });
+    }
+    found
+}
