Datagrams' waits are read from the kernel's stamps, not guessed after a stall

At fault: daemon/src/run.rs, the spread of a batch over the time since the last turn: a turn woken by the timer found an empty batch and forgot the stall, and batches are ordered by socket. Change: the kernel's receive time of each datagram.

--- a/daemon/src/clock.rs
+++ b/daemon/src/clock.rs
@@ -7,7 +7,13 @@
 
 impl Clock {
     pub fn now(&self) -> f64 {
-        self.0.elapsed().as_secs_f64() * 1000.0
+        self.at(Instant::now())
+    }
+
+    /// Below 0 before the start.
+    pub fn at(&self, then: Instant) -> f64 {
+        let before = self.0.saturating_duration_since(then).as_secs_f64();
+        (then.saturating_duration_since(self.0).as_secs_f64() - before) * 1000.0
     }
 }
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod run;
 pub mod serve;
 pub mod settings;
+mod stamp;
 mod watch_log;
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -13,7 +13,7 @@
 use border::pool::{News, PoolList};
 use border::scribe::Scribe;
 use border::{BorderProxy, Decisions, Outbound, Side, Watched};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use frostthread::Proxy;
 use frostthread::host::Terms;
 use gossip::{GossipTerms, Node};
@@ -32,6 +32,7 @@
 use crate::journal::Journal;
 use crate::keys::Keyring;
 use crate::settings::{GossipPlan, Plan};
+use crate::stamp;
 
 /// Bytes of the largest datagram that is read.
 const LARGEST: usize = 65_536;
@@ -45,7 +46,8 @@
 const FAREWELL: Duration = Duration::from_millis(1500);
 
 enum Arrival {
-    Datagram(Side, SocketAddr, Bytes),
+    /// With when it came, as the system says.
+    Datagram(Side, SocketAddr, Bytes, Instant),
     Refused(Side, SocketAddr),
 }
 
@@ -66,6 +68,7 @@
             socket.set_recv_buffer_size(bytes)?;
         }
         socket.set_nonblocking(true)?;
+        stamp::ask(&socket)?;
         socket.bind(&address.into())?;
         UdpSocket::from_std(socket.into())
     }
@@ -139,11 +142,12 @@
 
 /// Reads a socket for as long as anybody wants its datagrams.
 async fn listen(socket: Arc<UdpSocket>, side: Side, peer: Option<SocketAddr>, to: mpsc::Sender<Arrival>) {
-    let mut buffer = BytesMut::new();
+    let mut buffer = vec![0; LARGEST];
     loop {
-        buffer.reserve(LARGEST);
-        let arrival = match socket.recv_buf_from(&mut buffer).await {
-            Ok((_, from)) => Arrival::Datagram(side, from, buffer.split().freeze()),
+        let arrival = match stamp::receive(&socket, &mut buffer).await {
+            Ok((length, from, came)) => {
+                Arrival::Datagram(side, from, Bytes::copy_from_slice(&buffer[..length]), came)
+            }
             Err(error) if error.kind() == ErrorKind::ConnectionRefused => match peer {
                 Some(peer) => Arrival::Refused(side, peer),
                 None => continue,
@@ -330,18 +334,16 @@
             _ => {}
         }
 
-        // What is found after a stall came evenly spread over it, as far as can be known.
         let mut batch = Vec::from_iter(first);
         while let Ok(arrival) = arrivals.try_recv() {
             batch.push(arrival);
         }
-        let late = (now - looked - 2.0 * BEAT.as_secs_f64() * 1000.0).max(0.0);
-        let step = late / batch.len().max(1) as f64;
-        for (i, arrival) in batch.into_iter().enumerate() {
+        for arrival in batch {
             match arrival {
-                Arrival::Datagram(side, peer, bytes) => {
-                    let arrived = now - late + step * (i as f64 + 0.5);
-                    proxy.receive(now, arrived.min(now), side, peer, &bytes);
+                Arrival::Datagram(side, peer, bytes, came) => {
+                    // Whatever the wall clock did meanwhile, it came to a socket of this process.
+                    let arrived = clock.at(came).clamp(0.0, now);
+                    proxy.receive(now, arrived, side, peer, &bytes);
                 }
                 Arrival::Refused(side, peer) => proxy.refused(now, side, peer),
             }
@@ -409,7 +411,7 @@
         backlog.flush(|out| sockets.try_send(out));
         tokio::select! {
             Some(arrival) = arrivals.recv() => {
-                if let Arrival::Datagram(side, peer, bytes) = arrival {
+                if let Arrival::Datagram(side, peer, bytes, _) = arrival {
                     let now = clock.now();
                     proxy.receive(now, now, side, peer, &bytes);
                 }
--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -115,6 +115,49 @@
     stop(&mut running);
 }
 
+#[test]
+fn a_proxy_that_was_stopped_knows_how_long_each_caller_has_waited_and_answers_in_time() {
+    const PATIENCE: Duration = Duration::from_millis(2500);
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut running, _, ready) = start(folder.path(), "p1", "");
+    let proxy: SocketAddr = ready["callers"].as_str().expect("text").parse().expect("an address");
+    let id = running.0.id().to_string();
+    let signal = |name: &str| Command::new("kill").args([name, &id]).status().expect("ran");
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    socket.set_read_timeout(Some(Duration::from_millis(5))).expect("set");
+    let mut caller = Endpoint::new(Limits { resend: 10_000.0, ..Limits::default() }, 5);
+    let send = |caller: &mut Endpoint| {
+        while let Some(datagram) = caller.datagram() {
+            socket.send_to(&datagram.bytes, datagram.peer).expect("sent");
+        }
+    };
+
+    // Much comes before the set-up while the proxy has no turn, and nothing after it.
+    signal("-STOP");
+    (0..40).for_each(|_| caller.poke(0.0, proxy));
+    send(&mut caller);
+    std::thread::sleep(Duration::from_millis(400));
+    let hints = border::hints::Hints { patience: Some(PATIENCE.as_millis() as u32), ..Default::default() };
+    let new = Elements::new().with(element::CALLED_NUMBER, "155").with(element::CALLING_NUMBER, "9");
+    caller.call(0.0, proxy, &hints.add_to(new)).expect("room");
+    send(&mut caller);
+    let asked = Instant::now();
+    std::thread::sleep(Duration::from_millis(1600));
+    signal("-CONT");
+
+    let ended = until("an answer", || {
+        let mut buffer = [0; 2048];
+        if let Ok((length, from)) = socket.recv_from(&mut buffer) {
+            caller.receive(0.0, from, &Bytes::copy_from_slice(&buffer[..length]));
+        }
+        send(&mut caller);
+        let mut all = std::iter::from_fn(|| caller.happening());
+        all.any(|(_, happening)| matches!(happening, Happening::Ended(_))).then(|| asked.elapsed())
+    });
+    assert!(ended < PATIENCE, "answered {ended:?} after it was asked");
+    stop(&mut running);
+}
+
 #[test]
 fn a_proxy_that_watches_rules_to_come_counts_its_turns() {
     let folder = tempfile::tempdir().expect("a folder");
