--- /dev/null
+++ b/agree/src/agreement.rs
@@ -0,0 +1,410 @@
+//! One proxy's part in the agreement: what it holds, what it is told, what is to be sent and written.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::Id;
+use crate::council::Council;
+use crate::disk::{Kept, Lost, Pending, Snapshot, Write};
+use crate::election::Post;
+use crate::follow::Following;
+use crate::founding::Founding;
+use crate::fresh::Freshness;
+use crate::log::{Entry, Index, Log, Mark, What};
+use crate::machine::{Machine, Unknown};
+use crate::requests::Requests;
+use crate::seal::Signs;
+use crate::standing::Counts;
+use crate::wire::{self, Message, Stage, Unfit};
+
+/// Messages that wait to be sent, or for the disk; past that the oldest are lost, as on the network.
+const MOST_OUT: usize = 256;
+/// A snapshot is taken at every so many entries, the same ones at each member: its digest is part of what is signed.
+pub(crate) const SNAPSHOT_EVERY: u64 = 128;
+/// Entries kept for those who are behind: those since the last snapshot but one.
+const SNAPSHOTS: usize = 2;
+/// Requests that are remembered as done, so that one asked for again is not done again.
+const RECENT: usize = 512;
+
+/// What is agreed for the agreement itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AgreeTerms {
+    /// Who votes at first.
+    pub founders: Vec<Id>,
+    /// How often a leader speaks, and anybody looks at what it needs: milliseconds.
+    pub beat: f64,
+    /// How old the word may become by which a proxy acts: it is asked for well before.
+    pub lease: f64,
+}
+
+/// A message to another proxy.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Outgoing {
+    pub to: Id,
+    pub bytes: Vec<u8>,
+}
+
+/// A message that waits for the disk.
+#[derive(Clone, Debug, Hash)]
+struct Held {
+    position: u64,
+    out: Outgoing,
+}
+
+/// One proxy's part.
+#[derive(Clone)]
+pub struct Agreement<M, S> {
+    pub(crate) id: Id,
+    pub(crate) terms: AgreeTerms,
+    pub(crate) keys: S,
+    pub(crate) machine: M,
+    pub(crate) chance: Pcg64Mcg,
+    /// Others that are there, as far as is known.
+    peers: Vec<Id>,
+    pub(crate) kept: Kept,
+    pub(crate) disk: Pending,
+    pub(crate) founding: Founding,
+    pub(crate) post: Post,
+    /// Up to where decisions are known, and are carried out.
+    pub(crate) decided: Index,
+    pub(crate) applied: Index,
+    pub(crate) stopped: Option<Unknown>,
+    /// The council whose proofs are believed, by the index since which it votes, and the one before it.
+    pub(crate) trust: (Index, Council),
+    pub(crate) former: Option<Council>,
+    recent: VecDeque<u64>,
+    /// Snapshots that are still of use, the newest last, with their digests.
+    pub(crate) snapshots: VecDeque<(Snapshot, [u8; 32])>,
+    pub(crate) following: Following,
+    pub(crate) fresh: Freshness,
+    pub(crate) requests: Requests,
+    out: VecDeque<Held>,
+    beat_at: f64,
+    pub(crate) beats: u64,
+    pub(crate) counts: Counts,
+    #[cfg(test)]
+    pub(crate) fault: Option<crate::tests::Fault>,
+}
+
+impl<M: Machine, S: Signs> Agreement<M, S> {
+    /// `file` is what the disk gave, as [`crate::disk::recover`] reads it. An error only where the machine makes
+    /// nothing of its own snapshot.
+    pub fn new(
+        id: Id,
+        terms: AgreeTerms,
+        keys: S,
+        machine: M,
+        file: Result<Kept, Lost>,
+        seed: u64,
+        now: f64,
+    ) -> Result<Self, Unknown> {
+        let mut chance = Pcg64Mcg::seed_from_u64(seed);
+        let founders = Council::founders(terms.founders.iter().copied());
+        let kept = file.unwrap_or_else(|_| Kept {
+            stage: Stage::Fresh,
+            // 0 is a founder's.
+            life: chance.random_range(1..=u64::MAX),
+            term: 0,
+            voted: None,
+            log: Log::new(Mark::default(), 0, founders.clone()),
+            snapshot: None,
+            links: Vec::new(),
+        });
+        let mut agreement = Self {
+            id,
+            machine,
+            keys,
+            peers: Vec::new(),
+            disk: Pending::default(),
+            founding: Founding::new(chance.random(), now),
+            post: Post::idle(now, 0.0),
+            decided: 0,
+            applied: 0,
+            stopped: None,
+            trust: (0, founders),
+            former: None,
+            recent: VecDeque::new(),
+            snapshots: VecDeque::new(),
+            following: Following::default(),
+            fresh: Freshness::default(),
+            requests: Requests::default(),
+            out: VecDeque::new(),
+            beat_at: now + terms.beat * chance.random::<f64>(),
+            beats: 0,
+            counts: Counts::default(),
+            #[cfg(test)]
+            fault: None,
+            chance,
+            terms,
+            kept,
+        };
+        if let Some(snapshot) = agreement.kept.snapshot.clone() {
+            agreement.restore(&snapshot)?;
+        }
+        agreement.believe_links();
+        agreement.idle(now);
+        // A torn tail goes with it, and a disk that cannot be written shows at once.
+        agreement.disk.anew();
+        Ok(agreement)
+    }
+
+    pub fn id(&self) -> Id {
+        self.id
+    }
+
+    pub fn machine(&self) -> &M {
+        &self.machine
+    }
+
+    pub fn machine_mut(&mut self) -> &mut M {
+        &mut self.machine
+    }
+
+    /// Goes on with other keys, as in a rotation.
+    pub fn rekey(&mut self, keys: S) {
+        self.keys = keys;
+    }
+
+    /// Who else is there now.
+    pub fn set_peers(&mut self, peers: impl IntoIterator<Item = Id>) {
+        self.peers = peers.into_iter().filter(|&peer| peer != self.id).collect();
+    }
+
+    pub(crate) fn peers(&self) -> &[Id] {
+        &self.peers
+    }
+
+    /// Any other proxy, or any other of the council.
+    pub(crate) fn any_peer(&mut self) -> Option<Id> {
+        self.peers.choose(&mut self.chance).copied()
+    }
+
+    pub(crate) fn any_voter(&mut self) -> Option<Id> {
+        let voters: Vec<Id> = self.trust.1.ids().filter(|&id| id != self.id).collect();
+        voters.choose(&mut self.chance).copied()
+    }
+
+    /// When [`Agreement::turn`] is wanted.
+    pub fn due(&self) -> f64 {
+        self.beat_at.min(self.disk.due())
+    }
+
+    /// Does what has fallen due.
+    pub fn turn(&mut self, now: f64) {
+        if now < self.beat_at {
+            return;
+        }
+        let next = self.beat_at + self.terms.beat * (0.9 + 0.2 * self.chance.random::<f64>());
+        self.beat_at = if next > now { next } else { now + self.terms.beat };
+        self.beats += 1;
+        self.found(now);
+        self.stand(now);
+        self.lead_on(now);
+        self.spread();
+        self.ask_again(now);
+        self.keep_fresh(now);
+    }
+
+    /// A message of another proxy, proved to be its own. Anything may stand in it.
+    pub fn receive(&mut self, now: f64, from: Id, bytes: &[u8]) {
+        let message = match wire::read(bytes) {
+            Ok(message) => message,
+            Err(unfit) => {
+                let counts = &mut self.counts;
+                *(if unfit == Unfit::Version { &mut counts.unknown } else { &mut counts.malformed }) += 1;
+                return;
+            }
+        };
+        if from == self.id {
+            self.counts.stray += 1;
+            return;
+        }
+        match message {
+            Message::Hello { nonce, stage, life } => self.hello(from, nonce, stage, life),
+            Message::Known { nonce, stage, term, acked } => self.known(now, from, nonce, stage, term, acked),
+            Message::Ask { term, trial, index, of } => self.asked(now, from, term, trial, index, of),
+            Message::Vote { term, trial, granted, life } => self.voted(now, from, term, trial, granted, life),
+            Message::Append { term, round, prev, hash, entries, decided } => {
+                self.appended(now, from, term, round, (prev, hash), entries, decided);
+            }
+            Message::Have { term, round, life, index, fits, signed } => {
+                self.has(now, from, term, round, life, index, fits, signed);
+            }
+            Message::Tell { seal } => self.told(from, seal),
+            Message::Pull { index, hash, version, piece } => self.pulled(from, index, &hash, version, piece),
+            Message::Entries { prev, hash, entries } => self.entries(from, prev, &hash, entries),
+            Message::Council { link } => self.linked(from, *link),
+            Message::Piece { index, hash, term, at, of, bytes } => {
+                self.piece(from, Mark { index, term, hash }, at, of, &bytes);
+            }
+            Message::Propose { request, what } => self.proposed(now, from, request, what),
+            Message::Refused { request, refusal } => self.refused(from, request, refusal),
+            Message::Fresh { nonce } => self.fresh_wanted(from, nonce),
+            Message::FreshIs { nonce, index } => self.fresh_told(from, nonce, index),
+        }
+    }
+
+    /// The next message to send.
+    pub fn outgoing(&mut self) -> Option<Outgoing> {
+        let synced = self.disk.synced();
+        let at = self.out.iter().position(|held| held.position <= synced)?;
+        self.out.remove(at).map(|held| held.out)
+    }
+
+    pub(crate) fn send(&mut self, to: Id, message: &Message) {
+        self.send_after(0, to, message);
+    }
+
+    /// Sends what rests on all that was written by now.
+    pub(crate) fn send_kept(&mut self, to: Id, message: &Message) {
+        self.send_after(self.disk.position(), to, message);
+    }
+
+    fn send_after(&mut self, position: u64, to: Id, message: &Message) {
+        let bytes = wire::write(message);
+        debug_assert!(bytes.len() <= wire::LARGEST, "{} bytes: {message:?}", bytes.len());
+        if self.out.len() >= MOST_OUT {
+            self.out.pop_front();
+            self.counts.crowded += 1;
+        }
+        self.out.push_back(Held { position, out: Outgoing { to, bytes } });
+    }
+
+    /// Whether anything of this proxy's must last: it was named as a founder, or has a seat.
+    pub(crate) fn keeps(&self) -> bool {
+        self.terms.founders.contains(&self.id) || self.kept.log.council().contains(self.id)
+    }
+
+    pub(crate) fn keep(&mut self, bytes: Vec<u8>) {
+        if self.keeps() {
+            self.disk.keep(&bytes);
+        }
+    }
+
+    /// Bytes for the disk: to be written and synced, in place of the whole file where they begin anew. The next ones
+    /// come when these are told as [`Agreement::written`] or [`Agreement::unwritten`].
+    pub fn to_write(&mut self, now: f64) -> Option<Write> {
+        if !self.keeps() {
+            self.disk.skip();
+            return None;
+        }
+        self.disk.begin(now, || self.kept.whole())
+    }
+
+    pub fn written(&mut self, now: f64) {
+        self.disk.done();
+        self.has_own(now);
+        self.tally(now);
+    }
+
+    /// The disk refused: it is tried again after a while, with all that is to last.
+    pub fn unwritten(&mut self, now: f64) {
+        self.disk.refused(now, self.terms.beat);
+        self.idle(now);
+    }
+
+    /// Carries out what is decided.
+    pub(crate) fn apply(&mut self) {
+        while self.applied < self.decided && self.stopped.is_none() {
+            let index = self.applied + 1;
+            let Some(Entry { request, what, .. }) = self.kept.log.entry(index).cloned() else { return };
+            let done = request != 0 && self.recent.contains(&request);
+            let mut answer = Vec::new();
+            match what {
+                What::Begin => {}
+                What::Council(council) => {
+                    let former = std::mem::replace(&mut self.trust, (index, council));
+                    self.former = Some(former.1);
+                }
+                What::Decide { part, command } if !done => match self.machine.decide(index, part, &command) {
+                    Ok(came_to) => answer = came_to,
+                    Err(unknown) => {
+                        self.stopped = Some(unknown);
+                        return;
+                    }
+                },
+                What::Decide { .. } => {}
+            }
+            self.applied = index;
+            if request != 0 && !done {
+                self.recent.push_back(request);
+                if self.recent.len() > RECENT {
+                    self.recent.pop_front();
+                }
+                self.requests.decided(request, index, answer);
+            }
+            if index.is_multiple_of(SNAPSHOT_EVERY) {
+                self.snap();
+            }
+        }
+        self.arrive();
+    }
+
+    /// What the decisions so far came to.
+    fn snap(&mut self) {
+        let mark = self.kept.log.mark(self.applied).expect("just carried out");
+        let state = (&self.trust, &self.former, &self.recent, self.machine.state());
+        let bytes = postcard::to_stdvec(&state).expect("plain data");
+        self.hold(Snapshot { mark, bytes });
+    }
+
+    fn hold(&mut self, snapshot: Snapshot) {
+        let digest = snapshot.digest();
+        self.snapshots.push_back((snapshot.clone(), digest));
+        while self.snapshots.len() > SNAPSHOTS {
+            self.snapshots.pop_front();
+        }
+        self.kept.log.fold(self.snapshots[0].0.mark.index.min(snapshot.mark.index));
+        self.kept.snapshot = Some(snapshot);
+        self.disk.anew();
+    }
+
+    /// Begins anew from a snapshot that is proved, or its own.
+    pub(crate) fn restore(&mut self, snapshot: &Snapshot) -> Result<(), Unknown> {
+        type State = ((Index, Council), Option<Council>, VecDeque<u64>, Vec<u8>);
+        let mark = snapshot.mark;
+        let unread =
+            |_| Unknown { index: mark.index, part: 0, what: "a snapshot of no known form".to_owned() };
+        let (trust, former, recent, state): State = postcard::from_bytes(&snapshot.bytes).map_err(unread)?;
+        self.machine.restore(mark.index, &state)?;
+        // Entries that follow it are kept: this member may have given its word for them.
+        #[cfg(test)]
+        let goes_on =
+            self.kept.log.has(mark.index, &mark.hash) && !self.planted(crate::tests::Fault::SnapshotOver);
+        #[cfg(not(test))]
+        let goes_on = self.kept.log.has(mark.index, &mark.hash);
+        if !goes_on {
+            self.kept.log = Log::new(mark, trust.0, trust.1.clone());
+        }
+        (self.trust, self.former, self.recent) = (trust, former, recent);
+        (self.decided, self.applied) = (self.decided.max(mark.index), mark.index);
+        self.requests.passed_over(&self.recent, mark.index);
+        self.snapshots.clear();
+        self.hold(snapshot.clone());
+        self.apply();
+        Ok(())
+    }
+
+    #[cfg(test)]
+    pub(crate) fn planted(&self, fault: crate::tests::Fault) -> bool {
+        self.fault == Some(fault)
+    }
+
+    /// Whether a request is done, or on its way in the log.
+    pub(crate) fn knows(&self, request: u64) -> bool {
+        let log = &self.kept.log;
+        let open = (self.applied + 1..=log.last().index).filter_map(|index| log.entry(index));
+        self.recent.contains(&request) || open.into_iter().any(|entry| entry.request == request)
+    }
+
+    /// How far each of the council has come, for operators.
+    pub(crate) fn heard_of(&self) -> BTreeMap<Id, Index> {
+        match &self.post {
+            Post::Leading(lead) => lead.progress.iter().map(|(&id, progress)| (id, progress.has)).collect(),
+            _ => BTreeMap::new(),
+        }
+    }
+}
--- /dev/null
+++ b/agree/src/founding.rs
@@ -0,0 +1,158 @@
+//! Who may vote when a process starts. A disk that is new, damaged or an older copy could have its member vote twice,
+//! or forget what others were told that it has; so a member asks the others first.
+//!
+//! At the founding nobody has a vote: each waits until all others say so, is then ready, and votes once all others are
+//! at least ready. So whoever finds a founder that votes while its own disk is new has lost its state, and gets no
+//! vote from it; it is let in anew under the number that its disk drew. Later starts wait for the others' word
+//! too: of all, or after a while of so many that a majority is together.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::Id;
+use crate::agreement::Agreement;
+use crate::council::Council;
+use crate::disk;
+use crate::election::{PATIENCE_BEATS, Post};
+use crate::log::{Index, Term};
+use crate::machine::Machine;
+use crate::seal::Signs;
+use crate::wire::{Message, Stage};
+
+/// One that has no vote asks only once in so many beats: an operator has to let it in.
+const BARRED_BEATS: u64 = 10;
+
+/// What others have said since the start.
+#[derive(Clone, Debug)]
+pub struct Founding {
+    nonce: u64,
+    began: f64,
+    known: BTreeMap<Id, Stage>,
+    /// Its disk is no older than what others know.
+    pub(crate) checked: bool,
+    /// What this process knows of others: the latest term, and up to where they said that they have the log.
+    met: BTreeMap<Id, (Term, Index)>,
+    /// Lives of those who have no vote by them, for an operator who lets them in.
+    pub(crate) lives: BTreeMap<Id, u64>,
+}
+
+impl Founding {
+    pub fn new(nonce: u64, began: f64) -> Self {
+        let (known, met, lives) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        Self { nonce, began, known, checked: false, met, lives }
+    }
+}
+
+impl<M: Machine, S: Signs> Agreement<M, S> {
+    /// The number that its votes go by.
+    pub(crate) fn life(&self) -> u64 {
+        if self.kept.stage == Stage::Founder { 0 } else { self.kept.life }
+    }
+
+    /// Who votes, as far as this proxy knows: by its log, or by a proof of a council that its log does not reach.
+    pub(crate) fn voters(&self) -> &Council {
+        if self.trust.0 > self.kept.log.version() { &self.trust.1 } else { self.kept.log.council() }
+    }
+
+    /// Whether it has a seat by its disk's life.
+    pub(crate) fn is_seated(&self) -> bool {
+        self.voters().seat(self.id).is_some_and(|seat| seat.life == self.life())
+    }
+
+    pub(crate) fn may_vote(&self) -> bool {
+        self.founding.checked && self.disk.is_sound() && self.is_seated()
+    }
+
+    fn named(&self) -> BTreeSet<Id> {
+        let founders = self.terms.founders.iter().copied();
+        founders.chain(self.kept.log.council().ids()).filter(|&id| id != self.id).collect()
+    }
+
+    /// Asks the others, until it is known how this one stands.
+    pub(crate) fn found(&mut self, now: f64) {
+        if !self.keeps() || (self.founding.checked && self.is_seated()) {
+            return;
+        }
+        let barred = self.kept.stage == Stage::Fresh
+            && self.founding.known.values().any(|&stage| stage == Stage::Founder);
+        if barred && !self.beats.is_multiple_of(BARRED_BEATS) {
+            return;
+        }
+        let (nonce, stage, life) = (self.founding.nonce, self.kept.stage, self.kept.life);
+        for to in self.named() {
+            self.send_kept(to, &Message::Hello { nonce, stage, life });
+        }
+        self.judge(now);
+    }
+
+    pub(crate) fn hello(&mut self, from: Id, nonce: u64, stage: Stage, life: u64) {
+        if !self.keeps() {
+            return;
+        }
+        if stage == Stage::Fresh && self.kept.stage == Stage::Founder && self.named().contains(&from) {
+            self.founding.lives.insert(from, life);
+        }
+        // What it said that it has counts no more until it says so again.
+        if let Post::Leading(lead) = &mut self.post
+            && let Some(progress) = lead.progress.get_mut(&from)
+        {
+            let met = self.founding.met.entry(from).or_default();
+            met.1 = met.1.max(progress.has.min(self.decided));
+            (progress.has, progress.counts) = (0, false);
+        }
+        let (term, acked) = self.founding.met.get(&from).copied().unwrap_or_default();
+        let stage = self.kept.stage;
+        self.send_kept(from, &Message::Known { nonce, stage, term, acked });
+    }
+
+    pub(crate) fn known(&mut self, now: f64, from: Id, nonce: u64, stage: Stage, term: Term, acked: Index) {
+        if nonce != self.founding.nonce || !self.named().contains(&from) {
+            return;
+        }
+        // Somebody knows of what this disk does not: it is an older copy.
+        let older = term > self.kept.term || acked > self.kept.log.last().index;
+        if older && !self.founding.checked && self.is_seated() {
+            self.counts.outdated += 1;
+            self.lose_seat();
+        }
+        self.founding.known.insert(from, stage);
+        self.judge(now);
+    }
+
+    /// Its votes until now count no more; let in again, it votes under another number.
+    fn lose_seat(&mut self) {
+        use rand::Rng;
+        (self.kept.stage, self.kept.life) = (Stage::Fresh, self.chance.random_range(1..=u64::MAX));
+        self.keep(disk::seat(self.kept.stage, self.kept.life));
+    }
+
+    fn judge(&mut self, now: f64) {
+        let named = self.named();
+        let known = &self.founding.known;
+        let all = |fit: &dyn Fn(Stage) -> bool| named.iter().all(|id| known.get(id).is_some_and(|&s| fit(s)));
+        let patience = PATIENCE_BEATS * self.terms.beat;
+        let council = self.kept.log.council();
+        let heard = council.is_majority(|seat| seat.id == self.id || known.contains_key(&seat.id));
+        let checked = all(&|_| true) || (now - self.founding.began >= patience && heard);
+        let next = match self.kept.stage {
+            // Only at the founding, before any entry: a seat that was lost later is not had again this way.
+            Stage::Fresh if self.kept.log.version() == 0 && all(&|stage| stage != Stage::Founder) => {
+                Stage::Ready
+            }
+            Stage::Ready if all(&|stage| stage != Stage::Fresh) => Stage::Founder,
+            stage => stage,
+        };
+        if next != self.kept.stage && self.terms.founders.contains(&self.id) {
+            self.kept.stage = next;
+            self.keep(disk::seat(next, self.kept.life));
+        }
+        self.founding.checked |= checked;
+    }
+
+    /// A member of the council spoke in a term, or said up to where it has the log.
+    pub(crate) fn met(&mut self, from: Id, term: Term, acked: Index) {
+        if self.kept.log.council().contains(from) {
+            let met = self.founding.met.entry(from).or_default();
+            *met = (met.0.max(term), met.1.max(acked));
+        }
+    }
+}
--- /dev/null
+++ b/agree/src/fresh.rs
@@ -0,0 +1,139 @@
+//! How old what a proxy knows can be. Whoever wants to act by it asks the council: a leader answers once a majority has
+//! answered a round that it began after it was asked, so that no later leader can have decided anything before. What
+//! was decided by the time of asking is then known, by the asker's own clock. Members gather the asks of many into
+//! one, so that hundreds do not all ask the leader.
+
+use std::collections::VecDeque;
+
+use rand::Rng;
+
+use crate::Id;
+use crate::agreement::Agreement;
+use crate::election::Post;
+use crate::log::Index;
+use crate::machine::Machine;
+use crate::seal::Signs;
+use crate::wire::Message;
+
+/// A proxy asks so many times in a lease.
+const ASKS: f64 = 3.0;
+/// Asks that wait at a member; more are dropped, and asked again.
+const MOST_WAITS: usize = 1024;
+
+#[derive(Clone, Debug, Default)]
+pub struct Freshness {
+    /// Its own ask: nonce, and when it was made.
+    asked: Option<(u64, f64)>,
+    /// What it will know to be decided as of when, once it has carried out so much.
+    told: Option<(f64, Index)>,
+    /// All that was decided before then is carried out here.
+    at: Option<f64>,
+    /// Asks of others that wait: at a leader with the round that answers them, elsewhere for the next ask.
+    waits: VecDeque<(Id, u64, u64)>,
+    /// Those that the ask on its way answers.
+    relayed: Vec<(Id, u64)>,
+}
+
+impl Freshness {
+    pub(crate) fn drop_waits(&mut self) {
+        self.waits.clear();
+        self.relayed.clear();
+        self.asked = None;
+    }
+}
+
+impl<M: Machine, S: Signs> Agreement<M, S> {
+    /// How old what this proxy knows of the decisions can be, in milliseconds; infinity before it was ever told.
+    pub fn age(&self, now: f64) -> f64 {
+        self.fresh.at.map_or(f64::INFINITY, |at| now - at)
+    }
+
+    /// Asks the council now, though there would be time: [`Agreement::age`] tells when it has answered.
+    pub fn refresh(&mut self, now: f64) {
+        self.ask_fresh(now);
+    }
+
+    pub(crate) fn keep_fresh(&mut self, now: f64) {
+        self.arrive();
+        let lapse = self.terms.lease / ASKS;
+        let due = self.age(now) >= lapse || !self.fresh.waits.is_empty();
+        let lost = self.fresh.asked.is_some_and(|(_, at)| now - at >= lapse.min(self.patience()));
+        if lost {
+            (self.fresh.asked, self.fresh.relayed) = (None, Vec::new());
+        }
+        if due && self.fresh.asked.is_none() {
+            self.ask_fresh(now);
+        }
+    }
+
+    fn ask_fresh(&mut self, now: f64) {
+        let nonce = self.chance.random();
+        if let Post::Leading(lead) = &self.post {
+            let round = lead.round + 1;
+            self.fresh.asked = Some((nonce, now));
+            self.fresh.waits.push_back((self.id, nonce, round));
+            return;
+        }
+        let to = if self.is_seated() { self.leader() } else { self.any_voter() };
+        let Some(to) = to else { return self.fresh.drop_waits() };
+        self.fresh.asked = Some((nonce, now));
+        self.fresh.relayed = self.fresh.waits.drain(..).map(|(from, nonce, _)| (from, nonce)).collect();
+        self.send(to, &Message::Fresh { nonce });
+    }
+
+    pub(crate) fn fresh_wanted(&mut self, from: Id, nonce: u64) {
+        if !self.is_seated() || self.fresh.waits.len() >= MOST_WAITS {
+            return;
+        }
+        let round = match &self.post {
+            Post::Leading(lead) => lead.round + 1,
+            _ => 0,
+        };
+        self.fresh.waits.push_back((from, nonce, round));
+        #[cfg(test)]
+        if self.planted(crate::tests::Fault::StaleRead) {
+            self.fresh.waits.pop_back();
+            self.send(from, &Message::FreshIs { nonce, index: self.decided });
+        }
+    }
+
+    /// A leader answers those whose round a majority has answered.
+    pub(crate) fn answer_waits(&mut self) {
+        let Post::Leading(lead) = &self.post else { return };
+        let council = self.kept.log.council();
+        let rounds = |id: Id| lead.progress.get(&id).filter(|of| of.counts).map_or(0, |of| of.round);
+        let heard = |round: u64| council.is_majority(|seat| seat.id == self.id || rounds(seat.id) >= round);
+        // Before an entry of its own term is decided it may not know what earlier leaders decided.
+        let knows = self.kept.log.mark(self.decided).is_some_and(|mark| mark.term == self.kept.term);
+        let answered = self.fresh.waits.iter().take_while(|(_, _, round)| knows && heard(*round)).count();
+        let index = self.decided;
+        for (from, nonce, _) in self.fresh.waits.drain(..answered).collect::<Vec<_>>() {
+            if from == self.id {
+                self.fresh_told(from, nonce, index);
+            } else {
+                self.send(from, &Message::FreshIs { nonce, index });
+            }
+        }
+    }
+
+    pub(crate) fn fresh_told(&mut self, from: Id, nonce: u64, index: Index) {
+        let Some((_, at)) = self.fresh.asked.filter(|(asked, _)| *asked == nonce) else { return };
+        if from != self.id && !self.trust.1.contains(from) && !self.kept.log.council().contains(from) {
+            return;
+        }
+        self.fresh.asked = None;
+        self.fresh.told = Some((at, index));
+        for (to, nonce) in std::mem::take(&mut self.fresh.relayed) {
+            self.send(to, &Message::FreshIs { nonce, index });
+        }
+        self.arrive();
+    }
+
+    /// What it was told counts once all of it is carried out.
+    pub(crate) fn arrive(&mut self) {
+        if let Some((at, _)) = self.fresh.told.filter(|(_, index)| self.applied >= *index) {
+            self.fresh.at = Some(self.fresh.at.map_or(at, |before| before.max(at)));
+            self.fresh.told = None;
+        }
+    }
+}
--- /dev/null
+++ b/agree/src/lib.rs
@@ -0,0 +1,38 @@
+//! One order of decisions for all border proxies, without I/O.
+//!
+//! [`Agreement`] is one proxy's part in it. It is handed messages, the time and what its disk came to; it hands back
+//! messages, bytes for the disk, and gives each decision to its [`Machine`] in the one order. [`council`] is who
+//! votes, [`log`] the decisions, [`seal`] the proof by which those outside the council believe them, [`disk`] what
+//! lasts, [`wire`] the form of messages. docs/agree.md weighs the ways and states the bounds.
+//!
+//! Times are milliseconds on the proxy's clock, which only goes forward.
+
+#![forbid(unsafe_code)]
+
+mod agreement;
+pub mod council;
+pub mod disk;
+mod election;
+mod follow;
+mod founding;
+mod fresh;
+pub mod log;
+mod machine;
+mod replicate;
+mod requests;
+pub mod seal;
+mod standing;
+#[cfg(test)]
+mod tests;
+pub mod wire;
+
+pub use agreement::{AgreeTerms, Agreement, Outgoing};
+pub use council::{Council, Seat};
+pub use log::{Entry, Hash, Index, Mark, Term, What};
+pub use machine::{Machine, Unknown};
+pub use requests::{Outcome, Refusal};
+pub use seal::Signs;
+pub use standing::{AgreeStanding, Counts, Role};
+
+/// A member of the fleet, as gossip knows it.
+pub type Id = gossip::keys::Id;
--- /dev/null
+++ b/agree/src/machine.rs
@@ -0,0 +1,28 @@
+//! What the decisions are about: a machine that comes to the same state wherever it is given the same ones.
+
+use thiserror::Error;
+
+use crate::log::Index;
+
+/// A decision or a state that this program does not know: made by a newer one, or for another machine. Whoever meets
+/// it stops there, rather than guess.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("decision {index}: part {part}: {what}")]
+pub struct Unknown {
+    pub index: Index,
+    pub part: u8,
+    pub what: String,
+}
+
+/// The parts that decisions are given to. Nothing but what it is given may sway it: no clock, no chance, no hash
+/// order.
+pub trait Machine {
+    /// Carries a decision out. Gives what it came to, for whoever asked: a refusal by the machine's own rules too.
+    fn decide(&mut self, index: Index, part: u8, command: &[u8]) -> Result<Vec<u8>, Unknown>;
+
+    /// All that is to be known of it, to begin anew from.
+    fn state(&self) -> Vec<u8>;
+
+    /// Takes a state that [`Machine::state`] gave, in place of its own.
+    fn restore(&mut self, index: Index, state: &[u8]) -> Result<(), Unknown>;
+}
--- /dev/null
+++ b/agree/src/seal.rs
@@ -0,0 +1,97 @@
+//! The proof that something is decided, for those who have no vote. Each member of the council signs what it knows
+//! to be decided; a majority's signatures on the same statement are a [`Seal`], which anybody can pass on. A council
+//! is proved by a seal of the one before it ([`Link`]).
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Id;
+use crate::council::Council;
+use crate::log::{Hash, Index};
+
+/// Bytes of a signature.
+pub const SIGNATURE: usize = gossip::keys::SIGNATURE;
+/// What a signature is for: nothing else that the key signs begins so.
+const DOMAIN: &[u8] = b"frostthread agree 1";
+
+/// How members sign, and who said what.
+pub trait Signs {
+    fn sign(&self, bytes: &[u8]) -> [u8; SIGNATURE];
+    fn said(&self, by: Id, bytes: &[u8], signature: &[u8; SIGNATURE]) -> bool;
+}
+
+/// What a member says of the log: all up to `index` is decided, and comes to this.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Statement {
+    pub index: Index,
+    pub hash: Hash,
+    /// The newest snapshot at or before it, and the digest of that.
+    pub snapshot: Index,
+    pub digest: Hash,
+    /// Since when its council votes, and the digest of that.
+    pub version: Index,
+    pub council: Hash,
+}
+
+impl Statement {
+    pub fn bytes(&self) -> Vec<u8> {
+        postcard::to_extend(self, DOMAIN.to_vec()).expect("plain data")
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Seal {
+    pub statement: Statement,
+    pub signatures: Vec<(Id, Vec<u8>)>,
+}
+
+impl Seal {
+    /// Signatures of a majority of a council, and no more, where there are so many.
+    pub fn of(statement: &Statement, by: &BTreeMap<Id, Vec<u8>>, council: &Council) -> Option<Self> {
+        let signed = council.ids().filter_map(|id| Some((id, by.get(&id)?.clone())));
+        let signatures: Vec<_> = signed.take(council.majority()).collect();
+        (signatures.len() == council.majority()).then(|| Self { statement: statement.clone(), signatures })
+    }
+
+    /// Whether a majority of the council signed it.
+    pub fn proved(&self, council: &Council, keys: &impl Signs) -> bool {
+        let bytes = self.statement.bytes();
+        let said = |id: Id| {
+            let mut of = self.signatures.iter().filter(|(by, _)| *by == id);
+            let signature = of.next().and_then(|(_, signature)| signature.as_slice().try_into().ok());
+            signature.is_some_and(|signature| keys.said(id, &bytes, signature))
+        };
+        self.signatures.len() <= crate::council::MOST_SEATS && council.is_majority(|seat| said(seat.id))
+    }
+}
+
+/// A council, proved by the one before it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Link {
+    pub council: Council,
+    pub seal: Seal,
+}
+
+impl Link {
+    /// Whether the former council says that this one votes.
+    pub fn proved(&self, former: &Council, keys: &impl Signs) -> bool {
+        self.council.digest() == self.seal.statement.council && self.seal.proved(former, keys)
+    }
+}
+
+/// The keys of gossip, as they sign what is decided.
+pub struct FleetKeys {
+    pub secrets: gossip::keys::Secrets,
+    pub roster: gossip::keys::Roster,
+}
+
+impl Signs for FleetKeys {
+    fn sign(&self, bytes: &[u8]) -> [u8; SIGNATURE] {
+        self.secrets.sign(bytes)
+    }
+
+    fn said(&self, by: Id, bytes: &[u8], signature: &[u8; SIGNATURE]) -> bool {
+        self.roster.said(by, bytes, signature)
+    }
+}
--- /dev/null
+++ b/agree/src/standing.rs
@@ -0,0 +1,119 @@
+//! How one proxy stands with the decisions, for operators and tests.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Id;
+use crate::agreement::Agreement;
+use crate::council::Council;
+use crate::election::Post;
+use crate::log::{Hash, Index, Term};
+use crate::machine::Machine;
+use crate::seal::Signs;
+use crate::wire::Stage;
+
+/// What was done and what was dropped.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    /// Terms that it led, and times that it stepped down for want of a majority.
+    pub led: u64,
+    pub stepped_down: u64,
+    /// Of no form; of a version or a decision that is not known; of no member that may say so.
+    pub malformed: u64,
+    pub unknown: u64,
+    pub stray: u64,
+    /// Proofs whose signatures are wanting, councils whose proofs are; logs and signatures that differ from what is
+    /// decided.
+    pub unproved: u64,
+    pub unlinked: u64,
+    pub diverged: u64,
+    /// Times that its disk was found to be an older copy.
+    pub outdated: u64,
+    /// Messages dropped because too many waited.
+    pub crowded: u64,
+}
+
+/// What a proxy is in the agreement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// It has no seat.
+    Outside,
+    /// It is named in the council, but has no vote by its disk: new, damaged or an older copy.
+    Barred,
+    /// It waits for the others' word before it votes.
+    Starting,
+    /// Its disk refuses.
+    Unwritten,
+    Follows,
+    Asks,
+    Leads,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct AgreeStanding {
+    pub role: Role,
+    pub term: Term,
+    pub leader: Option<Id>,
+    pub decided: Index,
+    pub applied: Index,
+    pub hash: Hash,
+    /// Up to where a proof is known.
+    pub sealed: Index,
+    /// The council, since which decision it votes, and whether that is proved to those who follow.
+    pub council: Council,
+    pub version: Index,
+    pub linked: bool,
+    /// How old what it knows can be, in milliseconds.
+    pub age: f64,
+    /// How far each other member is, where this one leads.
+    pub progress: BTreeMap<Id, Index>,
+    /// Numbers of members that have no vote by their disks, to be let in by.
+    pub lives: BTreeMap<Id, u64>,
+    pub stopped: Option<String>,
+    pub counts: Counts,
+}
+
+impl<M: Machine, S: Signs> Agreement<M, S> {
+    pub fn role(&self) -> Role {
+        if !self.keeps() {
+            return Role::Outside;
+        }
+        let named = self.voters().contains(self.id);
+        match &self.post {
+            _ if !named => Role::Outside,
+            _ if !self.is_seated() && self.kept.stage == Stage::Fresh => Role::Barred,
+            _ if !self.is_seated() || !self.founding.checked => Role::Starting,
+            _ if !self.disk.is_sound() => Role::Unwritten,
+            Post::Idle { .. } => Role::Follows,
+            Post::Asking { .. } => Role::Asks,
+            Post::Leading(_) => Role::Leads,
+        }
+    }
+
+    /// The decision at an index by its hash, where it is still in the log and carried out.
+    pub fn hash_at(&self, index: Index) -> Option<Hash> {
+        self.kept.log.mark(index).filter(|_| index <= self.applied).map(|mark| mark.hash)
+    }
+
+    pub fn standing(&self, now: f64) -> AgreeStanding {
+        AgreeStanding {
+            role: self.role(),
+            term: self.kept.term,
+            leader: self.leader(),
+            decided: self.decided,
+            applied: self.applied,
+            hash: self.hash_at(self.applied).unwrap_or_default(),
+            sealed: self.following.seal.as_ref().map_or(0, |seal| seal.statement.index),
+            council: self.trust.1.clone(),
+            version: self.trust.0,
+            linked: self.is_linked(),
+            age: self.age(now),
+            progress: self.heard_of(),
+            lives: self.founding.lives.clone(),
+            stopped: self.stopped.as_ref().map(ToString::to_string),
+            counts: self.counts,
+        }
+    }
+}
--- /dev/null
+++ b/agree/src/tests/mod.rs
@@ -0,0 +1,20 @@
+//! Stories, random runs and a search.
+
+mod exhaustive;
+mod parts;
+mod random;
+mod stories;
+mod world;
+
+/// Faults put in on purpose, to see that the checks find them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// What an earlier leader left is decided as soon as a majority has it.
+    EarlierTerm,
+    /// A member answers how far decisions are without asking whether it still leads.
+    StaleRead,
+    /// A snapshot takes the place of entries that follow it.
+    SnapshotOver,
+    /// The disk says that it has what it has not (this one is the world's).
+    Unsynced,
+}
--- /dev/null
+++ b/agree/src/tests/parts.rs
@@ -0,0 +1,91 @@
+//! What stands in for keys, disks and machines.
+
+use crate::disk::Write;
+use crate::{Id, Index, Machine, Signs, Unknown};
+
+/// Signatures that cost little: nobody here forges any.
+#[derive(Clone, Debug)]
+pub struct Keys(pub Id);
+
+fn signature(id: Id, bytes: &[u8]) -> [u8; 64] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&id.to_le_bytes());
+    hasher.update(bytes);
+    let mut signature = [0; 64];
+    hasher.finalize_xof().fill(&mut signature);
+    signature
+}
+
+impl Signs for Keys {
+    fn sign(&self, bytes: &[u8]) -> [u8; 64] {
+        signature(self.0, bytes)
+    }
+
+    fn said(&self, by: Id, bytes: &[u8], said: &[u8; 64]) -> bool {
+        signature(by, bytes) == *said
+    }
+}
+
+/// Keeps all that it is given, in order.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Book {
+    pub lines: Vec<u64>,
+    /// Makes it meet a command that it does not know.
+    pub old: bool,
+}
+
+impl Machine for Book {
+    fn decide(&mut self, index: Index, part: u8, command: &[u8]) -> Result<Vec<u8>, Unknown> {
+        let Ok(line) = <[u8; 8]>::try_from(command) else {
+            return Err(Unknown { index, part, what: "no line".to_owned() });
+        };
+        if self.old && part > 0 {
+            return Err(Unknown { index, part, what: "no such part".to_owned() });
+        }
+        self.lines.push(u64::from_le_bytes(line));
+        Ok(self.lines.len().to_le_bytes().to_vec())
+    }
+
+    fn state(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.lines).expect("plain data")
+    }
+
+    fn restore(&mut self, index: Index, state: &[u8]) -> Result<(), Unknown> {
+        let unread = |_| Unknown { index, part: 0, what: "no book".to_owned() };
+        self.lines = postcard::from_bytes(state).map_err(unread)?;
+        Ok(())
+    }
+}
+
+/// A disk: what it holds for good, and what is on its way there.
+#[derive(Clone, Debug, Default)]
+pub struct Disk {
+    pub holds: Vec<u8>,
+    pub writing: Option<(Write, f64)>,
+    pub refuses: bool,
+}
+
+impl Disk {
+    /// What was being written has come to the disk.
+    pub fn sync(&mut self) -> bool {
+        let Some((write, _)) = self.writing.take() else { return false };
+        if write.anew {
+            self.holds = write.bytes;
+        } else {
+            self.holds.extend(write.bytes);
+        }
+        true
+    }
+
+    /// The power goes: a part of what was being written may have come, of a new file all or nothing.
+    pub fn crash(&mut self, part: f64) {
+        if let Some((write, _)) = self.writing.take() {
+            let come = (write.bytes.len() as f64 * part) as usize;
+            if !write.anew {
+                self.holds.extend(&write.bytes[..come]);
+            } else if part > 0.9 {
+                self.holds = write.bytes;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/agree/src/tests/random.rs
@@ -0,0 +1,90 @@
+//! Five of seven vote, and all faults come together, by seed. A fault put in on purpose is found by the same checks.
+
+use rand::Rng;
+use rstest::rstest;
+
+use super::Fault;
+use super::world::World;
+
+const PROXIES: usize = 7;
+const FOUNDERS: usize = 5;
+const SPELLS: usize = 24;
+
+/// Plays one seed; gives what broke.
+fn play(seed: u64, fault: Option<Fault>) -> Vec<String> {
+    let mut world = World::new(PROXIES, FOUNDERS, seed);
+    world.fault = fault;
+    world.proxies.iter_mut().flatten().for_each(|proxy| proxy.fault = fault);
+    world.until("a leader", 10_000.0, |world| world.leader().is_some());
+    for _ in 0..SPELLS {
+        trouble(&mut world);
+        for _ in 0..4 {
+            let place = world.chance.random_range(0..PROXIES);
+            world.ask(place);
+            let place = world.chance.random_range(0..PROXIES);
+            world.read(place);
+            let span = 200.0 * world.chance.random::<f64>();
+            world.pass(span);
+        }
+    }
+    if fault.is_none() {
+        world.settles(20_000.0);
+    }
+    world.is_linear();
+    world.broken
+}
+
+fn trouble(world: &mut World) {
+    let place = world.chance.random_range(0..PROXIES);
+    let split = world.chance.random_range(1..PROXIES);
+    let (ones, others): (Vec<usize>, Vec<usize>) =
+        (0..PROXIES).partition(|&at| (at + place) % PROXIES < split);
+    match world.chance.random_range(0..13) {
+        0 => world.links.heal(),
+        1 => world.links.part(&ones, &others),
+        2 => world.links.cut(&ones, &others, true),
+        3 => world.links.cut(&[place], &others, true),
+        4 | 5 => world.restart(place),
+        6 => {
+            world.crash(place);
+            world.pass(300.0);
+            world.start(place);
+        }
+        7 => {
+            let span = 4_000.0 * world.chance.random::<f64>();
+            world.stop(place, span);
+        }
+        8 => (world.links.loss, world.links.double) = (0.3, 0.3),
+        9 => world.links.way = if world.links.way > 50.0 { 10.0 } else { 300.0 },
+        10 => world.disks[place].refuses = true,
+        11 => {
+            // All at once.
+            (0..PROXIES).for_each(|place| world.restart(place));
+        }
+        _ => {
+            let leader = world.leader().unwrap_or(place);
+            world.stop(leader, 1_500.0);
+        }
+    }
+    world.let_in();
+}
+
+#[test]
+fn all_faults_together_never_give_two_orders() {
+    let seeds = std::env::var("AGREE_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(120);
+    for seed in 0..seeds {
+        let broken = play(seed, None);
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+    }
+}
+
+#[rstest]
+#[case::a_vote_that_was_not_synced(Fault::Unsynced)]
+#[case::a_deposed_leader_that_answers_reads(Fault::StaleRead)]
+#[case::an_earlier_term_by_count(Fault::EarlierTerm)]
+#[case::a_snapshot_over_newer_entries(Fault::SnapshotOver)]
+fn a_fault_put_in_on_purpose_is_found(#[case] fault: Fault) {
+    let found = (0..200).find(|&seed| !play(seed, Some(fault)).is_empty());
+    eprintln!("{fault:?}: seed {found:?}");
+    assert!(found.is_some(), "{fault:?} was not found in 200 seeds");
+}
--- /dev/null
+++ b/agree/src/tests/stories.rs
@@ -0,0 +1,357 @@
+//! Named troubles, one story each.
+
+use rstest::rstest;
+
+use super::world::{BEAT, LEASE, World};
+use crate::{Outcome, Refusal, Role, disk};
+
+fn settled(proxies: usize, founders: usize, seed: u64) -> World {
+    let mut world = World::new(proxies, founders, seed);
+    world.until("a leader", 5_000.0, |world| world.leader().is_some());
+    world.ask(0);
+    world.until("a line", 5_000.0, |world| world.history[0].ended.is_some());
+    world.settles(5_000.0);
+    world
+}
+
+fn sound(world: &mut World) {
+    world.is_linear();
+    assert!(world.broken.is_empty(), "{:#?}", world.broken);
+}
+
+/// Lines come in at those that run, for a while.
+fn busy(world: &mut World, span: f64) {
+    let end = world.now + span;
+    while world.now < end {
+        for place in 0..world.proxies.len() {
+            world.ask(place);
+            world.read(place);
+        }
+        world.pass(100.0);
+    }
+}
+
+#[rstest]
+#[case::three(3, 3)]
+#[case::five_of_twelve(12, 5)]
+#[case::seven(7, 7)]
+fn all_started_at_once_find_a_leader_and_all_come_to_know_what_is_decided(
+    #[case] proxies: usize,
+    #[case] founders: usize,
+) {
+    let mut world = settled(proxies, founders, 1);
+    busy(&mut world, 1_000.0);
+    world.pass(1_000.0);
+    world.settles(5_000.0);
+    assert!(world.history.iter().all(|asked| asked.ended.is_some()), "{:?}", world.history);
+    for place in 0..proxies {
+        let standing = world.standing(place);
+        assert!(standing.age < LEASE, "{standing:?}");
+        assert_eq!(standing.role == Role::Outside, place >= founders);
+    }
+    sound(&mut world);
+}
+
+#[test]
+fn a_council_halved_goes_on_in_its_greater_half_and_begins_nothing_in_the_other() {
+    let mut world = settled(7, 5, 2);
+    let leader = world.leader().expect("leads");
+    let other = (leader + 1) % 5;
+    let rest: Vec<usize> = (0..7).filter(|place| ![leader, other].contains(place)).collect();
+    world.links.part(&[leader, other], &rest);
+    let cut = world.standing(other).applied;
+    world.ask(leader);
+    world.until("another leader", 5_000.0, |world| world.leader().is_some_and(|new| new != leader));
+    busy(&mut world, 1_000.0);
+    assert!(world.standing(rest[0]).applied > cut + 10);
+    assert_eq!(world.standing(other).applied, cut, "decided without a majority");
+    assert!(world.standing(other).age > LEASE, "took itself for fresh");
+    world.settles(5_000.0);
+    sound(&mut world);
+}
+
+#[test]
+fn a_leader_that_is_heard_but_hears_nobody_makes_room() {
+    let mut world = settled(5, 5, 3);
+    let leader = world.leader().expect("leads");
+    let rest: Vec<usize> = (0..5).filter(|&place| place != leader).collect();
+    world.links.cut(&rest, &[leader], true);
+    world.until("another leader", 5_000.0, |world| world.leader().is_some_and(|new| new != leader));
+    busy(&mut world, 500.0);
+    world.settles(5_000.0);
+    sound(&mut world);
+}
+
+#[test]
+fn a_leader_stopped_for_four_seconds_wakes_deposed_and_reads_nothing_old() {
+    let mut world = settled(5, 5, 4);
+    let leader = world.leader().expect("leads");
+    world.stop(leader, 4_000.0);
+    world.until("another leader", 4_000.0, |world| world.leader().is_some_and(|new| new != leader));
+    let other = (leader + 1) % 5;
+    (0..5).for_each(|_| world.ask(other));
+    let to_wake = world.stopped[leader] - world.now;
+    world.pass(to_wake);
+    (0..5).for_each(|_| world.read(leader));
+    world.pass(2_000.0);
+    assert!(world.standing(leader).age < LEASE);
+    world.settles(5_000.0);
+    sound(&mut world);
+}
+
+#[test]
+fn a_member_whose_disk_is_lost_has_no_vote_until_it_is_let_in_anew() {
+    let mut world = settled(3, 3, 5);
+    busy(&mut world, 500.0);
+    world.proxies[2] = None;
+    world.disks[2] = Default::default();
+    world.start(2);
+    world.pass(3_000.0);
+    assert_eq!(world.standing(2).role, Role::Barred);
+    // With another away the vote of the one that lost its own would be wanted.
+    let gone = if world.leader() == Some(0) { 1 } else { 0 };
+    world.crash(gone);
+    let applied = world.standing(1 - gone).applied;
+    busy(&mut world, 2_000.0);
+    assert_eq!(world.standing(1 - gone).applied, applied, "decided by a vote that was lost");
+    world.start(gone);
+    world.until("let in", 20_000.0, |world| {
+        world.let_in();
+        world.pass(200.0);
+        world.standing(2).role == Role::Follows
+    });
+    world.crash(gone);
+    world.until("a leader", 10_000.0, |world| world.leader().is_some());
+    busy(&mut world, 500.0);
+    assert!(world.standing(2).applied > applied + 5);
+    world.settles(5_000.0);
+    sound(&mut world);
+}
+
+#[test]
+fn an_older_copy_of_a_disk_is_found_out_by_what_the_others_know() {
+    let mut world = settled(3, 3, 6);
+    let leader = world.leader().expect("leads");
+    let other = (leader + 1) % 3;
+    let copy = world.disks[other].holds.clone();
+    busy(&mut world, 1_000.0);
+    world.crash(other);
+    world.disks[other].holds = copy;
+    world.start(other);
+    world.until("found out", 3_000.0, |world| world.standing(other).counts.outdated == 1);
+    assert_eq!(world.standing(other).role, Role::Barred);
+    busy(&mut world, 500.0);
+    world.settles(5_000.0);
+    sound(&mut world);
+}
+
+#[rstest]
+#[case::whole(0.0)]
+#[case::torn(0.5)]
+fn a_disk_that_is_full_in_the_middle_of_a_vote_gives_none_and_is_well_again_later(#[case] part: f64) {
+    let mut world = settled(3, 3, 7);
+    let leader = world.leader().expect("leads");
+    world.crash(leader);
+    let others: Vec<usize> = (0..3).filter(|&place| place != leader).collect();
+    others.iter().for_each(|&place| world.disks[place].refuses = true);
+    world.until("refused", 5_000.0, |world| {
+        others.iter().any(|&place| world.standing(place).role == Role::Unwritten)
+    });
+    if part > 0.0 {
+        let place = others[0];
+        world.disks[place].holds.extend([0xc7, 0x5d, 40, 0, 1]);
+        world.restart(place);
+    }
+    world.until("a leader", 10_000.0, |world| world.leader().is_some());
+    busy(&mut world, 500.0);
+    world.settles(5_000.0);
+    sound(&mut world);
+}
+
+#[rstest]
+#[case::empty(&[], disk::Lost::Nothing)]
+#[case::rubbish(&[7; 300], disk::Lost::Nothing)]
+fn a_file_that_says_nothing_is_no_state(#[case] bytes: &[u8], #[case] lost: disk::Lost) {
+    assert_eq!(disk::recover(bytes).expect_err("nothing there"), lost);
+}
+
+#[test]
+fn a_file_is_whole_torn_at_its_end_or_not_to_be_trusted() {
+    let mut world = settled(3, 3, 8);
+    busy(&mut world, 1_000.0);
+    let whole = world.disks[0].holds.clone();
+    let kept = disk::recover(&whole).expect("sound");
+    for cut in (whole.len() - 60..whole.len()).step_by(7) {
+        let torn = disk::recover(&whole[..cut]).expect("a torn tail is cut");
+        assert!(torn.log.last().index <= kept.log.last().index);
+    }
+    for at in (0..whole.len() - 200).step_by(97) {
+        let mut damaged = whole.clone();
+        damaged[at] ^= 0x10;
+        assert!(disk::recover(&damaged).is_err(), "byte {at}");
+    }
+}
+
+#[test]
+fn one_that_comes_late_gets_a_snapshot_in_pieces_and_goes_on_from_there() {
+    let mut world = settled(6, 3, 9);
+    world.crash(5);
+    let follower = (0..3).find(|&place| Some(place) != world.leader()).expect("follows");
+    world.crash(follower);
+    let end = world.now + 8_000.0;
+    while world.now < end {
+        (0..5).filter(|&place| place != follower).for_each(|place| world.ask(place));
+        world.pass(50.0);
+    }
+    let far = world.standing(4).applied;
+    assert!(far > 400, "{far}");
+    world.start(5);
+    world.start(follower);
+    world.settles(10_000.0);
+    let lines = world.proxy(0).machine().lines.clone();
+    assert_eq!(world.proxy(5).machine().lines, lines);
+    assert!(world.proxy(5).kept.log.base().index > 0, "it came by a snapshot");
+    world.restart(follower);
+    world.settles(10_000.0);
+    sound(&mut world);
+}
+
+#[test]
+fn a_council_changes_seat_by_seat_and_those_who_follow_learn_it_by_proofs() {
+    let mut world = settled(7, 3, 10);
+    world.crash(6);
+    for (id, life) in [(3, 1), (4, 1), (0, 0)] {
+        let leader = world.leader().expect("leads");
+        let council = world.standing(leader).council;
+        // 0 goes; 3 and 4 come by the lives that their new disks will have drawn.
+        let life = world.proxies[id].as_ref().map_or(life, |proxy| proxy.kept.life);
+        let next = match council.seat(id as u64) {
+            Some(_) => council.without(id as u64),
+            None => council.with(crate::Seat { id: id as u64, life }),
+        };
+        let now = world.clock(leader);
+        let two = next.without(1);
+        assert_eq!(world.proxy(leader).propose_council(now, two), Err(Refusal::NotOneSeat));
+        world.until("the change", 10_000.0, |world| {
+            let Some(leader) = world.leader() else { return false };
+            let now = world.clock(leader);
+            let _ = world.proxy(leader).propose_council(now, next.clone());
+            world.pass(200.0);
+            let standing = world.standing(leader);
+            standing.council == next && standing.linked
+        });
+    }
+    let council: Vec<u64> = world.standing(1).council.ids().collect();
+    assert_eq!(council, [1, 2, 3, 4]);
+    // One that knows only the founders goes from proof to proof.
+    world.settles(10_000.0);
+    assert_eq!(world.standing(6).council, world.standing(1).council);
+    world.crash(1);
+    world.until("a leader", 10_000.0, |world| world.leader().is_some());
+    busy(&mut world, 500.0);
+    world.settles(10_000.0);
+    sound(&mut world);
+}
+
+#[test]
+fn whoever_does_not_know_a_command_stops_there_and_says_so() {
+    let mut world = settled(5, 3, 11);
+    world.proxy(4).machine_mut().old = true;
+    let now = world.clock(0);
+    let request = world.proxy(0).propose(now, 9, 7u64.to_le_bytes().to_vec()).expect("room");
+    world.ask(0);
+    world.pass(2_000.0);
+    let standing = world.standing(4);
+    assert!(standing.stopped.is_some_and(|what| what.contains("no such part")));
+    assert_eq!(world.proxy(4).machine().lines.len(), 1, "nothing after it either");
+    assert!(world.proxy(3).machine().lines.len() == 3);
+    assert_eq!(world.proxy(0).outcome(), None, "told already: {request}");
+}
+
+#[test]
+fn what_nobody_may_say_is_counted_and_changes_nothing() {
+    let mut world = settled(5, 3, 12);
+    let before = world.standing(0);
+    let now = world.clock(0);
+    let junk = [&[][..], &[1], &[9, 9, 9], &[1; 900], &[1, 255, 255, 255]];
+    junk.iter().for_each(|bytes| world.proxy(0).receive(now, 4, bytes));
+    // One without a seat asks for votes, leads, and proves by no signatures.
+    let log = world.proxy(0).kept.log.clone();
+    let (term, last) = (before.term + 5, log.last());
+    let seal = crate::seal::Seal {
+        statement: crate::seal::Statement {
+            index: last.index + 1,
+            hash: [1; 32],
+            snapshot: 0,
+            digest: [0; 32],
+            version: 0,
+            council: log.council().digest(),
+        },
+        signatures: (0..3).map(|id| (id, vec![3; 64])).collect(),
+    };
+    let forged = [
+        crate::wire::Message::Ask { term, trial: false, index: 99, of: term },
+        crate::wire::Message::Append {
+            term,
+            round: 1,
+            prev: last.index,
+            hash: last.hash,
+            entries: Vec::new(),
+            decided: 99,
+        },
+        crate::wire::Message::Tell { seal },
+        crate::wire::Message::Vote { term, trial: false, granted: true, life: 0 },
+        crate::wire::Message::FreshIs { nonce: 4, index: 0 },
+    ];
+    forged.iter().for_each(|message| world.proxy(0).receive(now, 4, &crate::wire::write(message)));
+    let after = world.standing(0);
+    assert_eq!((after.term, after.applied, after.sealed), (before.term, before.applied, before.sealed));
+    assert!(after.counts.malformed + after.counts.unknown >= 5, "{:?}", after.counts);
+    assert!(after.counts.stray >= 2 && after.counts.unproved >= 1, "{:?}", after.counts);
+    sound(&mut world);
+}
+
+#[test]
+fn how_long_a_new_leader_and_a_decision_take() {
+    let (mut leaders, mut known) = (Vec::new(), Vec::new());
+    for seed in 20..30 {
+        let mut world = settled(40, 5, seed);
+        let leader = world.leader().expect("leads");
+        world.crash(leader);
+        leaders.push(world.until("another", 10_000.0, |world| world.leader().is_some()) / BEAT);
+        world.links.loss = 0.3;
+        world.pass(1_000.0);
+        world.ask(10);
+        let asked = world.history.len() - 1;
+        let line = world.history[asked].line.expect("a line");
+        known.push(
+            world.until("known to all", 30_000.0, |world| {
+                let all = world.proxies.iter().flatten();
+                all.into_iter().all(|proxy| proxy.machine().lines.contains(&line))
+            }) / BEAT,
+        );
+        sound(&mut world);
+    }
+    // In beats; the bound that docs/agree.md states.
+    assert!(leaders.iter().all(|&beats| beats < 60.0), "{leaders:?}");
+    assert!(known.iter().all(|&beats| beats < 80.0), "{known:?}");
+    eprintln!("beats to a leader {leaders:.0?}, until all of 40 know at 30% loss {known:.0?}");
+}
+
+#[test]
+fn a_request_is_answered_once_and_forgotten_when_nobody_waits() {
+    let mut world = settled(4, 3, 13);
+    let now = world.clock(3);
+    assert_eq!(world.proxy(3).propose(now, 0, vec![0; 500]), Err(Refusal::TooLong));
+    let request = world.proxy(3).propose(now, 0, 9u64.to_le_bytes().to_vec()).expect("room");
+    world.links.double = 0.5;
+    let mut told = Vec::new();
+    for _ in 0..200 {
+        // Without the world's own reading of outcomes.
+        world.pass(5.0);
+        told.extend(world.proxy(3).outcome());
+    }
+    assert!(told.len() <= 1, "{told:?}");
+    assert!(told.iter().all(|(of, outcome)| *of == request && matches!(outcome, Outcome::Decided { .. })));
+    assert_eq!(world.proxy(0).machine().lines, [1, 9]);
+}
--- /dev/null
+++ b/agree/src/wire.rs
@@ -0,0 +1,182 @@
+//! The form of what proxies say to each other about decisions, in postcard's compact encoding. Who says it is proved
+//! by what carries it. [`write`] and [`read`] are the two ways; what is read has bounded lists, and nothing else of
+//! it is checked.
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::council::MOST_SEATS;
+use crate::log::{Entry, Hash, Index, MOST_COMMAND, Term, What};
+use crate::seal::{Link, Seal};
+
+pub const VERSION: u8 = 1;
+/// Bytes of the longest message: with all that a packet of gossip's takes along it stays a datagram.
+pub const LARGEST: usize = 780;
+/// Bytes of entries in a message, of which a command of full length must find room.
+pub const ENTRIES: usize = 640;
+/// Bytes of a snapshot in a message.
+pub const PIECE: usize = 640;
+const MOST_ENTRIES: usize = 64;
+
+/// Where a founder's seat stands with its disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Stage {
+    /// Its disk was empty, or not to be trusted: it has no vote.
+    Fresh,
+    /// It has heard that nobody has a vote yet.
+    Ready,
+    /// It votes.
+    Founder,
+}
+
+/// Signed by its sender: it knows all up to `index` to be decided.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Signed {
+    pub index: Index,
+    pub signature: Vec<u8>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Message {
+    /// I have started: how do you stand, and what do you know of me?
+    Hello {
+        nonce: u64,
+        stage: Stage,
+        life: u64,
+    },
+    /// Known of the one asked by: the latest term it spoke in, and up to where it said that it has the log.
+    Known {
+        nonce: u64,
+        stage: Stage,
+        term: Term,
+        acked: Index,
+    },
+    /// Please vote for me; `trial` where nobody is to be bound by it yet. `index` and `of` are my log's end.
+    Ask {
+        term: Term,
+        trial: bool,
+        index: Index,
+        of: Term,
+    },
+    Vote {
+        term: Term,
+        trial: bool,
+        granted: bool,
+        life: u64,
+    },
+    /// The leader's entries after `prev`, and what is decided.
+    Append {
+        term: Term,
+        round: u64,
+        prev: Index,
+        hash: Hash,
+        entries: Vec<Entry>,
+        decided: Index,
+    },
+    /// Up to `index` my log is the leader's, on my disk; or, where it did not fit, where to begin anew.
+    Have {
+        term: Term,
+        round: u64,
+        life: u64,
+        index: Index,
+        fits: bool,
+        signed: Option<Signed>,
+    },
+    /// The newest proof.
+    Tell {
+        seal: Seal,
+    },
+    /// Please send what follows my log, or the proof of the council after mine, or a piece of the snapshot there.
+    Pull {
+        index: Index,
+        hash: Hash,
+        version: Index,
+        piece: Option<(Index, u32)>,
+    },
+    Entries {
+        prev: Index,
+        hash: Hash,
+        entries: Vec<Entry>,
+    },
+    Council {
+        link: Box<Link>,
+    },
+    /// A piece of the snapshot at an index, of `of` bytes in all, from byte `at` on.
+    Piece {
+        index: Index,
+        hash: Hash,
+        term: Term,
+        at: u32,
+        of: u32,
+        bytes: Vec<u8>,
+    },
+    /// Please have this decided.
+    Propose {
+        request: u64,
+        what: What,
+    },
+    /// That is not for the log; `leader` where the one asked knows it and is not it.
+    Refused {
+        request: u64,
+        refusal: crate::Refusal,
+    },
+    /// How far were decisions, at any time after you heard this?
+    Fresh {
+        nonce: u64,
+    },
+    FreshIs {
+        nonce: u64,
+        index: Index,
+    },
+}
+
+/// Why a message was dropped.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Unfit {
+    #[error("longer than any message")]
+    Oversized,
+    #[error("field version: not known")]
+    Version,
+    #[error("not of its form")]
+    Form,
+    #[error("a list or a command is longer than any")]
+    Bounds,
+}
+
+pub fn write(message: &Message) -> Vec<u8> {
+    postcard::to_extend(message, vec![VERSION]).expect("plain data")
+}
+
+fn bounded(what: &What) -> bool {
+    match what {
+        What::Begin => true,
+        What::Council(council) => council.seats().len() <= MOST_SEATS,
+        What::Decide { command, .. } => command.len() <= MOST_COMMAND,
+    }
+}
+
+pub fn read(bytes: &[u8]) -> Result<Message, Unfit> {
+    if bytes.len() > LARGEST {
+        return Err(Unfit::Oversized);
+    }
+    let (&version, body) = bytes.split_first().ok_or(Unfit::Form)?;
+    if version != VERSION {
+        return Err(Unfit::Version);
+    }
+    let (message, rest) = postcard::take_from_bytes::<Message>(body).map_err(|_| Unfit::Form)?;
+    if !rest.is_empty() {
+        return Err(Unfit::Form);
+    }
+    let fits = match &message {
+        Message::Append { entries, .. } | Message::Entries { entries, .. } => {
+            entries.len() <= MOST_ENTRIES && entries.iter().all(|entry| bounded(&entry.what))
+        }
+        Message::Propose { what, .. } => bounded(what),
+        Message::Tell { seal } => seal.signatures.len() <= MOST_SEATS,
+        Message::Council { link } => {
+            link.seal.signatures.len() <= MOST_SEATS && link.council.seats().len() <= MOST_SEATS
+        }
+        _ => true,
+    };
+    if fits { Ok(message) } else { Err(Unfit::Bounds) }
+}
