--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -3,16 +3,19 @@
 use std::path::Path;
 
 use anyhow::{Context, Result};
+use border::decided::{Answer, CouncilStatus, OutsStatus, Wish};
 use border::status::{GossipStatus, LimitsStatus, Status};
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot};
 
-const WORDS: &str = "status, members, suspicions, gossip, limits, rekey or stop";
+const WORDS: &str = "status, members, suspicions, gossip, limits, council, outs, a wish, rekey or stop";
 /// What a proxy without gossip says of it.
 pub const NO_GOSSIP: &str = "this proxy has no [gossip]";
 const NO_FLEET: &str = "this proxy has no [fleet]";
+const NO_COUNCIL: &str = "this proxy has no [council]";
 
 /// What an operator asks for, with where the answer goes.
 #[derive(Debug)]
@@ -22,11 +25,26 @@
     Gossip(oneshot::Sender<Option<GossipStatus>>),
     /// None where there are no limits of the fleet.
     Limits(oneshot::Sender<Option<LimitsStatus>>),
+    /// None where nothing is decided for all.
+    Council(oneshot::Sender<Option<CouncilStatus>>),
+    Outs(oneshot::Sender<Option<OutsStatus>>),
+    /// Have something decided, or see what it would come to.
+    Wish(Wished, oneshot::Sender<Result<Answer, String>>),
     /// Read the key files again; what is wrong with them, if anything.
     Rekey(oneshot::Sender<Result<(), String>>),
     Stop,
 }
 
+/// What an operator wants decided.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Wished {
+    pub wish: Wish,
+    /// Only what it would come to by what this proxy knows.
+    #[serde(default)]
+    pub dry: bool,
+}
+
 /// Takes operators' connections until the proxy is gone.
 pub async fn serve(listener: UnixListener, asks: mpsc::Sender<Ask>) {
     while let Ok((stream, _)) = listener.accept().await {
@@ -63,11 +81,29 @@
             "limits" => {
                 let (give, take) = oneshot::channel();
                 asks.send(Ask::Limits(give)).await?;
-                match take.await? {
-                    None => serde_json::json!({ "error": NO_FLEET }).to_string(),
-                    Some(limits) => serde_json::to_string(&limits)?,
-                }
+                told(take.await?, NO_FLEET)?
+            }
+            "council" => {
+                let (give, take) = oneshot::channel();
+                asks.send(Ask::Council(give)).await?;
+                told(take.await?, NO_COUNCIL)?
             }
+            "outs" => {
+                let (give, take) = oneshot::channel();
+                asks.send(Ask::Outs(give)).await?;
+                told(take.await?, NO_COUNCIL)?
+            }
+            wish if wish.starts_with('{') => match serde_json::from_str(wish) {
+                Err(error) => serde_json::json!({ "error": format!("wish: {error}") }).to_string(),
+                Ok(wished) => {
+                    let (give, take) = oneshot::channel();
+                    asks.send(Ask::Wish(wished, give)).await?;
+                    match take.await? {
+                        Ok(answer) => serde_json::to_string(&answer)?,
+                        Err(error) => serde_json::json!({ "error": error }).to_string(),
+                    }
+                }
+            },
             "rekey" => {
                 let (give, take) = oneshot::channel();
                 asks.send(Ask::Rekey(give)).await?;
@@ -89,6 +125,13 @@
     Ok(())
 }
 
+fn told(what: Option<impl Serialize>, none: &str) -> Result<String> {
+    Ok(match what {
+        None => serde_json::json!({ "error": none }).to_string(),
+        Some(what) => serde_json::to_string(&what)?,
+    })
+}
+
 /// Asks a running proxy something, by its word.
 pub async fn ask<T: DeserializeOwned>(socket: &Path, word: &str) -> Result<T> {
     #[derive(serde::Deserialize)]
--- /dev/null
+++ b/daemon/src/council.rs
@@ -0,0 +1,76 @@
+//! Keeps on the disk what a proxy must not forget of the decisions. `agree::disk` says what; this reads it once, and
+//! writes and syncs what is handed to it, away from the loop. A lock beside the file keeps a second process out.
+
+use std::fs::{self, File, OpenOptions};
+use std::io::{self, Write as _};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex};
+
+use agree::disk::{Kept, Lost, Write, recover};
+use anyhow::{Context, Result, bail};
+use tokio::sync::mpsc;
+
+/// The file, while this process has it.
+pub struct Keeper {
+    path: PathBuf,
+    file: Arc<Mutex<Option<File>>>,
+    told: mpsc::Sender<io::Result<()>>,
+    _lock: File,
+}
+
+impl Keeper {
+    /// Reads what the file holds, and keeps other processes from it. What each write came to is told over `told`.
+    pub fn open(path: &Path, told: mpsc::Sender<io::Result<()>>) -> Result<(Self, Result<Kept, Lost>)> {
+        let folder = path.parent().context("a file in a folder wanted")?;
+        fs::create_dir_all(folder)?;
+        let lock =
+            OpenOptions::new().create(true).truncate(false).write(true).open(path.with_extension("lock"))?;
+        if lock.try_lock().is_err() {
+            bail!("another process has it");
+        }
+        let found = match fs::read(path) {
+            Ok(bytes) => recover(&bytes),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Err(Lost::Nothing),
+            Err(error) => return Err(error.into()),
+        };
+        if let Err(lost @ (Lost::Damaged { .. } | Lost::Nonsense)) = &found {
+            // Kept for whoever wants to look; this proxy has no vote by it any more.
+            let aside = path.with_extension("damaged");
+            tracing::error!(aside = %aside.display(), "council.state_lost: {lost}");
+            fs::rename(path, aside)?;
+        }
+        let file = Arc::new(Mutex::new(None));
+        Ok((Self { path: path.to_owned(), file, told, _lock: lock }, found))
+    }
+
+    /// Begins to write and sync.
+    pub fn write(&self, write: Write) {
+        let (path, file, told) = (self.path.clone(), self.file.clone(), self.told.clone());
+        tokio::task::spawn_blocking(move || {
+            let mut file = file.lock().expect("no writer panics");
+            let done = if write.anew {
+                put(&path, &write.bytes).map(|put| *file = Some(put))
+            } else {
+                add(&file, &write.bytes)
+            };
+            let _ = told.blocking_send(done);
+        });
+    }
+}
+
+/// A whole new file in the place of the old one, or the old one still.
+fn put(path: &Path, bytes: &[u8]) -> io::Result<File> {
+    let folder = path.parent().unwrap_or(Path::new("."));
+    let mut fresh = tempfile::NamedTempFile::new_in(folder)?;
+    fresh.write_all(bytes)?;
+    fresh.as_file().sync_all()?;
+    let file = fresh.persist(path)?;
+    File::open(folder)?.sync_all()?;
+    Ok(file)
+}
+
+fn add(file: &Option<File>, bytes: &[u8]) -> io::Result<()> {
+    let mut file = file.as_ref().ok_or_else(|| io::Error::other("nothing was written yet"))?;
+    file.write_all(bytes)?;
+    file.sync_data()
+}
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -6,16 +6,21 @@
 use std::process::ExitCode;
 
 use anyhow::{Context, Result};
-use border::status::{GossipStatus, LimitStatus, LimitsStatus, MemberStatus, Status, SuspicionStatus};
-use clap::{Parser, Subcommand, ValueEnum};
+use border::decided::{Answer, CouncilStatus, OutsStatus, Wish};
+use border::status::{GossipStatus, LimitsStatus, Status};
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use daemon::control::Wished;
 use daemon::records::{self, RecordsCommand};
 use daemon::settings::{self, Plan};
 use daemon::{control, keys, run, serve};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tabled::{Table, Tabled, settings::Style};
 use tracing_subscriber::EnvFilter;
 
+mod tables;
+
+use tables::{show, show_council, show_limits, show_members, show_outs, show_suspicions};
+
 #[derive(Parser)]
 #[command(
     name = "frostthread",
@@ -68,6 +73,33 @@
         #[arg(long)]
         json: bool,
     },
+    /// Who decides for all proxies, and how this one stands with it; let a member in, or take one out
+    Council {
+        #[command(subcommand)]
+        what: CouncilCommand,
+    },
+    /// Have no proxy send a central server anything new, by a decision of the fleet
+    Drain {
+        server: String,
+        /// Kept with the decision
+        #[arg(long, default_value = "")]
+        why: String,
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Take a drain back
+    Undrain {
+        server: String,
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Ask a running border proxy who is out by the fleet's decision, since when and why
+    Outs {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
     /// Have a running border proxy read its key files and roster again
     Rekey {
         #[arg(long)]
@@ -92,6 +124,44 @@
     },
 }
 
+#[derive(Subcommand)]
+enum CouncilCommand {
+    /// Print it
+    State {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Give a proxy of the roster a seat
+    Add {
+        proxy: String,
+        /// The number of its disk, where no member has heard it: `council state` there has it
+        #[arg(long)]
+        life: Option<u64>,
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Take a proxy's seat
+    Remove {
+        proxy: String,
+        #[command(flatten)]
+        order: Order,
+    },
+}
+
+/// How something is asked for. Exit code 3 where it is refused, 1 where it was not decided in time.
+#[derive(Args)]
+struct Order {
+    #[arg(long)]
+    config: PathBuf,
+    /// Only tell what it would come to, by what the proxy knows
+    #[arg(long)]
+    dry_run: bool,
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(Subcommand)]
 enum KeyCommand {
     /// Draw a secret key into a new file, and print its public key
@@ -185,6 +255,22 @@
             let Some(limits) = ask::<LimitsStatus>(&config, "limits")? else { return Ok(wrong) };
             tell(json, &limits, || show_limits(&limits))?;
         }
+        Command::Council { what: CouncilCommand::State { config, json } } => {
+            let Some(council) = ask::<CouncilStatus>(&config, "council")? else { return Ok(wrong) };
+            tell(json, &council, || show_council(&council))?;
+        }
+        Command::Council { what: CouncilCommand::Add { proxy, life, order } } => {
+            return wish(Wish::Add { proxy, life }, &order);
+        }
+        Command::Council { what: CouncilCommand::Remove { proxy, order } } => {
+            return wish(Wish::Remove { proxy }, &order);
+        }
+        Command::Drain { server, why, order } => return wish(Wish::Drain { server, why }, &order),
+        Command::Undrain { server, order } => return wish(Wish::Undrain { server }, &order),
+        Command::Outs { config, json } => {
+            let Some(outs) = ask::<OutsStatus>(&config, "outs")? else { return Ok(wrong) };
+            tell(json, &outs, || show_outs(&outs))?;
+        }
         Command::Status { config, json } => {
             let Some(status) = ask::<Status>(&config, "status")? else { return Ok(wrong) };
             tell(json, &status, || show(&status))?;
@@ -193,6 +279,21 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Has something decided, or tells what it would come to.
+fn wish(wish: Wish, order: &Order) -> Result<ExitCode> {
+    let wished = Wished { wish, dry: order.dry_run };
+    let Some(answer) = ask::<Answer>(&order.config, &serde_json::to_string(&wished)?)? else {
+        return Ok(ExitCode::from(2));
+    };
+    tell(order.json, &answer, || match &answer {
+        Answer::Done { .. } if order.dry_run => println!("would be decided"),
+        Answer::Done { decision } => println!("decided, as decision {decision}"),
+        Answer::Already => println!("it is so already"),
+        Answer::Refused { why } => println!("refused: {why}"),
+    })?;
+    Ok(if matches!(answer, Answer::Refused { .. }) { ExitCode::from(3) } else { ExitCode::SUCCESS })
+}
+
 /// Asks the proxy that runs by some settings; nothing where those are unfit.
 fn ask<T: DeserializeOwned>(config: &Path, word: &str) -> Result<Option<T>> {
     let Some(plan) = plan(config)? else { return Ok(None) };
@@ -211,159 +312,3 @@
 fn runtime() -> Result<tokio::runtime::Runtime> {
     Ok(tokio::runtime::Builder::new_current_thread().enable_all().build()?)
 }
-
-#[derive(Tabled)]
-struct Row {
-    server: String,
-    address: String,
-    state: String,
-    out: String,
-    samples: usize,
-    delay: String,
-    rate: String,
-}
-
-fn show_members(gossip: &GossipStatus) {
-    #[derive(Tabled)]
-    struct Row<'a> {
-        proxy: &'a str,
-        address: &'a str,
-        standing: &'a str,
-    }
-    fn row(m: &MemberStatus) -> Row<'_> {
-        Row { proxy: &m.name, address: &m.address, standing: &m.standing }
-    }
-    println!("{}", Table::new(gossip.members.iter().map(row)).with(Style::sharp()));
-    let tally = gossip.tally;
-    println!(
-        "sent {} packets, {} bytes, put off {}; dropped: malformed {}, untagged {}, forged {}, replayed {}, \
-         bad statements {}; clashes {}",
-        tally.packets,
-        tally.sent_bytes,
-        gossip.deferred,
-        tally.malformed,
-        tally.untagged,
-        tally.forged,
-        tally.replayed,
-        tally.bad_statements,
-        tally.clashes
-    );
-}
-
-fn show_suspicions(gossip: &GossipStatus) {
-    #[derive(Tabled)]
-    struct Row<'a> {
-        server: &'a str,
-        believed: bool,
-        accusers: String,
-        vouchers: usize,
-        since: String,
-        own_answer: String,
-    }
-    fn row(s: &SuspicionStatus) -> Row<'_> {
-        Row {
-            server: &s.server,
-            believed: s.believed,
-            accusers: format!("{}: {}", s.accusers.len(), s.accusers.join(" ")),
-            vouchers: s.vouchers,
-            since: format!("{:.1} s", s.age / 1000.0),
-            own_answer: s.answered.map_or("never".to_owned(), |ago| format!("{:.1} s ago", ago / 1000.0)),
-        }
-    }
-    println!("{}", Table::new(gossip.suspicions.iter().map(row)).with(Style::sharp()));
-}
-
-fn show_limits(status: &LimitsStatus) {
-    #[derive(Tabled)]
-    struct Row<'a> {
-        server: &'a str,
-        limit: String,
-        own: usize,
-        lent: usize,
-        borrowed: usize,
-        used: usize,
-        free: usize,
-        why: &'a str,
-    }
-    fn row(l: &LimitStatus) -> Row<'_> {
-        Row {
-            server: &l.server,
-            limit: format!("{} in {:.1} s", l.permits, l.window_ms / 1000.0),
-            own: l.part,
-            lent: l.lent,
-            borrowed: l.borrowed,
-            used: l.resting,
-            free: l.free,
-            why: &l.why,
-        }
-    }
-    println!("{}", Table::new(status.limits.iter().map(row)).with(Style::sharp()));
-    let counts = status.counts;
-    println!(
-        "asked {}, lent {}, borrowed {}, missed {}; dropped: malformed {}, unknown {}, over {}, stray {}",
-        counts.asked,
-        counts.lent,
-        counts.borrowed,
-        counts.missed,
-        counts.malformed,
-        counts.unknown,
-        counts.over,
-        counts.stray
-    );
-}
-
-fn show(status: &Status) {
-    let row = |server: &border::status::ServerStatus| Row {
-        server: server.name.clone(),
-        address: server.address.clone(),
-        state: match (server.cold, server.resting) {
-            (true, _) => format!("{}, cold", server.state),
-            (false, true) => format!("{}, resting", server.state),
-            _ => server.state.clone(),
-        },
-        out: format!("{} of {:.1}", server.out, server.allowance),
-        samples: server.samples,
-        delay: format!("{:.0} ms", server.delay_ms),
-        rate: server.told_rate.map_or("-".to_owned(), |rate| format!("{rate:.1}/s")),
-    };
-    println!("{}", Table::new(status.servers.iter().map(row)).with(Style::sharp()));
-    let (present, tally) = (status.present, status.tally);
-    println!("held {}, shot {}, standing {}", present.held, present.shot, present.standing);
-    println!(
-        "taken {}, stood {}, refused {}, failed {}, left {}, cut {}; shots {}, nacked {}, timed out {}, reset {}",
-        tally.taken,
-        tally.stood,
-        tally.refused,
-        tally.failed,
-        tally.left,
-        tally.cut,
-        tally.shots,
-        tally.nacked,
-        tally.timed_out,
-        tally.reset
-    );
-    println!(
-        "unrouted {}, turned away {}, unrecordable {}",
-        tally.unrouted, tally.turned_away, tally.unrecordable
-    );
-    if let Some(watch) = status.watch {
-        println!(
-            "watched: {} of {} turns would differ; {} turns in all",
-            watch.differing, watch.seen, watch.turns
-        );
-        println!(
-            "elsewhere {}, other time-out {}, held back {}, sooner {}, given up {}, kept {}, other advice {}, \
-             called off {}, unprobed {}, probed {}",
-            watch.elsewhere,
-            watch.time_out,
-            watch.held_back,
-            watch.sooner,
-            watch.given_up,
-            watch.kept,
-            watch.advice,
-            watch.called_off,
-            watch.unprobed,
-            watch.probed
-        );
-    }
-}
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use agree::AgreeTerms;
+use agree::seal::FleetKeys;
 use anyhow::{Context, Result};
 use border::pool::{News, PoolList};
 use border::scribe::Scribe;
@@ -28,11 +30,13 @@
 use crate::backlog::{self, Backlog};
 use crate::clock::{Clock, unix};
 use crate::control::{self, Ask};
+use crate::council::Keeper;
 use crate::feed;
 use crate::journal::Journal;
 use crate::keys::Keyring;
-use crate::settings::{GossipPlan, Plan};
+use crate::settings::{CouncilPlan, GossipPlan, Plan};
 use crate::stamp;
+use crate::wishes::Wishes;
 
 /// Bytes of the largest datagram that is read.
 const LARGEST: usize = 65_536;
@@ -196,6 +200,30 @@
     }
 }
 
+/// Lets the proxy take part in what all proxies decide.
+fn agree_on(
+    proxy: &mut BorderProxy<impl Decisions>,
+    plan: &CouncilPlan,
+    gossip: &GossipPlan,
+    name: &str,
+    seed: u64,
+    now: f64,
+    told: mpsc::Sender<io::Result<()>>,
+) -> Result<Keeper> {
+    let Keyring { secrets, roster } = Keyring::read(gossip, name).context("gossip")?;
+    let id = |member: &String| roster.ids().find(|&id| roster.name(id) == Some(member));
+    let named =
+        |member: &String| id(member).with_context(|| format!("council.members: {member}: not in the roster"));
+    let founders = plan.members.iter().map(named).collect::<Result<_>>()?;
+    let opened =
+        Keeper::open(&plan.file, told).with_context(|| format!("council.file {}", plan.file.display()));
+    let (keeper, found) = opened?;
+    let terms = AgreeTerms { founders, beat: plan.beat, lease: plan.lease };
+    let keys = FleetKeys { secrets, roster };
+    proxy.decide((terms, plan.outs), keys, found, seed, now).context("council.file")?;
+    Ok(keeper)
+}
+
 /// Runs the proxy until it is told to stop.
 pub async fn run(plan: Plan) -> Result<()> {
     let to_come = plan.to_come.clone();
@@ -220,6 +248,9 @@
     let address = callers.local_addr()?;
     tokio::spawn(listen(callers.clone(), Side::Callers, None, arrivals_in.clone()));
     let mut peers = None;
+    let (kept_in, mut kept) = mpsc::channel(4);
+    let mut keeper = None;
+    let mut wishes = Wishes::default();
     if let Some(gossip) = &plan.gossip {
         let Keyring { secrets, roster } = Keyring::read(gossip, &plan.name).context("gossip")?;
         let socket = Sockets::bind(gossip.listen, plan.receive_buffer);
@@ -231,6 +262,9 @@
             let shares = plan.terms.terms.tenants.iter().map(|tenant| tenant.quota);
             proxy.limit(limits, plan.names.1.iter().cloned().zip(shares), seed, clock.now());
         }
+        if let Some(council) = &plan.council {
+            keeper = Some(agree_on(&mut proxy, council, gossip, &plan.name, seed, clock.now(), kept_in)?);
+        }
         peers = Some(socket);
     }
     let (synced_in, mut synced) = mpsc::channel(4);
@@ -305,6 +339,12 @@
                     journal.synced(result);
                 }
             }
+            Some(result) = kept.recv() => {
+                if let Err(error) = &result {
+                    tracing::error!("council.unwritten: {error}");
+                }
+                proxy.kept(clock.now(), result.is_ok());
+            }
             _ = terminate.recv() => asked = Some(Ask::Stop),
             _ = interrupt.recv() => asked = Some(Ask::Stop),
             _ = room => {}
@@ -316,6 +356,9 @@
             Some(Ask::Status(to)) => drop(to.send(Box::new(proxy.status()))),
             Some(Ask::Gossip(to)) => drop(to.send(proxy.gossip())),
             Some(Ask::Limits(to)) => drop(to.send(proxy.limits())),
+            Some(Ask::Council(to)) => drop(to.send(proxy.council())),
+            Some(Ask::Outs(to)) => drop(to.send(proxy.outs())),
+            Some(Ask::Wish(wished, to)) => wishes.ask(now, &mut proxy, &wished, to),
             Some(Ask::Rekey(to)) => {
                 let done = match &plan.gossip {
                     None => Err(control::NO_GOSSIP.to_owned()),
@@ -357,6 +400,11 @@
         }
         proxy.turn(now);
         proxy.settle();
+        wishes.answer(now, &mut proxy);
+        if let Some((keeper, write)) = keeper.as_ref().and_then(|keeper| Some((keeper, proxy.to_keep(now)?)))
+        {
+            keeper.write(write);
+        }
         if let Some(journal) = &mut journal {
             journal.write(now, std::iter::from_fn(|| proxy.entry()));
             journal.turn(now);
--- /dev/null
+++ b/daemon/src/settings/fleet.rs
@@ -0,0 +1,138 @@
+//! What is agreed with the other proxies: gossip, limits.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use border::decided::OutTerms;
+use border::limits::LimitTerms;
+use fleet::{FleetTerms, LoanTerms};
+
+use super::reader::{Reader, Rows};
+use super::{CouncilPlan, GossipPlan};
+
+/// A lease is so many beats at the least.
+const LEAST_LEASE_BEATS: f64 = 40.0;
+
+impl Reader<'_> {
+    pub(super) fn gossip(&mut self, top: &mut Rows) -> Option<GossipPlan> {
+        let mut rows = self.rows(top, "gossip", false);
+        rows.table?;
+        let listen = self.address(&mut rows, "listen", None);
+        let address = self.text(&mut rows, "address", Some("")).filter(|text| !text.is_empty());
+        let address = address.and_then(|_| self.address(&mut rows, "address", None));
+        let wanted = "a list of addresses and ports, as [\"127.0.0.1:4571\"]";
+        let seeds = self.value(&mut rows, "seeds", wanted, None, |value| {
+            value.as_array()?.iter().map(|v| v.as_str()?.parse().ok()).collect::<Option<Vec<SocketAddr>>>()
+        });
+        let key = self.text(&mut rows, "key", None);
+        let fleet_keys = self.texts(&mut rows, "fleet_keys");
+        if fleet_keys.as_ref().is_some_and(Vec::is_empty) {
+            self.fault(
+                rows.line,
+                rows.key("fleet_keys"),
+                "none",
+                "a list of key files, the one in use first",
+            );
+        }
+        let roster = self.text(&mut rows, "roster", None);
+        // A packet is to fit into the part of the cap that is spent at once.
+        let least = 8 * gossip::wire::LARGEST as u32;
+        let cap = self.whole(&mut rows, "cap", least, 100_000_000, None);
+        let beat = self.time(&mut rows, "beat", None);
+        let liars = self.whole(&mut rows, "liars", 0, 1000, None);
+        self.done(rows);
+        Some(GossipPlan {
+            listen: listen?,
+            address,
+            seeds: seeds?,
+            key: PathBuf::from(key?),
+            fleet_keys: fleet_keys?.into_iter().map(PathBuf::from).collect(),
+            roster: PathBuf::from(roster?),
+            cap: f64::from(cap?),
+            beat: beat?,
+            liars: liars? as usize,
+        })
+    }
+
+    pub(super) fn fleet(&mut self, top: &mut Rows) -> Option<LimitTerms> {
+        let mut rows = self.rows(top, "fleet", false);
+        let table = rows.table?;
+        self.beside(top, &rows, "gossip", "which carries what members say");
+        let window = self.time(&mut rows, "window", Some(1000.0));
+        let beat = self.time(&mut rows, "beat", Some(100.0));
+        let lease = self.time(&mut rows, "lease", Some(2000.0));
+        let drift = self.number(&mut rows, "drift", 0.0, 0.5, Some(0.001));
+        let spread = self.time(&mut rows, "spread", Some(20.0));
+        let floor = self.number(&mut rows, "floor", 0.0, 1.0, Some(0.25));
+        let most = self.number(&mut rows, "most", 0.0, 1e6, Some(0.0)).filter(|_| table.contains_key("most"));
+        let shared = table.contains_key("share_window");
+        let share_window = self.time(&mut rows, "share_window", Some(1000.0)).filter(|_| shared);
+        let (line, key) = (rows.line, rows.key("lease"));
+        self.done(rows);
+        let (window, beat, lease) = (window?, beat?, lease?);
+        if lease < 2.0 * beat {
+            self.fault(line, key, format!("{lease} ms, with a beat of {beat} ms"), "two beats or more");
+        }
+        let loans = LoanTerms { lease, drift: drift?, spread: spread?, floor: floor? };
+        Some(LimitTerms { fleet: FleetTerms { loans, beat }, window, most, share_window })
+    }
+
+    /// Wants another table beside the one that is read.
+    fn beside(&mut self, top: &Rows, rows: &Rows, other: &str, why: &str) {
+        if !top.table.is_some_and(|table| table.contains_key(other)) {
+            let wanted = format!("[{other}] beside it, {why}");
+            self.fault(rows.line, rows.path.clone(), format!("no [{other}]"), wanted);
+        }
+    }
+
+    pub(super) fn council(&mut self, top: &mut Rows, state: &str) -> Option<CouncilPlan> {
+        let mut rows = self.rows(top, "council", false);
+        let outs = self.outs(top);
+        rows.table?;
+        self.beside(top, &rows, "gossip", "which carries what members say");
+        let line = rows.line;
+        let members = self.texts(&mut rows, "members");
+        let file = self.text(&mut rows, "file", Some(""));
+        let beat = self.time(&mut rows, "beat", Some(200.0));
+        let lease = self.time(&mut rows, "lease", Some(10_000.0));
+        let (members_key, lease_key) = (rows.key("members"), rows.key("lease"));
+        self.done(rows);
+        let (members, file, beat, lease) = (members?, file?, beat?, lease?);
+        let mut once = members.clone();
+        once.sort_unstable();
+        once.dedup();
+        if once.len() != members.len() {
+            self.fault(line, members_key, "a name twice", "each name once");
+        } else if ![3, 5, 7].contains(&members.len()) {
+            self.fault(
+                line,
+                members_key,
+                format!("{} names", members.len()),
+                "3, 5 or 7 names of the roster",
+            );
+        }
+        // A new leader has to be found and asked within it.
+        if lease < LEAST_LEASE_BEATS * beat {
+            let wanted = format!("{LEAST_LEASE_BEATS} beats or more, in which a leader can be replaced");
+            self.fault(line, lease_key, format!("{lease} ms, with a beat of {beat} ms"), wanted);
+        }
+        let file = if file.is_empty() { PathBuf::from(state).join("council") } else { PathBuf::from(file) };
+        Some(CouncilPlan { members, file, beat, lease, outs: outs? })
+    }
+
+    fn outs(&mut self, top: &mut Rows) -> Option<OutTerms> {
+        let usual = 0.25;
+        let mut rows = self.rows(top, "outs", false);
+        if rows.table.is_none() {
+            return Some(OutTerms { pool_part: usual });
+        }
+        self.beside(top, &rows, "council", "which decides who may be out");
+        let (line, key) = (rows.line, rows.key("pool_part"));
+        let pool_part = self.number(&mut rows, "pool_part", 0.0, 1.0, Some(usual));
+        self.done(rows);
+        if pool_part == Some(0.0) {
+            self.fault(line, key, "0", "a part above 0: nothing could ever be drained");
+        }
+        Some(OutTerms { pool_part: pool_part? })
+    }
+}
--- /dev/null
+++ b/daemon/src/settings/mod.rs
@@ -0,0 +1,221 @@
+//! The settings of one border proxy: a TOML file, read with [`read`], which tells all that is wrong with it
+//! at once. [`EXAMPLE`] is a full one with a word on each key; docs/operating.md says more.
+
+mod calls;
+mod fleet;
+mod reader;
+mod records;
+
+use std::collections::HashSet;
+use std::fmt;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use ::records::commit::Promise;
+use border::ProxyTerms;
+use border::decided::OutTerms;
+use border::limits::LimitTerms;
+use border::watch::ToCome;
+use frostthread::host::Terms;
+use toml_edit::Document;
+
+use reader::{Reader, Rows, line_of};
+
+pub const EXAMPLE: &str = include_str!("../example.toml");
+
+/// One thing that is wrong with a settings file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    pub line: usize,
+    pub key: String,
+    pub found: String,
+    pub wanted: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        write!(f, "line {}: {}: found {}, wanted {}", self.line, self.key, self.found, self.wanted)
+    }
+}
+
+/// What a border proxy runs by.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub name: String,
+    /// Directory for what lasts: the cached list, the addresses that it listens on.
+    pub state: PathBuf,
+    pub callers: SocketAddr,
+    /// The address that servers are called from; a port is given out for each.
+    pub servers: SocketAddr,
+    pub control: PathBuf,
+    pub feed: SocketAddr,
+    /// Milliseconds for which what stands goes on after a stop was asked for.
+    pub standing: f64,
+    pub receive_buffer: Option<usize>,
+    pub gossip: Option<GossipPlan>,
+    /// Limits that hold for the whole fleet, where there are any.
+    pub fleet: Option<LimitTerms>,
+    /// Decisions of all proxies in one order, where there are any.
+    pub council: Option<CouncilPlan>,
+    pub records: Option<RecordsPlan>,
+    /// Terms that are watched: what would be decided under them is counted.
+    pub to_come: Option<ToCome>,
+    /// Names of service grades and tenants, by index.
+    pub names: (Vec<String>, Vec<String>),
+    pub terms: ProxyTerms,
+}
+
+/// How a border proxy keeps its records.
+#[derive(Clone, Debug)]
+pub struct RecordsPlan {
+    pub folder: PathBuf,
+    pub promise: Promise,
+    /// Milliseconds.
+    pub delay: f64,
+    pub patience: f64,
+    /// Bytes.
+    pub segment: u64,
+}
+
+/// How a border proxy gossips.
+#[derive(Clone, Debug)]
+pub struct GossipPlan {
+    pub listen: SocketAddr,
+    /// The address that others are told, where that differs.
+    pub address: Option<SocketAddr>,
+    pub seeds: Vec<SocketAddr>,
+    pub key: PathBuf,
+    pub fleet_keys: Vec<PathBuf>,
+    pub roster: PathBuf,
+    /// Bytes a second.
+    pub cap: f64,
+    /// Milliseconds.
+    pub beat: f64,
+    pub liars: usize,
+}
+
+/// How a border proxy takes part in the decisions of all.
+#[derive(Clone, Debug)]
+pub struct CouncilPlan {
+    /// Who votes at first, by the roster's names.
+    pub members: Vec<String>,
+    pub file: PathBuf,
+    /// Milliseconds.
+    pub beat: f64,
+    pub lease: f64,
+    pub outs: OutTerms,
+}
+
+impl Plan {
+    pub fn pool_cache(&self) -> PathBuf {
+        self.state.join("pool.list")
+    }
+
+    /// Where the addresses stand once it listens.
+    pub fn ready_file(&self) -> PathBuf {
+        self.state.join("ready.json")
+    }
+}
+
+/// Reads a settings file; all that is wrong with it otherwise, in the order of lines.
+pub fn read(source: &str) -> Result<Plan, Vec<Fault>> {
+    let document = Document::parse(source).map_err(|error| {
+        let line = line_of(source, error.span().map_or(0, |span| span.start));
+        let found = error.message().lines().next().unwrap_or_default().to_owned();
+        vec![Fault { line, key: "(file)".to_owned(), found, wanted: "TOML".to_owned() }]
+    })?;
+    let mut reader = Reader { source, faults: Vec::new() };
+    let plan = reader.plan(document.as_table());
+    reader.faults.sort_by_key(|fault| fault.line);
+    match plan {
+        Some(plan) if reader.faults.is_empty() => Ok(plan),
+        _ => Err(reader.faults),
+    }
+}
+
+impl Reader<'_> {
+    fn plan(&mut self, table: &toml_edit::Table) -> Option<Plan> {
+        let mut top = Rows { path: String::new(), table: Some(table), line: 1, asked: HashSet::new() };
+
+        let mut proxy = self.rows(&mut top, "proxy", true);
+        let name = self.text(&mut proxy, "name", None);
+        let proxies = self.whole(&mut proxy, "proxies", 1, 100_000, None);
+        let state = self.text(&mut proxy, "state", None);
+        self.done(proxy);
+
+        let mut listen = self.rows(&mut top, "listen", true);
+        let callers = self.address(&mut listen, "callers", None);
+        let servers = self.address(&mut listen, "servers", Some("127.0.0.1:0"));
+        let control = self.text(&mut listen, "control", Some(""));
+        let receive_buffer = self.whole(&mut listen, "receive_buffer", 0, 1 << 30, Some(0));
+        self.done(listen);
+
+        let mut pool = self.rows(&mut top, "pool", true);
+        let feed = self.address(&mut pool, "feed", None);
+        self.done(pool);
+
+        let gossip = self.gossip(&mut top);
+        let fleet = self.fleet(&mut top);
+        let council = self.council(&mut top, state.as_deref().unwrap_or_default());
+        let records = self.records(&mut top, state.as_deref().unwrap_or_default());
+        let limits = self.limits(&mut top);
+        let mut stop = self.rows(&mut top, "stop", false);
+        let standing = if stop.table.is_some() {
+            self.time(&mut stop, "standing", Some(30_000.0))
+        } else {
+            Some(30_000.0)
+        };
+        self.done(stop);
+
+        let grades = self.grades(&mut top);
+        let tenants = self.tenants(&mut top);
+        let parts = Terms {
+            proxies: proxies.unwrap_or(1),
+            grades: grades.iter().map(|grade| grade.terms.clone()).collect(),
+            tenants: tenants.iter().map(|(_, terms, _)| terms.clone()).collect(),
+            ..Terms::default()
+        };
+        let mut rules = self.rows(&mut top, "rules", true);
+        let terms = self.rules(&mut rules, parts, limits.resend, None);
+        let answer_lead = self.time(&mut rules, "answer_lead", None);
+        self.done(rules);
+        let mut watch = self.rows(&mut top, "watch", false);
+        let to_come = watch.table.is_some().then(|| ToCome {
+            terms: self.rules(&mut watch, terms.clone(), limits.resend, Some(&terms)),
+            share: self.number(&mut watch, "share", 0.0, 1.0, Some(1.0)).unwrap_or(1.0),
+        });
+        self.done(watch);
+
+        let routes = self.routes(&mut top, &grades, &tenants);
+        self.done(top);
+        let state = PathBuf::from(state?);
+        let control = control?;
+        Some(Plan {
+            name: name?,
+            control: if control.is_empty() { state.join("control.sock") } else { PathBuf::from(control) },
+            state,
+            callers: callers?,
+            servers: servers?,
+            feed: feed?,
+            standing: standing?,
+            gossip,
+            fleet,
+            council,
+            records,
+            to_come,
+            names: (
+                grades.iter().map(|grade| grade.name.clone()).collect(),
+                tenants.iter().map(|(name, ..)| name.clone()).collect(),
+            ),
+            receive_buffer: receive_buffer.filter(|&bytes| bytes > 0).map(|bytes| bytes as usize),
+            terms: ProxyTerms {
+                patience: grades.iter().map(|grade| grade.patience).collect(),
+                terms,
+                routes,
+                answer_lead: answer_lead?,
+                callers: limits,
+                servers: limits,
+            },
+        })
+    }
+}
--- /dev/null
+++ b/daemon/src/settings/reader.rs
@@ -0,0 +1,184 @@
+//! Reads a TOML file key by key, and keeps all that is wrong with it.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use toml_edit::{Item, TableLike, Value};
+
+use super::Fault;
+
+pub(super) struct Reader<'a> {
+    pub(super) source: &'a str,
+    pub(super) faults: Vec<Fault>,
+}
+
+/// A table that is being read: which of its keys were asked for.
+pub(super) struct Rows<'t> {
+    pub(super) path: String,
+    pub(super) table: Option<&'t dyn TableLike>,
+    pub(super) line: usize,
+    pub(super) asked: HashSet<&'static str>,
+}
+
+impl<'t> Rows<'t> {
+    pub(super) fn key(&self, key: &str) -> String {
+        if self.path.is_empty() { key.to_owned() } else { format!("{}.{key}", self.path) }
+    }
+}
+
+pub(super) fn line_of(source: &str, at: usize) -> usize {
+    source.as_bytes()[..at.min(source.len())].iter().filter(|&&b| b == b'\n').count() + 1
+}
+
+impl Reader<'_> {
+    pub(super) fn fault(
+        &mut self,
+        line: usize,
+        key: String,
+        found: impl Into<String>,
+        wanted: impl Into<String>,
+    ) {
+        self.faults.push(Fault { line, key, found: found.into(), wanted: wanted.into() });
+    }
+
+    pub(super) fn line(&self, item: &Item) -> Option<usize> {
+        Some(line_of(self.source, item.span()?.start))
+    }
+
+    pub(super) fn rows<'t>(&mut self, parent: &mut Rows<'t>, key: &'static str, wanted: bool) -> Rows<'t> {
+        parent.asked.insert(key);
+        let path = parent.key(key);
+        let item = parent.table.and_then(|table| table.get(key));
+        let line = item.and_then(|item| self.line(item)).unwrap_or(parent.line);
+        let table = item.and_then(Item::as_table_like);
+        match item {
+            None if wanted => self.fault(line, path.clone(), "nothing", "a table"),
+            Some(item) if table.is_none() => self.fault(line, path.clone(), item.type_name(), "a table"),
+            _ => {}
+        }
+        Rows { path, table, line, asked: HashSet::new() }
+    }
+
+    pub(super) fn each<'t>(&mut self, parent: &mut Rows<'t>, key: &'static str) -> Vec<Rows<'t>> {
+        parent.asked.insert(key);
+        let Some(item) = parent.table.and_then(|table| table.get(key)) else { return Vec::new() };
+        let line = self.line(item).unwrap_or(parent.line);
+        let Some(all) = item.as_array_of_tables() else {
+            self.fault(line, key.to_owned(), item.type_name(), format!("tables headed [[{key}]]"));
+            return Vec::new();
+        };
+        let rows = all.iter().enumerate().map(|(i, table)| Rows {
+            path: format!("{key}[{i}]"),
+            line: table.span().map_or(line, |span| line_of(self.source, span.start)),
+            table: Some(table as &dyn TableLike),
+            asked: HashSet::new(),
+        });
+        rows.collect()
+    }
+
+    /// Tells of keys that nothing asked for.
+    pub(super) fn done(&mut self, rows: Rows) {
+        let Some(table) = rows.table else { return };
+        for (key, item) in table.iter().filter(|(key, _)| !rows.asked.contains(key)) {
+            let line = self.line(item).unwrap_or(rows.line);
+            let mut known: Vec<&str> = rows.asked.iter().copied().collect();
+            known.sort_unstable();
+            self.fault(line, rows.key(key), "a key of no use", format!("one of {}", known.join(", ")));
+        }
+    }
+
+    /// The value of a key as `take` reads it; a fault where it is missing or `take` finds it wrong.
+    pub(super) fn value<T>(
+        &mut self,
+        rows: &mut Rows,
+        key: &'static str,
+        wanted: &str,
+        default: Option<T>,
+        take: impl Fn(&Value) -> Option<T>,
+    ) -> Option<T> {
+        rows.asked.insert(key);
+        let table = rows.table?;
+        let Some(item) = table.get(key) else {
+            if default.is_none() {
+                self.fault(rows.line, rows.key(key), "nothing", wanted);
+            }
+            return default;
+        };
+        let line = self.line(item).unwrap_or(rows.line);
+        let value = item.as_value().and_then(take);
+        if value.is_none() {
+            let found =
+                item.as_value().map_or(item.type_name().to_owned(), |v| v.to_string().trim().to_owned());
+            self.fault(line, rows.key(key), found, wanted);
+        }
+        value
+    }
+
+    pub(super) fn time(&mut self, rows: &mut Rows, key: &'static str, default: Option<f64>) -> Option<f64> {
+        self.value(rows, key, "a time above 0, as \"300 ms\"", default, |value| {
+            let span = humantime::parse_duration(value.as_str()?).ok()?;
+            Some(span.as_secs_f64() * 1000.0).filter(|&ms| ms > 0.0 && ms < 1e9)
+        })
+    }
+
+    pub(super) fn number(
+        &mut self,
+        rows: &mut Rows,
+        key: &'static str,
+        low: f64,
+        high: f64,
+        default: Option<f64>,
+    ) -> Option<f64> {
+        let wanted = format!("a number from {low} to {high}");
+        self.value(rows, key, &wanted, default, |value| {
+            let number = value.as_float().or_else(|| value.as_integer().map(|n| n as f64))?;
+            Some(number).filter(|n| (low..=high).contains(n))
+        })
+    }
+
+    pub(super) fn whole(
+        &mut self,
+        rows: &mut Rows,
+        key: &'static str,
+        low: u32,
+        high: u32,
+        default: Option<u32>,
+    ) -> Option<u32> {
+        let wanted = format!("a whole number from {low} to {high}");
+        self.value(rows, key, &wanted, default, |value| {
+            u32::try_from(value.as_integer()?).ok().filter(|n| (low..=high).contains(n))
+        })
+    }
+
+    pub(super) fn truth(&mut self, rows: &mut Rows, key: &'static str, default: bool) -> Option<bool> {
+        self.value(rows, key, "true or false", Some(default), Value::as_bool)
+    }
+
+    pub(super) fn text(
+        &mut self,
+        rows: &mut Rows,
+        key: &'static str,
+        default: Option<&str>,
+    ) -> Option<String> {
+        let take = |value: &Value| value.as_str().map(str::to_owned);
+        self.value(rows, key, "text", default.map(str::to_owned), take)
+    }
+
+    pub(super) fn address(
+        &mut self,
+        rows: &mut Rows,
+        key: &'static str,
+        default: Option<&str>,
+    ) -> Option<SocketAddr> {
+        let default = default.map(|text| text.parse().expect("a default address"));
+        self.value(rows, key, "an address and port, as \"127.0.0.1:4569\"", default, |value| {
+            value.as_str()?.parse().ok()
+        })
+    }
+
+    pub(super) fn texts(&mut self, rows: &mut Rows, key: &'static str) -> Option<Vec<String>> {
+        self.value(rows, key, "a list of texts", Some(Vec::new()), |value| {
+            value.as_array()?.iter().map(|v| v.as_str().map(str::to_owned)).collect()
+        })
+    }
+}
--- /dev/null
+++ b/daemon/src/tables.rs
@@ -0,0 +1,217 @@
+//! What a running proxy answers, as tables for people.
+
+use border::decided::{CouncilStatus, DrainStatus, OutsStatus, SeatStatus};
+use border::status::{GossipStatus, LimitStatus, LimitsStatus, MemberStatus, Status, SuspicionStatus};
+use tabled::{Table, Tabled, settings::Style};
+
+#[derive(Tabled)]
+struct Row {
+    server: String,
+    address: String,
+    state: String,
+    out: String,
+    samples: usize,
+    delay: String,
+    rate: String,
+}
+
+pub fn show_members(gossip: &GossipStatus) {
+    #[derive(Tabled)]
+    struct Row<'a> {
+        proxy: &'a str,
+        address: &'a str,
+        standing: &'a str,
+    }
+    fn row(m: &MemberStatus) -> Row<'_> {
+        Row { proxy: &m.name, address: &m.address, standing: &m.standing }
+    }
+    println!("{}", Table::new(gossip.members.iter().map(row)).with(Style::sharp()));
+    let tally = gossip.tally;
+    println!(
+        "sent {} packets, {} bytes, put off {}; dropped: malformed {}, untagged {}, forged {}, replayed {}, \
+         bad statements {}; clashes {}",
+        tally.packets,
+        tally.sent_bytes,
+        gossip.deferred,
+        tally.malformed,
+        tally.untagged,
+        tally.forged,
+        tally.replayed,
+        tally.bad_statements,
+        tally.clashes
+    );
+}
+
+pub fn show_suspicions(gossip: &GossipStatus) {
+    #[derive(Tabled)]
+    struct Row<'a> {
+        server: &'a str,
+        believed: bool,
+        accusers: String,
+        vouchers: usize,
+        since: String,
+        own_answer: String,
+    }
+    fn row(s: &SuspicionStatus) -> Row<'_> {
+        Row {
+            server: &s.server,
+            believed: s.believed,
+            accusers: format!("{}: {}", s.accusers.len(), s.accusers.join(" ")),
+            vouchers: s.vouchers,
+            since: format!("{:.1} s", s.age / 1000.0),
+            own_answer: s.answered.map_or("never".to_owned(), |ago| format!("{:.1} s ago", ago / 1000.0)),
+        }
+    }
+    println!("{}", Table::new(gossip.suspicions.iter().map(row)).with(Style::sharp()));
+}
+
+pub fn show_limits(status: &LimitsStatus) {
+    #[derive(Tabled)]
+    struct Row<'a> {
+        server: &'a str,
+        limit: String,
+        own: usize,
+        lent: usize,
+        borrowed: usize,
+        used: usize,
+        free: usize,
+        why: &'a str,
+    }
+    fn row(l: &LimitStatus) -> Row<'_> {
+        Row {
+            server: &l.server,
+            limit: format!("{} in {:.1} s", l.permits, l.window_ms / 1000.0),
+            own: l.part,
+            lent: l.lent,
+            borrowed: l.borrowed,
+            used: l.resting,
+            free: l.free,
+            why: &l.why,
+        }
+    }
+    println!("{}", Table::new(status.limits.iter().map(row)).with(Style::sharp()));
+    let counts = status.counts;
+    println!(
+        "asked {}, lent {}, borrowed {}, missed {}; dropped: malformed {}, unknown {}, over {}, stray {}",
+        counts.asked,
+        counts.lent,
+        counts.borrowed,
+        counts.missed,
+        counts.malformed,
+        counts.unknown,
+        counts.over,
+        counts.stray
+    );
+}
+
+pub fn show(status: &Status) {
+    let row = |server: &border::status::ServerStatus| Row {
+        server: server.name.clone(),
+        address: server.address.clone(),
+        state: match (server.cold, server.resting) {
+            (true, _) => format!("{}, cold", server.state),
+            (false, true) => format!("{}, resting", server.state),
+            _ => server.state.clone(),
+        },
+        out: format!("{} of {:.1}", server.out, server.allowance),
+        samples: server.samples,
+        delay: format!("{:.0} ms", server.delay_ms),
+        rate: server.told_rate.map_or("-".to_owned(), |rate| format!("{rate:.1}/s")),
+    };
+    println!("{}", Table::new(status.servers.iter().map(row)).with(Style::sharp()));
+    let (present, tally) = (status.present, status.tally);
+    println!("held {}, shot {}, standing {}", present.held, present.shot, present.standing);
+    println!(
+        "taken {}, stood {}, refused {}, failed {}, left {}, cut {}; shots {}, nacked {}, timed out {}, reset {}",
+        tally.taken,
+        tally.stood,
+        tally.refused,
+        tally.failed,
+        tally.left,
+        tally.cut,
+        tally.shots,
+        tally.nacked,
+        tally.timed_out,
+        tally.reset
+    );
+    println!(
+        "unrouted {}, turned away {}, unrecordable {}",
+        tally.unrouted, tally.turned_away, tally.unrecordable
+    );
+    if let Some(watch) = status.watch {
+        println!(
+            "watched: {} of {} turns would differ; {} turns in all",
+            watch.differing, watch.seen, watch.turns
+        );
+        println!(
+            "elsewhere {}, other time-out {}, held back {}, sooner {}, given up {}, kept {}, other advice {}, \
+             called off {}, unprobed {}, probed {}",
+            watch.elsewhere,
+            watch.time_out,
+            watch.held_back,
+            watch.sooner,
+            watch.given_up,
+            watch.kept,
+            watch.advice,
+            watch.called_off,
+            watch.unprobed,
+            watch.probed
+        );
+    }
+}
+
+pub fn show_council(council: &CouncilStatus) {
+    #[derive(Tabled)]
+    struct Row<'a> {
+        member: &'a str,
+        life: u64,
+        has: String,
+    }
+    fn row(seat: &SeatStatus) -> Row<'_> {
+        Row {
+            member: &seat.name,
+            life: seat.life,
+            has: seat.has.map_or("-".to_owned(), |has| has.to_string()),
+        }
+    }
+    println!("{}", Table::new(council.seats.iter().map(row)).with(Style::sharp()));
+    let proved = if council.proved { "" } else { ", not proved yet" };
+    println!("votes since decision {}{proved}", council.since);
+    let leader = council.leader.as_deref().unwrap_or("nobody that is heard");
+    println!("this proxy {:?}, term {}, led by {leader}", council.role, council.term);
+    println!(
+        "decided {}, carried out {}, proved {}; comes to {}; known as of {}",
+        council.decided,
+        council.applied,
+        council.sealed,
+        council.hash,
+        council.age_ms.map_or("never".to_owned(), |age| format!("{:.1} s ago", age / 1000.0))
+    );
+    for seat in &council.voteless {
+        println!("{} has no vote by its disk: to be let in as {}", seat.name, seat.life);
+    }
+    if let Some(stopped) = &council.stopped {
+        println!("stopped: {stopped}");
+    }
+}
+
+pub fn show_outs(outs: &OutsStatus) {
+    #[derive(Tabled)]
+    struct Row<'a> {
+        server: &'a str,
+        pool: u16,
+        by: &'a str,
+        why: &'a str,
+        decision: u64,
+        here: usize,
+    }
+    fn row(drain: &DrainStatus) -> Row<'_> {
+        let DrainStatus { server, pool, by, why, decision, here, .. } = drain;
+        Row { server, pool: *pool, by, why, decision: *decision, here: *here }
+    }
+    println!("{}", Table::new(outs.drains.iter().map(row)).with(Style::sharp()));
+    println!(
+        "known as of {}",
+        outs.age_ms.map_or("never".to_owned(), |age| format!("{:.1} s ago", age / 1000.0))
+    );
+}
--- /dev/null
+++ b/daemon/src/wishes.rs
@@ -0,0 +1,47 @@
+//! Operators that wait for a decision: each is told what came of it, or that it was not decided in time.
+
+use std::collections::HashMap;
+
+use border::decided::Answer;
+use border::{BorderProxy, Decisions};
+use tokio::sync::oneshot::Sender;
+
+use crate::clock::unix;
+use crate::control::Wished;
+
+/// How long an operator waits, in milliseconds.
+const PATIENCE: f64 = 10_000.0;
+
+#[derive(Default)]
+pub struct Wishes {
+    waiting: HashMap<u64, (Sender<Result<Answer, String>>, f64)>,
+}
+
+impl Wishes {
+    pub fn ask(
+        &mut self,
+        now: f64,
+        proxy: &mut BorderProxy<impl Decisions>,
+        wished: &Wished,
+        to: Sender<Result<Answer, String>>,
+    ) {
+        match proxy.wish(now, unix(), &wished.wish, wished.dry) {
+            Ok(Ok(request)) => drop(self.waiting.insert(request, (to, now + PATIENCE))),
+            Ok(Err(answer)) => drop(to.send(Ok(answer))),
+            Err(why) => drop(to.send(Err(why))),
+        }
+    }
+
+    pub fn answer(&mut self, now: f64, proxy: &mut BorderProxy<impl Decisions>) {
+        while let Some((request, answer)) = proxy.decision() {
+            if let Some((to, _)) = self.waiting.remove(&request) {
+                let _ = to.send(Ok(answer));
+            }
+        }
+        for (request, (to, _)) in self.waiting.extract_if(|_, (_, until)| now >= *until) {
+            proxy.forget_wish(request);
+            let why = "not decided in ten seconds: no majority is heard; it may still be";
+            let _ = to.send(Err(why.to_owned()));
+        }
+    }
+}
--- a/daemon/tests/fleet.rs
+++ b/daemon/tests/fleet.rs
@@ -1,24 +1,13 @@
 //! Five processes of the program hold one limit together while links between them fail and they are killed,
 //! stopped and started again. What counts is what came to the central server's socket.
 
-use std::collections::HashMap;
-use std::fs;
-use std::io::Write;
-use std::net::{SocketAddr, TcpListener, UdpSocket};
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant};
+mod world;
 
-use border::pool::{Entry, News, Readiness};
-use bytes::Bytes;
-use daemon::settings::EXAMPLE;
-use iax2::element::{self, Elements};
-use iax2::{Endpoint, Happening, Limits};
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use world::{PROXIES, Story};
 
-const PROXIES: usize = 5;
 /// The limit: whole set-ups over all proxies in any window, in milliseconds.
 const PERMITS: usize = 10;
 const WINDOW: f64 = 500.0;
@@ -26,364 +15,46 @@
 /// How much later one datagram may be looked at than another, on a machine that does much else.
 const SPREAD: f64 = 400.0;
 
-/// Ends the process whatever the test comes to.
-struct Running(Child);
-
-impl Drop for Running {
-    fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
-}
-
-/// Threads of the test's own, which end with it.
-struct Threads {
-    over: Arc<AtomicBool>,
-    all: Vec<JoinHandle<()>>,
-}
-
-impl Threads {
-    /// Runs `turn` on datagrams of a socket, and at least each millisecond.
-    fn serve(
-        &mut self,
-        socket: UdpSocket,
-        mut turn: impl FnMut(&UdpSocket, Option<(&[u8], SocketAddr)>) + Send + 'static,
-    ) {
-        let over = self.over.clone();
-        socket.set_read_timeout(Some(Duration::from_millis(1))).expect("set");
-        self.all.push(thread::spawn(move || {
-            let mut buffer = [0; 4096];
-            while !over.load(Ordering::Relaxed) {
-                match socket.recv_from(&mut buffer) {
-                    Ok((length, from)) => turn(&socket, Some((&buffer[..length], from))),
-                    Err(_) => turn(&socket, None),
-                }
-            }
-        }));
-    }
-}
-
-impl Drop for Threads {
-    fn drop(&mut self) {
-        self.over.store(true, Ordering::Relaxed);
-        self.all.drain(..).for_each(|thread| drop(thread.join()));
-    }
-}
-
-fn loopback() -> UdpSocket {
-    UdpSocket::bind("127.0.0.1:0").expect("a port")
+fn story() -> Story {
+    let table = format!(
+        "[fleet]\nwindow = \"{WINDOW} ms\"\nbeat = \"40 ms\"\nlease = \"{} ms\"\nspread = \"{SPREAD} ms\"\n\
+         floor = 0.0\nmost = {}\n",
+        LEASE.as_millis(),
+        PERMITS as f64 * 1000.0 / WINDOW,
+    );
+    let story = Story::new(1, &table);
+    // What earlier processes of these names might have lent is waited out, and everybody knows everybody.
+    story.pass(LEASE.as_secs_f64() * 1000.0 + WINDOW + SPREAD + 500.0);
+    story
 }
 
-fn millis(since: Instant) -> f64 {
-    since.elapsed().as_secs_f64() * 1000.0
-}
-
-/// The one switch between proxies: which of them hears which, and what passed.
-struct Switch {
-    fronts: Vec<UdpSocket>,
-    real: Mutex<HashMap<SocketAddr, usize>>,
-    at: Mutex<Vec<Option<SocketAddr>>>,
-    cut: Mutex<[[bool; PROXIES]; PROXIES]>,
-    loses: AtomicU64,
-    bytes: AtomicU64,
-}
-
-impl Switch {
-    fn pass(&self, to: usize, bytes: &[u8], from: SocketAddr) {
-        let Some(&sender) = self.real.lock().expect("whole").get(&from) else { return };
-        let count = self.bytes.fetch_add(bytes.len() as u64, Ordering::Relaxed);
-        // Every so many in a hundred are lost, whoever they are of.
-        let lost = count % 100 < self.loses.load(Ordering::Relaxed);
-        if lost || self.cut.lock().expect("whole")[sender][to] {
-            return;
-        }
-        if let Some(address) = self.at.lock().expect("whole")[to] {
-            let _ = self.fronts[sender].send_to(bytes, address);
-        }
-    }
-}
-
-struct Story {
-    folder: tempfile::TempDir,
-    proxies: Vec<Option<Running>>,
-    files: Vec<PathBuf>,
-    callers: Arc<Mutex<Vec<Option<SocketAddr>>>>,
-    /// Calls a second at each proxy.
-    demand: Arc<Mutex<[f64; PROXIES]>>,
-    switch: Arc<Switch>,
-    /// When set-ups came to the central server, and by whom.
-    came: Arc<Mutex<Vec<(f64, u16)>>>,
-    began: Instant,
-    _threads: Threads,
-}
-
-impl Story {
-    fn new() -> Self {
-        let folder = tempfile::tempdir().expect("a folder");
-        let began = Instant::now();
-        let mut threads = Threads { over: Arc::default(), all: Vec::new() };
-
-        let came = Arc::new(Mutex::new(Vec::new()));
-        let server = loopback();
-        let entry = Entry {
-            name: "s-1".into(),
-            address: server.local_addr().expect("bound"),
-            state: Readiness::Running,
-            pool: 0,
-            started: None,
-        };
-        let noted = came.clone();
-        let mut endpoint = Endpoint::new(Limits::default(), 1);
-        threads.serve(server, move |socket, datagram| {
-            let now = millis(began);
-            if let Some((bytes, from)) = datagram {
-                endpoint.receive(now, from, &Bytes::copy_from_slice(bytes));
-            }
-            endpoint.turn(now);
-            while let Some((leg, happening)) = endpoint.happening() {
-                match happening {
-                    Happening::Offered { peer, .. } => {
-                        noted.lock().expect("whole").push((now, peer.port()));
-                        endpoint.accept(now, leg, &Elements::new());
-                        endpoint.answer(now, leg, &Elements::new());
-                    }
-                    Happening::Poked(poke) => endpoint.pong(&poke, &Elements::new()),
-                    _ => {}
-                }
-            }
-            while let Some(out) = endpoint.datagram() {
-                let _ = socket.send_to(&out.bytes, out.peer);
-            }
-        });
-
-        let feed = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let feed_at = feed.local_addr().expect("bound");
-        feed.set_nonblocking(true).expect("set");
-        let over = threads.over.clone();
-        threads.all.push(thread::spawn(move || {
-            let line = News { version: 1, whole: true, servers: vec![entry] }.write();
-            let mut open = Vec::new();
-            while !over.load(Ordering::Relaxed) {
-                if let Ok((mut stream, _)) = feed.accept() {
-                    let _ = stream.write_all(line.as_bytes());
-                    open.push(stream);
-                }
-                thread::sleep(Duration::from_millis(5));
-            }
-        }));
-
-        let fronts: Vec<UdpSocket> = (0..PROXIES).map(|_| loopback()).collect();
-        let heard: Vec<UdpSocket> = fronts.iter().map(|front| front.try_clone().expect("cloned")).collect();
-        let switch = Arc::new(Switch {
-            fronts,
-            real: Mutex::default(),
-            at: Mutex::new(vec![None; PROXIES]),
-            cut: Mutex::default(),
-            loses: AtomicU64::new(0),
-            bytes: AtomicU64::new(0),
-        });
-        for (to, front) in heard.into_iter().enumerate() {
-            let switch = switch.clone();
-            threads.serve(front, move |_, datagram| {
-                if let Some((bytes, from)) = datagram {
-                    switch.pass(to, bytes, from);
-                }
-            });
-        }
-
-        let callers: Arc<Mutex<Vec<Option<SocketAddr>>>> = Arc::new(Mutex::new(vec![None; PROXIES]));
-        let demand: Arc<Mutex<[f64; PROXIES]>> = Arc::default();
-        for proxy in 0..PROXIES {
-            let (callers, demand) = (callers.clone(), demand.clone());
-            let mut endpoint = Endpoint::new(Limits::default(), 10 + proxy as u64);
-            let mut next = millis(began);
-            let mut number = 0;
-            threads.serve(loopback(), move |socket, datagram| {
-                let now = millis(began);
-                if let Some((bytes, from)) = datagram {
-                    endpoint.receive(now, from, &Bytes::copy_from_slice(bytes));
-                }
-                let rate = demand.lock().expect("whole")[proxy];
-                if rate == 0.0 {
-                    next = now;
-                }
-                while next <= now && rate > 0.0 {
-                    next = (next + 1000.0 / rate).max(now - 1000.0);
-                    number += 1;
-                    let calling = format!("{proxy}{number}");
-                    let new = Elements::new().with(element::CALLED_NUMBER, "155");
-                    let new = new.with(element::CALLING_NUMBER, &calling[..]);
-                    if let Some(proxy) = callers.lock().expect("whole")[proxy] {
-                        endpoint.call(now, proxy, &new);
-                    }
-                }
-                endpoint.turn(now);
-                while let Some((leg, happening)) = endpoint.happening() {
-                    if matches!(happening, Happening::Answered(_)) {
-                        endpoint.end(now, leg, &Elements::new().with_cause(16));
-                    }
-                }
-                while let Some(out) = endpoint.datagram() {
-                    let _ = socket.send_to(&out.bytes, out.peer);
-                }
-            });
-        }
-
-        let mut story = Self {
-            proxies: (0..PROXIES).map(|_| None).collect(),
-            files: Vec::new(),
-            callers,
-            demand,
-            switch,
-            came,
-            began,
-            _threads: threads,
-            folder,
-        };
-        story.settings(feed_at);
-        (0..PROXIES).for_each(|proxy| story.start(proxy));
-        // What earlier processes of these names might have lent is waited out, and everybody knows everybody.
-        story.pass(LEASE.as_secs_f64() * 1000.0 + WINDOW + SPREAD + 500.0);
-        story
-    }
-
-    fn path(&self, name: &str) -> PathBuf {
-        self.folder.path().join(name)
-    }
-
-    fn settings(&mut self, feed: SocketAddr) {
-        let text = |path: &Path| path.to_str().expect("text").to_owned();
-        let key = |name: &str| {
-            let made = frostthread().args(["key", "new"]).arg(self.path(name)).output().expect("ran");
-            assert!(made.status.success(), "{made:?}");
-            String::from_utf8(made.stdout).expect("text").trim().to_owned()
-        };
-        let roster: String =
-            (0..PROXIES).map(|i| format!("p{i} = \"{}\"\n", key(&format!("p{i}.key")))).collect();
-        fs::write(self.path("roster.toml"), roster).expect("written");
-        key("fleet.key");
-        for i in 0..PROXIES {
-            let front = |i: usize| self.switch.fronts[i].local_addr().expect("bound");
-            let tables = format!(
-                "[gossip]\nlisten = \"127.0.0.1:0\"\naddress = \"{}\"\nseeds = [\"{}\"]\nkey = \"{}\"\n\
-                 fleet_keys = [\"{}\"]\nroster = \"{}\"\ncap = 60000\nbeat = \"50 ms\"\nliars = 0\n\n\
-                 [fleet]\nwindow = \"{WINDOW} ms\"\nbeat = \"40 ms\"\nlease = \"{} ms\"\nspread = \"{SPREAD} ms\"\n\
-                 floor = 0.0\nmost = {}\n\n",
-                front(i),
-                front((i + 1) % PROXIES),
-                text(&self.path(&format!("p{i}.key"))),
-                text(&self.path("fleet.key")),
-                text(&self.path("roster.toml")),
-                LEASE.as_millis(),
-                PERMITS as f64 * 1000.0 / WINDOW,
-            );
-            let settings = EXAMPLE
-                .replace("frostthread-state", &text(&self.path(&format!("p{i}"))))
-                .replace("name = \"p1\"", &format!("name = \"p{i}\""))
-                .replace("proxies = 4", &format!("proxies = {PROXIES}"))
-                .replace("127.0.0.1:4569", "127.0.0.1:0")
-                .replace("127.0.0.1:4600", &feed.to_string())
-                .replace("[iax2]\n", &format!("{tables}[iax2]\n"));
-            let file = self.path(&format!("p{i}.toml"));
-            fs::write(&file, settings).expect("written");
-            self.files.push(file);
-        }
-    }
-
-    fn start(&mut self, proxy: usize) {
-        let ready = self.path(&format!("p{proxy}")).join("ready.json");
-        let _ = fs::remove_file(&ready);
-        let mut command = frostthread();
-        command.args(["run", "--config"]).arg(&self.files[proxy]).stderr(Stdio::null());
-        self.proxies[proxy] = Some(Running(command.spawn().expect("started")));
-        let end = Instant::now() + Duration::from_secs(20);
-        let told = loop {
-            let told = fs::read_to_string(&ready).ok().and_then(|text| serde_json::from_str(&text).ok());
-            match told {
-                Some(told) => break told,
-                None => assert!(Instant::now() < end, "p{proxy} did not get ready"),
-            }
-            thread::sleep(Duration::from_millis(5));
-        };
-        let address = |key: &str| -> SocketAddr {
-            let told: &serde_json::Value = &told;
-            told[key].as_str().expect("text").parse().expect("an address")
-        };
-        self.callers.lock().expect("whole")[proxy] = Some(address("callers"));
-        self.switch.real.lock().expect("whole").insert(address("peers"), proxy);
-        self.switch.at.lock().expect("whole")[proxy] = Some(address("peers"));
-    }
-
-    fn kill(&mut self, proxy: usize) {
-        self.callers.lock().expect("whole")[proxy] = None;
-        self.switch.at.lock().expect("whole")[proxy] = None;
-        self.proxies[proxy] = None;
-    }
-
-    fn signal(&self, proxy: usize, signal: &str) {
-        let id = self.proxies[proxy].as_ref().expect("runs").0.id().to_string();
-        assert!(Command::new("kill").args([signal, &id]).status().expect("ran").success());
-    }
-
-    fn pass(&self, span: f64) {
-        thread::sleep(Duration::from_secs_f64(span / 1000.0));
-    }
-
-    fn demand(&self, rates: [f64; PROXIES]) {
-        *self.demand.lock().expect("whole") = rates;
-    }
-
-    /// One way: `to` hears nothing of `from` any more, or again.
-    fn cut(&self, from: &[usize], to: &[usize], cut: bool) {
-        let mut links = self.switch.cut.lock().expect("whole");
-        from.iter().for_each(|&from| to.iter().for_each(|&to| links[from][to] = cut));
-    }
-
-    fn now(&self) -> f64 {
-        millis(self.began)
-    }
-
-    fn came_since(&self, then: f64) -> usize {
-        self.came.lock().expect("whole").iter().filter(|(at, _)| *at >= then).count()
-    }
-
-    /// No window of the central server's had more set-ups than the limit.
-    fn holds(&self) {
-        let came = self.came.lock().expect("whole");
-        assert!(came.len() > 2 * PERMITS, "too few set-ups to tell: {}", came.len());
-        assert!(self.switch.bytes.load(Ordering::Relaxed) > 0, "all went through the switch");
-        for (i, (at, _)) in came.iter().enumerate() {
-            let within: Vec<_> = came[..=i].iter().filter(|(then, _)| *then > at - WINDOW).collect();
-            assert!(
-                within.len() <= PERMITS,
-                "{} set-ups in the window that ends at {at}: {within:?}",
-                within.len()
-            );
-        }
-    }
-
-    fn limits(&self, proxy: usize) -> serde_json::Value {
-        let asked = frostthread()
-            .args(["limits", "--json", "--config"])
-            .arg(&self.files[proxy])
-            .output()
-            .expect("ran");
-        serde_json::from_slice(&asked.stdout).unwrap_or_else(|_| panic!("{asked:?}"))
+/// No window of the central server's had more set-ups than the limit.
+fn holds(story: &Story) {
+    let came = story.came.lock().expect("whole");
+    assert!(came.len() > 2 * PERMITS, "too few set-ups to tell: {}", came.len());
+    assert!(story.switch.bytes.load(Ordering::Relaxed) > 0, "all went through the switch");
+    for (i, (at, ..)) in came.iter().enumerate() {
+        let within: Vec<_> = came[..=i].iter().filter(|(then, ..)| *then > at - WINDOW).collect();
+        assert!(
+            within.len() <= PERMITS,
+            "{} set-ups in the window that ends at {at}: {within:?}",
+            within.len()
+        );
     }
 }
 
-fn frostthread() -> Command {
-    Command::new(env!("CARGO_BIN_EXE_frostthread"))
+fn limits_of(story: &Story, proxy: usize) -> serde_json::Value {
+    story.told(proxy, &["limits"])
 }
 
 #[test]
 fn all_demand_at_one_proxy_gets_what_the_others_leave_and_then_at_another() {
-    let story = Story::new();
+    let story = story();
     story.demand([60.0, 0.0, 0.0, 0.0, 0.0]);
     story.pass(2500.0);
     let then = story.now();
     story.pass(2000.0);
-    let limits = story.limits(0);
+    let limits = limits_of(&story, 0);
     let (own, borrowed) = (&limits["limits"][0]["part"], &limits["limits"][0]["borrowed"]);
     assert_eq!(own.as_u64(), Some((PERMITS / PROXIES) as u64), "{limits}");
     assert!(borrowed.as_u64() > Some(2), "{limits}");
@@ -394,14 +65,14 @@
     story.pass(3000.0);
     let then = story.now();
     story.pass(2000.0);
-    let all: Vec<_> = (0..PROXIES).map(|proxy| story.limits(proxy)).collect();
+    let all: Vec<_> = (0..PROXIES).map(|proxy| limits_of(&story, proxy)).collect();
     assert!(story.came_since(then) >= 9, "{} in two seconds elsewhere: {all:?}", story.came_since(then));
-    story.holds();
+    holds(&story);
 }
 
 #[test]
 fn halves_that_do_not_hear_each_other_keep_within_the_limit_and_heal() {
-    let story = Story::new();
+    let story = story();
     story.demand([60.0, 0.0, 60.0, 0.0, 10.0]);
     story.pass(1500.0);
     story.cut(&[0, 1], &[2, 3, 4], true);
@@ -413,12 +84,12 @@
     story.pass(1500.0);
     story.cut(&[2, 3, 4], &[0, 1], false);
     story.pass(1500.0);
-    story.holds();
+    holds(&story);
 }
 
 #[test]
 fn lenders_and_takers_that_are_killed_and_start_at_once_do_not_pass_the_limit() {
-    let mut story = Story::new();
+    let mut story = story();
     story.demand([60.0, 0.0, 0.0, 0.0, 0.0]);
     story.pass(1500.0);
     // They forget what they lent, and want it themselves.
@@ -431,12 +102,12 @@
     story.kill(0);
     story.start(0);
     story.pass(2500.0);
-    story.holds();
+    holds(&story);
 }
 
 #[test]
 fn a_proxy_that_was_stopped_wakes_with_a_lapsed_lease_and_does_not_use_it() {
-    let story = Story::new();
+    let story = story();
     story.demand([60.0, 0.0, 0.0, 0.0, 0.0]);
     story.pass(1500.0);
     story.signal(0, "-STOP");
@@ -444,5 +115,5 @@
     story.pass(2500.0);
     story.signal(0, "-CONT");
     story.pass(2000.0);
-    story.holds();
+    holds(&story);
 }
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -51,14 +51,15 @@
 fn the_example_with_its_optional_tables_passes_too() {
     let keys = ["[", "listen", "address", "seeds", "key", "fleet_keys", "roster", "cap", "beat", "liars"];
     let fleet = ["window", "lease", "drift", "spread", "floor", "most", "share_window"];
+    let council = ["members", "file", "pool_part"];
     let more = ["folder", "promise", "delay", "patience", "segment", "share", "probe", "setups_repeat"];
     let whole: Vec<&str> = EXAMPLE
         .lines()
         .map(|line| {
             let bare = line.strip_prefix("# ").unwrap_or(line);
             let key = bare.split(" = ").next().unwrap_or_default();
-            let optional =
-                bare.starts_with('[') || keys.contains(&key) || fleet.contains(&key) || more.contains(&key);
+            let optional = bare.starts_with('[')
+                || [&keys[..], &fleet, &council, &more].iter().any(|of| of.contains(&key));
             if optional { bare } else { line }
         })
         .collect();
@@ -66,6 +67,8 @@
     assert!(
         plan.gossip.is_some() && plan.fleet.is_some() && plan.records.is_some() && plan.to_come.is_some()
     );
+    let council = plan.council.expect("told");
+    assert_eq!((council.members.len(), council.beat, council.lease), (3, 200.0, 10_000.0));
 }
 
 #[test]
@@ -92,6 +95,26 @@
     assert!(settings::read(EXAMPLE).expect("fit").fleet.is_none(), "off by default");
 }
 
+#[rstest]
+#[case::without_gossip("[council]\nmembers = [\"a\", \"b\", \"c\"]\n", "council", "[gossip] beside it")]
+#[case::an_even_council("[council]\nmembers = [\"a\", \"b\"]\n", "council.members", "3, 5 or 7")]
+#[case::a_name_twice("[council]\nmembers = [\"a\", \"b\", \"a\"]\n", "council.members", "each name once")]
+#[case::a_lease_under_the_beats(
+    "[council]\nmembers = [\"a\", \"b\", \"c\"]\nbeat = \"1 s\"\nlease = \"2 s\"\n",
+    "council.lease",
+    "40 beats or more"
+)]
+#[case::an_unknown_key("[council]\nmembers = []\nterm = 3\n", "council.term", "one of beat")]
+#[case::budgets_without_a_council("[outs]\n", "outs", "[council] beside it")]
+#[case::a_budget_of_nothing("[outs]\npool_part = 0\n", "outs.pool_part", "above 0")]
+fn what_is_wrong_with_a_council_is_told(#[case] table: &str, #[case] key: &str, #[case] wanted: &str) {
+    let faults =
+        settings::read(&EXAMPLE.replace("[iax2]\n", &format!("{table}[iax2]\n"))).expect_err("unfit");
+    let told = faults.iter().find(|fault| fault.key == key && fault.wanted.contains(wanted));
+    assert!(told.is_some_and(|fault| fault.line > 1), "{faults:?}");
+    assert!(settings::read(EXAMPLE).expect("fit").council.is_none(), "off by default");
+}
+
 #[test]
 fn an_unknown_rule_to_come_is_told_with_its_key() {
     let file = EXAMPLE.replace("[iax2]\n", "[watch]\nprobes = false\ncold_from = 3.0\n[iax2]\n");
--- a/gossip/src/keys.rs
+++ b/gossip/src/keys.rs
@@ -80,6 +80,7 @@
 }
 
 /// A member's own key, and the fleet's.
+#[derive(Clone)]
 pub struct Secrets {
     own: SigningKey,
     fleet: Vec<[u8; 32]>,
--- /dev/null
+++ b/gossip/src/node/mod.rs
@@ -0,0 +1,255 @@
+//! One member's gossip: what it sends when, within its cap, and what it makes of what comes.
+
+mod beat;
+mod own;
+mod receive;
+mod sends;
+mod window;
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+use crate::budget::{Budget, Priority};
+use crate::evidence::Evidence;
+use crate::keys::{Id, Roster, Secrets};
+use crate::members::Members;
+use crate::statements::{Accused, Statements};
+use crate::wire::{self, Life, Message, Part, Statement};
+use window::Window;
+
+/// Helpers asked to reach one that does not answer.
+const HELPERS: usize = 3;
+/// Authors that are asked for their clocks at once, in a beat, where a server's standing hangs on what they
+/// say.
+const CLOCKS: usize = 4;
+/// Others that news is pushed to at each beat.
+const FAN_OUT: usize = 2;
+/// A comparison goes out once in so many beats, and names so many authors.
+const COMPARE_BEATS: u32 = 5;
+const DIGESTS: usize = 32;
+/// While some of the roster are not known, a seed is asked again once in so many beats.
+const SEED_BEATS: u32 = 15;
+/// Rumours carried along by one packet.
+const RUMOURS: usize = 12;
+/// Unless something changes, a member says again what it says after so many beats, so that it does not age.
+const RESTATE_BEATS: f64 = 25.0;
+/// An answer is said for accused servers if it is no older than so many beats.
+const VOUCH_BEATS: f64 = 50.0;
+/// Statements that may be older than this many beats accuse nobody any more, however late they came.
+const AGED_BEATS: f64 = 75.0;
+/// An accusation is believed so many beats after it began at the earliest: it has to reach those who had
+/// answers meanwhile, and their word has to come back.
+const RIPE_BEATS: f64 = 10.0;
+/// Late by so many beats, the member takes itself for stalled.
+const STALL_BEATS: f64 = 3.0;
+/// Another life under this member's own key is told of at most once in so many beats.
+const CLASH_BEATS: f64 = 50.0;
+
+/// Words that wait for a subsystem; more are dropped, as the network might.
+const MOST_WORDS: usize = 256;
+
+/// What is agreed for gossip.
+#[derive(Clone, Debug)]
+pub struct GossipTerms {
+    /// Where this member is heard.
+    pub address: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    /// Bytes a second that are never exceeded.
+    pub cap: f64,
+    /// How often each member looks at another, in milliseconds.
+    pub beat: f64,
+    /// Of how many members it must be borne that they lie.
+    pub liars: usize,
+    /// The gap after which an unanswered set-up is sent again, in milliseconds.
+    pub resend: f64,
+}
+
+/// A datagram to be sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Outgoing {
+    pub peer: SocketAddr,
+    pub bytes: Vec<u8>,
+}
+
+/// What was dropped, and what was done.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Counts {
+    pub sent_bytes: u64,
+    pub packets: u64,
+    pub malformed: u64,
+    pub untagged: u64,
+    pub forged: u64,
+    pub replayed: u64,
+    pub bad_statements: u64,
+    /// Another process speaks with this one's key.
+    pub clashes: u64,
+}
+
+struct Ping {
+    target: Id,
+    until: f64,
+    asked: f64,
+    helped: bool,
+    /// Only its clock is asked for: no answer says nothing of it.
+    for_clock: bool,
+    /// Who asked for it, and by which nonce.
+    for_other: Option<(SocketAddr, u64)>,
+}
+
+/// One member.
+pub struct Node {
+    terms: GossipTerms,
+    secrets: Secrets,
+    roster: Roster,
+    id: Id,
+    chance: Pcg64Mcg,
+    pub members: Members,
+    statements: Statements,
+    pub evidence: Evidence,
+    budget: Budget,
+    incarnation: u64,
+    /// The incarnation that this process began with.
+    life: u64,
+    /// The clock at which this life began, which statements count from.
+    began: f64,
+    counter: u64,
+    version: u32,
+    said: Option<(Vec<wire::Claim>, f64)>,
+    pings: BTreeMap<u64, Ping>,
+    windows: BTreeMap<Id, Window>,
+    out: VecDeque<Outgoing>,
+    beat_at: f64,
+    beats: u32,
+    compare_from: Id,
+    leaving: bool,
+    clash_at: f64,
+    counts: Counts,
+    /// Words to other subsystems, with who said them.
+    words: BTreeMap<Part, VecDeque<(Id, Vec<u8>)>>,
+}
+
+impl Node {
+    /// `unix` is the wall clock in milliseconds; it only orders this member's lives.
+    pub fn new(terms: GossipTerms, secrets: Secrets, roster: Roster, seed: u64, now: f64, unix: f64) -> Self {
+        let id = secrets.id();
+        let mut chance = Pcg64Mcg::seed_from_u64(seed);
+        let first = chance.random::<f64>() * terms.beat;
+        let mut node = Self {
+            members: Members::new(id, terms.beat, roster.len()),
+            evidence: Evidence::new(terms.resend),
+            budget: Budget::new(terms.cap, now),
+            secrets,
+            roster,
+            id,
+            chance,
+            statements: Statements::default(),
+            incarnation: unix.max(1.0) as u64,
+            life: unix.max(1.0) as u64,
+            began: now,
+            counter: 0,
+            version: 0,
+            said: None,
+            pings: BTreeMap::new(),
+            windows: BTreeMap::new(),
+            out: VecDeque::new(),
+            beat_at: now + first,
+            beats: 0,
+            compare_from: 0,
+            leaving: false,
+            clash_at: f64::NEG_INFINITY,
+            counts: Counts::default(),
+            words: BTreeMap::new(),
+            terms,
+        };
+        node.say(now);
+        node
+    }
+
+    pub fn id(&self) -> Id {
+        self.id
+    }
+
+    /// All members of the roster, this one too.
+    pub fn fleet(&self) -> impl Iterator<Item = Id> {
+        self.roster.ids()
+    }
+
+    /// Where this member is heard.
+    pub fn address(&self) -> SocketAddr {
+        self.terms.address
+    }
+
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
+    /// How often the cap put a send off.
+    pub fn deferred(&self) -> u64 {
+        self.budget.refused()
+    }
+
+    /// Goes on with other keys, as in a rotation; whoever is no more in the roster is forgotten with all that
+    /// it said. Its own key must be the same: another would be another member.
+    pub fn rekey(&mut self, secrets: Secrets, roster: Roster) {
+        if secrets.id() != self.id {
+            return;
+        }
+        for id in self.statements.ids().filter(|&id| !roster.contains(id)).collect::<Vec<_>>() {
+            self.statements.forget(id);
+        }
+        self.members.keep(|id| roster.contains(id));
+        self.windows.retain(|&id, _| roster.contains(id));
+        (self.secrets, self.roster) = (secrets, roster);
+    }
+
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    pub fn name(&self, id: Id) -> Option<&str> {
+        self.roster.name(id)
+    }
+
+    /// The next datagram to send.
+    pub fn outgoing(&mut self) -> Option<Outgoing> {
+        self.out.pop_front()
+    }
+
+    /// When [`Node::turn`] is wanted.
+    pub fn due(&self) -> f64 {
+        self.pings.values().map(|ping| ping.until).fold(self.beat_at, f64::min)
+    }
+
+    /// Servers that are accused, and whether it is believed.
+    pub fn accused(&self, now: f64) -> Vec<Accused> {
+        let ripe = now - RIPE_BEATS * self.terms.beat;
+        self.statements.accused(now, self.terms.liars, AGED_BEATS * self.terms.beat, ripe)
+    }
+
+    /// What the members say.
+    pub fn statements(&self) -> impl Iterator<Item = &Statement> {
+        self.statements.authors()
+    }
+
+    /// Who says that the server is silent.
+    pub fn accusers(&self, life: Life) -> Vec<Id> {
+        let silent = |claim: &wire::Claim| claim.life == life && claim.kind == wire::Kind::Silent;
+        let accuses = |statement: &&Statement| statement.claims.iter().any(silent) && !statement.leaves;
+        self.statements().filter(accuses).map(|statement| statement.author).collect()
+    }
+
+    /// Sends another subsystem's words to one member. False where it is not known, or the cap forbids.
+    pub fn say_to(&mut self, now: f64, to: Id, part: Part, bytes: Vec<u8>) -> bool {
+        let Some(address) = self.members.get(to).map(|member| member.address) else { return false };
+        self.send_with(now, address, Message::Words { part, bytes }, Priority::News, Vec::new())
+    }
+
+    /// The next words that a member said to a subsystem here, with its id.
+    pub fn said_to(&mut self, part: Part) -> Option<(Id, Vec<u8>)> {
+        self.words.get_mut(&part)?.pop_front()
+    }
+}
--- /dev/null
+++ b/gossip/src/node/sends.rs
@@ -0,0 +1,79 @@
+//! Packets out, each within the cap.
+
+use std::net::SocketAddr;
+
+use super::{Node, Outgoing, RUMOURS};
+use crate::budget::Priority;
+use crate::keys::Id;
+use crate::wire::{self, LARGEST, Message, Packet};
+
+impl Node {
+    pub(super) fn send(&mut self, now: f64, to: Id, message: Message, priority: Priority) -> bool {
+        let Some(address) = self.members.get(to).map(|member| member.address) else { return false };
+        self.send_to(now, address, message, priority)
+    }
+
+    /// Sends, with as much news as fits, unless the cap forbids.
+    pub(super) fn send_to(
+        &mut self,
+        now: f64,
+        peer: SocketAddr,
+        message: Message,
+        priority: Priority,
+    ) -> bool {
+        let fresh = self.statements.fresh(self.terms.liars);
+        self.send_with(now, peer, message, priority, fresh)
+    }
+
+    pub(super) fn send_with(
+        &mut self,
+        now: f64,
+        peer: SocketAddr,
+        message: Message,
+        priority: Priority,
+        authors: Vec<Id>,
+    ) -> bool {
+        let mut rumours = self.members.rumours(RUMOURS);
+        rumours.extend(self.members.doubted_at(peer));
+        let mut size = Packet::overhead(&message, rumours.len());
+        let mut carried = Vec::new();
+        let mut statements = Vec::new();
+        // Its own statement goes along wherever it may not be known.
+        let own = [self.id];
+        let introduces = matches!(message, Message::Ping { .. });
+        for id in own
+            .iter()
+            .filter(|_| introduces)
+            .chain(authors.iter().filter(|id| !introduces || **id != self.id))
+        {
+            let Some(signed) = self.statements.signed(*id) else { continue };
+            if size + signed.size() > LARGEST || statements.len() >= 8 {
+                break;
+            }
+            size += signed.size();
+            statements.push(signed.clone());
+            carried.push(*id);
+        }
+        self.counter += 1;
+        let packet = Packet {
+            version: wire::VERSION,
+            from: self.id,
+            incarnation: self.incarnation,
+            counter: self.counter,
+            message,
+            rumours,
+            statements,
+        };
+        // Asked for at the most it can be, before the dearer sealing.
+        if !self.budget.take(now, size, priority) {
+            return false;
+        }
+        let bytes = packet.seal(&self.secrets);
+        debug_assert!(bytes.len() <= size, "{} over {size}", bytes.len());
+        carried.into_iter().for_each(|id| self.statements.passed(id));
+        self.counts.sent_bytes += bytes.len() as u64;
+        self.counts.packets += 1;
+        self.out.push_back(Outgoing { peer, bytes });
+        true
+    }
+}
--- /dev/null
+++ b/gossip/src/node/window.rs
@@ -0,0 +1,32 @@
+//! Which of a peer's packets have been seen.
+
+/// Which of a peer's packets have been seen: the highest counter, and the 64 before it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Window {
+    incarnation: u64,
+    highest: u64,
+    seen: u64,
+}
+
+impl Window {
+    pub(super) fn admit(&mut self, incarnation: u64, counter: u64) -> bool {
+        if incarnation < self.incarnation {
+            return false;
+        }
+        if incarnation > self.incarnation {
+            *self = Self { incarnation, highest: counter, seen: 1 };
+            return true;
+        }
+        if counter > self.highest {
+            let ahead = counter - self.highest;
+            self.seen = if ahead < 64 { self.seen << ahead | 1 } else { 1 };
+            self.highest = counter;
+            return true;
+        }
+        let behind = self.highest - counter;
+        let bit = if behind < 64 { 1u64 << behind } else { return false };
+        let fresh = self.seen & bit == 0;
+        self.seen |= bit;
+        fresh
+    }
+}
--- a/gossip/src/wire.rs
+++ b/gossip/src/wire.rs
@@ -10,7 +10,7 @@
 
 use crate::keys::{Id, Roster, SIGNATURE, Secrets, TAG};
 
-pub const VERSION: u8 = 2;
+pub const VERSION: u8 = 3;
 /// Bytes of the largest datagram, which fits any path without being cut up.
 pub const LARGEST: usize = 1200;
 /// The longest lists.
@@ -130,6 +130,15 @@
     pub standing: Standing,
 }
 
+/// Whose words a packet carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Part {
+    /// Permits of limits that hold for the whole fleet.
+    Limits,
+    /// Decisions in one order.
+    Agreement,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     Ping {
@@ -159,6 +168,7 @@
     Carry,
     /// Words of another subsystem, for the receiver alone.
     Words {
+        part: Part,
         bytes: Vec<u8>,
     },
     /// Please answer with your clock, and carry nothing else.
@@ -193,7 +203,7 @@
     pub fn overhead(message: &Message, rumours: usize) -> usize {
         let digests = match message {
             Message::Compare { have, .. } => have.len() * 25,
-            Message::Words { bytes } => bytes.len(),
+            Message::Words { bytes, .. } => bytes.len() + 2,
             Message::Ack { .. } => 16,
             _ => 0,
         };
--- /dev/null
+++ b/outs/src/drains.rs
@@ -0,0 +1,152 @@
+//! Central servers that are drained by the fleet's decision: no proxy sends them anything new, what stands there goes
+//! on, until the decision is taken back.
+//!
+//! A drain says how many of its pool may be out, and how many are by the list as its asker has it. All of it stands in
+//! the command, so that the machine comes to the same verdict everywhere, and what is out already by another's drain
+//! counts though its asker did not know of it.
+
+use std::collections::BTreeMap;
+
+use agree::Index;
+use serde::{Deserialize, Serialize};
+
+/// The form of commands and of the state.
+const VERSION: u8 = 1;
+/// Bytes of names, and of the reason that is kept.
+pub const LONGEST_NAME: usize = 120;
+pub const LONGEST_REASON: usize = 120;
+/// Servers drained at once.
+pub const MOST_DRAINS: usize = 1024;
+
+/// What may be asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    Drain {
+        server: String,
+        pool: u16,
+        /// How many of the pool may be out at once, and how many are by the list without any drain.
+        most: u16,
+        listed_out: u16,
+        /// Who asked, why, and when by its wall clock, in Unix milliseconds.
+        by: String,
+        why: String,
+        unix: u64,
+    },
+    Undrain {
+        server: String,
+    },
+}
+
+/// What became of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    Done,
+    /// It was so before.
+    Already,
+    /// So many of its pool would be out, more than may be; by drains there are these.
+    OverBudget {
+        out: u16,
+        most: u16,
+        drained: Vec<String>,
+    },
+    /// A name or reason is too long or empty, or too many servers are drained.
+    Unfit,
+}
+
+/// A server that is drained.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drain {
+    pub pool: u16,
+    pub by: String,
+    pub why: String,
+    pub unix: u64,
+    pub decided: Index,
+}
+
+/// All servers that are drained, by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drains {
+    drains: BTreeMap<String, Drain>,
+}
+
+fn write(what: &impl Serialize) -> Vec<u8> {
+    postcard::to_extend(what, vec![VERSION]).expect("plain data")
+}
+
+fn read<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
+    let body = bytes.strip_prefix(&[VERSION])?;
+    let (what, rest) = postcard::take_from_bytes(body).ok()?;
+    rest.is_empty().then_some(what)
+}
+
+impl Command {
+    pub fn write(&self) -> Vec<u8> {
+        write(self)
+    }
+
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        read(bytes)
+    }
+}
+
+impl Verdict {
+    pub fn write(&self) -> Vec<u8> {
+        write(self)
+    }
+
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        read(bytes)
+    }
+}
+
+/// How many of a pool of so many servers may be out: that part of them, and one at least.
+pub fn most_out(part: f64, servers: usize) -> u16 {
+    ((part * servers as f64).floor().max(1.0)).min(f64::from(u16::MAX)) as u16
+}
+
+impl Drains {
+    pub(crate) fn state(&self) -> Vec<u8> {
+        write(self)
+    }
+
+    pub(crate) fn read(bytes: &[u8]) -> Option<Self> {
+        read(bytes)
+    }
+
+    pub fn get(&self, server: &str) -> Option<&Drain> {
+        self.drains.get(server)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&str, &Drain)> {
+        self.drains.iter().map(|(server, drain)| (&server[..], drain))
+    }
+
+    pub fn decide(&mut self, decided: Index, command: Command) -> Verdict {
+        match command {
+            Command::Undrain { server } => match self.drains.remove(&server) {
+                Some(_) => Verdict::Done,
+                None => Verdict::Already,
+            },
+            Command::Drain { server, pool, most, listed_out, by, why, unix } => {
+                if self.drains.contains_key(&server) {
+                    return Verdict::Already;
+                }
+                let named = |name: &String| (1..=LONGEST_NAME).contains(&name.len());
+                let fit = named(&server) && named(&by) && why.len() <= LONGEST_REASON;
+                if !fit || self.drains.len() >= MOST_DRAINS {
+                    return Verdict::Unfit;
+                }
+                let of_pool = self.drains.iter().filter(|(_, drain)| drain.pool == pool);
+                let mut drained: Vec<String> = of_pool.map(|(server, _)| server.clone()).collect();
+                let out = listed_out.saturating_add(drained.len() as u16).saturating_add(1);
+                if out > most {
+                    // As many as an answer has room for.
+                    drained.truncate(8);
+                    return Verdict::OverBudget { out, most, drained };
+                }
+                self.drains.insert(server, Drain { pool, by, why, unix, decided });
+                Verdict::Done
+            }
+        }
+    }
+}
--- /dev/null
+++ b/outs/tests/drains.rs
@@ -0,0 +1,66 @@
+//! Drains are decided alike everywhere, within their pool's budget.
+
+use agree::Machine;
+use outs::drains::{LONGEST_REASON, most_out};
+use outs::{Command, DRAINS, Outs, Verdict};
+use rstest::rstest;
+
+fn drain(server: &str, pool: u16, most: u16, listed_out: u16) -> Command {
+    let (by, why) = ("p1".to_owned(), "disk".to_owned());
+    Command::Drain { server: server.to_owned(), pool, most, listed_out, by, why, unix: 7 }
+}
+
+fn undrain(server: &str) -> Command {
+    Command::Undrain { server: server.to_owned() }
+}
+
+fn told(outs: &mut Outs, command: &Command) -> Verdict {
+    Verdict::read(&outs.decide(5, DRAINS, &command.write()).expect("known")).expect("a verdict")
+}
+
+#[test]
+fn a_pool_has_no_more_out_than_it_may_by_drains_and_list_together() {
+    let mut outs = Outs::default();
+    assert_eq!(told(&mut outs, &drain("a", 0, 2, 0)), Verdict::Done);
+    assert_eq!(told(&mut outs, &drain("a", 0, 2, 0)), Verdict::Already);
+    // Asked for elsewhere at the same time, by one that knew of no other.
+    assert_eq!(
+        told(&mut outs, &drain("b", 0, 2, 1)),
+        Verdict::OverBudget { out: 3, most: 2, drained: vec!["a".into()] }
+    );
+    assert_eq!(told(&mut outs, &drain("c", 1, 1, 0)), Verdict::Done, "another pool");
+    assert_eq!(told(&mut outs, &drain("b", 0, 2, 0)), Verdict::Done);
+    assert_eq!(told(&mut outs, &undrain("a")), Verdict::Done);
+    assert_eq!(told(&mut outs, &undrain("a")), Verdict::Already);
+    let left: Vec<&str> = outs.drains.iter().map(|(server, _)| server).collect();
+    assert_eq!(left, ["b", "c"]);
+    let mut other = Outs::default();
+    other.restore(9, &outs.state()).expect("its own form");
+    assert_eq!(other, outs);
+}
+
+#[rstest]
+#[case::no_name(drain("", 0, 2, 0))]
+#[case::a_long_reason(Command::Drain {
+    server: "a".into(), pool: 0, most: 2, listed_out: 0, by: "p".into(), why: "x".repeat(LONGEST_REASON + 1), unix: 0,
+})]
+fn what_is_too_long_or_empty_is_refused(#[case] command: Command) {
+    assert_eq!(told(&mut Outs::default(), &command), Verdict::Unfit);
+}
+
+#[rstest]
+#[case::another_part(9, &drain("a", 0, 1, 0).write())]
+#[case::another_version(DRAINS, &[2, 0])]
+#[case::rubbish(DRAINS, &[1, 9, 9])]
+fn what_this_program_does_not_know_is_an_error(#[case] part: u8, #[case] command: &[u8]) {
+    assert!(Outs::default().decide(3, part, command).is_err());
+    assert!(Outs::default().restore(3, &[7]).is_err());
+}
+
+#[rstest]
+#[case(0.25, 12, 3)]
+#[case(0.25, 3, 1)]
+#[case(0.0, 3, 1)]
+fn the_part_that_may_be_out_is_one_at_least(#[case] part: f64, #[case] servers: usize, #[case] most: u16) {
+    assert_eq!(most_out(part, servers), most);
+}
--- /dev/null
+++ b/proxy/src/border/hands.rs
@@ -0,0 +1,169 @@
+//! What carries out the module's wishes.
+
+use std::collections::VecDeque;
+
+use frostthread::host::{Ending, Handle, Host, Server};
+use gossip::Node;
+use gossip::evidence::Evidence;
+use gossip::wire::Life;
+use iax2::element::Elements;
+use iax2::{Endpoint, Leg, cause};
+use records::entry::Outcome;
+use slotmap::SecondaryMap;
+
+use crate::causes;
+use crate::decided::Decided;
+use crate::errands::Errands;
+use crate::hints::Hints;
+use crate::limits::FleetLimits;
+use crate::pool::PoolList;
+use crate::scribe::Scribe;
+use crate::status::Tally;
+
+pub(super) struct Shot {
+    pub(super) leg: Leg,
+    pub(super) server: Server,
+}
+
+pub(super) struct Conversation {
+    pub(super) caller: Leg,
+    /// Its number in the journal, where there is one.
+    pub(super) serial: u64,
+    pub(super) shot: Option<Shot>,
+    /// What its shots carry on from the caller.
+    pub(super) carried: Elements,
+    pub(super) accepted: bool,
+    pub(super) ringing: bool,
+    pub(super) stands: bool,
+}
+
+/// What carries out the module's wishes.
+pub(super) struct Hands {
+    pub(super) callers: Endpoint,
+    pub(super) servers: Endpoint,
+    pub(super) pool: PoolList,
+    pub(super) conversations: Vec<Option<Conversation>>,
+    pub(super) by_caller: SecondaryMap<Leg, Handle>,
+    pub(super) by_server: SecondaryMap<Leg, Handle>,
+    pub(super) errands: Errands<Leg>,
+    pub(super) notes: VecDeque<String>,
+    pub(super) tally: Tally,
+    pub(super) now: f64,
+    pub(super) gossip: Option<Node>,
+    /// Gossip may have changed what is suspected.
+    pub(super) gossiped: bool,
+    /// Servers that are believed silent.
+    pub(super) believed: Vec<Server>,
+    pub(super) scribe: Option<Scribe>,
+    pub(super) limits: Option<FleetLimits>,
+    pub(super) decided: Option<Decided>,
+}
+
+impl Hands {
+    pub(super) fn conversation(&mut self, handle: Handle) -> Option<&mut Conversation> {
+        self.conversations.get_mut(handle.0 as usize)?.as_mut()
+    }
+
+    /// Takes the conversation off the books; its handle may be given out again from now on.
+    pub(super) fn drop_conversation(&mut self, handle: Handle) -> Option<Conversation> {
+        let conversation = self.conversations.get_mut(handle.0 as usize)?.take()?;
+        self.by_caller.remove(conversation.caller);
+        if let Some(shot) = &conversation.shot {
+            self.by_server.remove(shot.leg);
+        }
+        Some(conversation)
+    }
+
+    /// Tells the caller its final answer, and leaves nothing out for it.
+    pub(super) fn close(&mut self, handle: Handle, code: u8, come_back: Option<f64>) {
+        if let Some(conversation) = self.drop_conversation(handle) {
+            let hints = Hints { come_back: come_back.map(|ms| ms as u32), ..Hints::default() };
+            let answer = hints.add_to(Elements::new().with_cause(code));
+            self.callers.end(self.now, conversation.caller, &answer);
+            if let Some(shot) = conversation.shot {
+                self.servers.end(self.now, shot.leg, &Elements::new().with_cause(cause::NORMAL_CLEARING));
+            }
+        }
+    }
+
+    /// Keeps what was seen of a server as evidence, where there is gossip.
+    pub(super) fn witness(&mut self, server: Server, keep: impl FnOnce(&mut Evidence, Life)) {
+        if let Some((node, life)) = self.gossip.as_mut().zip(self.pool.life(server)) {
+            keep(&mut node.evidence, life);
+        }
+    }
+
+    /// Has it recorded what became of a conversation.
+    pub(super) fn closed(&mut self, handle: Handle, outcome: Outcome) {
+        let (now, serial) = (self.now, self.conversation(handle).map(|c| c.serial));
+        if let Some((scribe, serial)) = self.scribe.as_mut().zip(serial) {
+            scribe.closed(now, serial, outcome);
+        }
+    }
+
+    /// Calls a shot off; gives whether there was one.
+    pub(super) fn hang_up_shot(&mut self, handle: Handle, code: u8) -> bool {
+        let now = self.now;
+        let Some(shot) = self.conversation(handle).and_then(|c| c.shot.take()) else { return false };
+        self.by_server.remove(shot.leg);
+        self.servers.end(now, shot.leg, &Elements::new().with_cause(code));
+        true
+    }
+}
+
+impl Host for Hands {
+    fn shoot(&mut self, handle: Handle, server: Server, time_out: f64) {
+        let (now, peer) = (self.now, self.pool.address(server));
+        let Some(conversation) = self.conversation(handle) else { return };
+        let carried = conversation.carried.clone();
+        let Some(leg) = self.servers.call(now, peer, &carried) else {
+            return self.errands.unheard(handle, Ending::Moot);
+        };
+        self.tally.shots += 1;
+        if let Some(limits) = &mut self.limits {
+            limits.take(now, server);
+        }
+        let serial = self.conversation(handle).expect("just there").serial;
+        if let Some(scribe) = &mut self.scribe {
+            scribe.shot(now, serial, self.pool.name(server));
+        }
+        self.witness(server, |evidence, life| evidence.shot(now, life));
+        self.by_server.insert(leg, handle);
+        self.conversation(handle).expect("just there").shot = Some(Shot { leg, server });
+        self.errands.time_out(now + time_out, leg);
+    }
+
+    fn refuse(&mut self, handle: Handle, come_back: Option<f64>) {
+        self.tally.refused += 1;
+        self.closed(handle, Outcome::Refused);
+        self.close(handle, causes::REFUSED, come_back);
+    }
+
+    fn fail(&mut self, handle: Handle) {
+        self.tally.failed += 1;
+        self.closed(handle, Outcome::Failed);
+        self.close(handle, causes::FAILED, None);
+    }
+
+    fn cancel(&mut self, handle: Handle, _shot: u16) {
+        if self.hang_up_shot(handle, cause::NORMAL_CLEARING) {
+            self.errands.unheard(handle, Ending::Cancelled);
+        }
+    }
+
+    fn wake(&mut self, at: f64) {
+        self.errands.wake(at);
+    }
+
+    fn probe(&mut self, server: Server) {
+        self.tally.probes += 1;
+        let (now, peer) = (self.now, self.pool.address(server));
+        self.servers.poke(now, peer);
+    }
+
+    fn tell(&mut self, _message: &[u8]) {}
+
+    fn note(&mut self, line: &str) {
+        self.notes.push_back(line.to_owned());
+    }
+}
--- /dev/null
+++ b/proxy/src/border/peers.rs
@@ -0,0 +1,186 @@
+//! The other proxies: gossip, limits that hold for all, what is decided for all.
+
+use agree::disk::{Kept, Lost, Write};
+use agree::seal::FleetKeys;
+use agree::{AgreeTerms, Unknown};
+use frostthread::host::{Server, Suspicion};
+use gossip::Node;
+use gossip::keys::{Roster, Secrets};
+
+use super::BorderProxy;
+use crate::decided::{Answer, CouncilStatus, Decided, OutTerms, OutsStatus, Wish};
+use crate::decisions::Decisions;
+use crate::limits::{FleetLimits, LimitTerms};
+use crate::status::{GossipStatus, LimitsStatus};
+
+impl<D: Decisions> BorderProxy<D> {
+    /// Lets the proxy gossip with others of its fleet.
+    pub fn join(&mut self, node: Node) {
+        self.hands.gossip = Some(node);
+    }
+
+    /// Holds the fleet's limits on central servers from now on, with those it gossips with; nothing where it
+    /// does not. `tenants` are their names and shares, as in [`FleetLimits::new`].
+    pub fn limit(
+        &mut self,
+        terms: LimitTerms,
+        tenants: impl IntoIterator<Item = (String, f64)>,
+        seed: u64,
+        now: f64,
+    ) {
+        let node = self.hands.gossip.as_ref();
+        let limits = node.map(|node| FleetLimits::new(node, terms, tenants, seed, now));
+        self.hands.limits = limits;
+        if let Some(limits) = &mut self.hands.limits {
+            limits.listed(now, &self.hands.pool);
+        }
+    }
+
+    /// Where this proxy stands with the fleet's limits, if it holds any.
+    pub fn limits(&mut self) -> Option<LimitsStatus> {
+        let now = self.hands.now;
+        self.hands.limits.as_mut().map(|limits| LimitsStatus::of(limits.standings(now)))
+    }
+
+    /// Goes on gossiping with other keys: its own stays the same.
+    pub fn rekey(&mut self, secrets: Secrets, roster: Roster) {
+        if let Some(node) = &mut self.hands.gossip {
+            let keys = FleetKeys { secrets: secrets.clone(), roster: roster.clone() };
+            node.rekey(secrets, roster);
+            if let Some(decided) = &mut self.hands.decided {
+                decided.rekey(keys);
+            }
+            self.hands.gossiped = true;
+            if let Some(limits) = &mut self.hands.limits {
+                limits.set_members(node);
+            }
+        }
+    }
+
+    /// Tells the other proxies that this one goes.
+    pub fn leave(&mut self, now: f64) {
+        if let Some(node) = &mut self.hands.gossip {
+            node.leave(now);
+        }
+    }
+
+    /// Servers that gossip has this proxy believe silent.
+    pub fn believed(&self) -> &[Server] {
+        &self.hands.believed
+    }
+
+    /// Members and suspicions as this proxy sees them, where there is gossip.
+    pub fn gossip(&self) -> Option<GossipStatus> {
+        let hands = &self.hands;
+        hands.gossip.as_ref().map(|node| GossipStatus::of(node, &hands.pool, hands.now))
+    }
+
+    /// Brings what the fleet's limits leave here to whoever decides, and back what it was short of.
+    pub(super) fn allot(&mut self) {
+        let now = self.hands.now;
+        let Some(limits) = &mut self.hands.limits else { return };
+        for server in self.hands.pool.servers() {
+            let short = self.module.allotted(server, limits.free(now, server));
+            limits.missed(now, server, short);
+        }
+    }
+
+    /// Brings what is believed of servers to whoever decides.
+    pub(super) fn suspect(&mut self) {
+        let Some(node) = &self.hands.gossip else { return };
+        let accused = node.accused(self.hands.now);
+        self.hands.believed.clear();
+        for server in self.hands.pool.servers() {
+            let Some(life) = self.hands.pool.life(server) else { continue };
+            let of = accused.iter().find(|accused| accused.life == life && accused.believed);
+            self.hands.believed.extend(of.map(|_| server));
+            self.module.suspected(server, of.map(|of| Suspicion { strength: 1.0, since: of.since }));
+        }
+    }
+
+    /// Knows, from now on, what is decided for all; nothing where it does not gossip.
+    /// `file` is what the disk gave.
+    pub fn decide(
+        &mut self,
+        terms: (AgreeTerms, OutTerms),
+        keys: FleetKeys,
+        file: Result<Kept, Lost>,
+        seed: u64,
+        now: f64,
+    ) -> Result<(), Unknown> {
+        if let Some(node) = &self.hands.gossip {
+            self.hands.decided = Some(Decided::new(node, terms, keys, file, seed, now)?);
+        }
+        Ok(())
+    }
+
+    /// Brings servers that the fleet drains, or drains no more, to whoever decides.
+    pub(super) fn drain(&mut self) {
+        let now = self.hands.now;
+        let Some(drained) = self.hands.decided.as_mut().and_then(Decided::news) else { return };
+        let lines = self.hands.pool.drain(drained);
+        self.module.listed(&lines, false, &mut self.hands);
+        if let Some(limits) = &mut self.hands.limits {
+            limits.listed(now, &self.hands.pool);
+        }
+    }
+
+    /// The council and how this proxy stands with it, where there is one.
+    pub fn council(&self) -> Option<CouncilStatus> {
+        let (decided, node) = self.hands.decided.as_ref().zip(self.hands.gossip.as_ref())?;
+        Some(CouncilStatus::of(decided.standing(self.hands.now), node))
+    }
+
+    /// Who is out by what is decided, where anything can be.
+    pub fn outs(&self) -> Option<OutsStatus> {
+        let hands = &self.hands;
+        let here = |name: &str| {
+            let server = hands.pool.named(name);
+            let shots = hands.conversations.iter().flatten().filter_map(|c| c.shot.as_ref());
+            shots.filter(|shot| Some(shot.server) == server).count()
+        };
+        hands.decided.as_ref().map(|decided| OutsStatus::of(decided, hands.now, here))
+    }
+
+    /// Asks for a decision; gives the number that [`BorderProxy::decision`] tells its outcome by. With `dry` nothing
+    /// is asked for, and the answer is what it would come to by what is known here.
+    pub fn wish(
+        &mut self,
+        now: f64,
+        unix: f64,
+        wish: &Wish,
+        dry: bool,
+    ) -> Result<Result<u64, Answer>, String> {
+        let hands = &mut self.hands;
+        let (Some(decided), Some(node)) = (&mut hands.decided, &hands.gossip) else {
+            return Err("this proxy has no [council]".to_owned());
+        };
+        if dry {
+            return decided.try_wish(wish, node, &hands.pool, unix).map(Err);
+        }
+        decided.wish(now, unix, wish, node, &hands.pool).map(Ok)
+    }
+
+    /// Nobody waits for a wish's outcome any more.
+    pub fn forget_wish(&mut self, request: u64) {
+        if let Some(decided) = &mut self.hands.decided {
+            decided.forget(request);
+        }
+    }
+
+    /// What became of a wish.
+    pub fn decision(&mut self) -> Option<(u64, Answer)> {
+        self.hands.decided.as_mut()?.outcome()
+    }
+
+    /// Bytes of the decisions that must last; tell [`BorderProxy::kept`] what came of them.
+    pub fn to_keep(&mut self, now: f64) -> Option<Write> {
+        self.hands.decided.as_mut()?.to_write(now)
+    }
+
+    pub fn kept(&mut self, now: f64, well: bool) {
+        if let Some(decided) = &mut self.hands.decided {
+            decided.written(now, well);
+        }
+    }
+}
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod border;
 pub mod causes;
+pub mod decided;
 mod decisions;
 mod errands;
 pub mod hints;
--- a/proxy/src/limits.rs
+++ b/proxy/src/limits.rs
@@ -4,6 +4,7 @@
 use fleet::{Counts, Fleet, FleetTerms, LimitStanding};
 use frostthread::host::{Server, State};
 use gossip::Node;
+use gossip::wire::Part;
 
 use crate::pool::PoolList;
 
@@ -131,13 +132,13 @@
 
     /// Does what has fallen due, and moves words between the fleet and the gossip.
     pub fn exchange(&mut self, now: f64, node: &mut Node) {
-        while let Some((from, bytes)) = node.said_to() {
+        while let Some((from, bytes)) = node.said_to(Part::Limits) {
             self.fleet.receive(now, from, &bytes);
         }
         self.fleet.turn(now);
         while let Some(out) = self.fleet.outgoing() {
             // What the cap forbids is lost, as on the network: it lapses.
-            node.say_to(now, out.to, out.bytes);
+            node.say_to(now, out.to, Part::Limits, out.bytes);
         }
     }
 
--- a/proxy/src/pool.rs
+++ b/proxy/src/pool.rs
@@ -4,7 +4,7 @@
 //! [`PoolList::to_cache`] and [`PoolList::from_cache`] keep the last list over a restart. docs/wire.md has
 //! the form.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::hash::Hasher;
 use std::net::SocketAddr;
 
@@ -136,6 +136,8 @@
     addresses: Vec<SocketAddr>,
     names: Vec<String>,
     by_address: HashMap<SocketAddr, Server>,
+    /// Servers that get nothing new by the fleet's decision, whatever the list says.
+    drained: BTreeSet<String>,
 }
 
 impl PoolList {
@@ -157,7 +159,39 @@
     }
 
     pub fn state(&self, server: Server) -> State {
-        self.known.get(self.name(server)).map_or(State::Gone, |known| known.entry.state.into())
+        self.known.get(self.name(server)).map_or(State::Gone, |known| self.effective(&known.entry))
+    }
+
+    pub fn pool(&self, server: Server) -> u16 {
+        self.known.get(self.name(server)).map_or(0, |known| known.entry.pool)
+    }
+
+    fn effective(&self, entry: &Entry) -> State {
+        match entry.state.into() {
+            State::Running if self.drained.contains(&entry.name) => State::Draining,
+            state => state,
+        }
+    }
+
+    /// How many servers of a pool are listed, and how many of them are out by the list itself.
+    pub fn out_of(&self, pool: u16) -> (usize, usize) {
+        let of_pool = self.known.values().filter(|known| known.entry.pool == pool);
+        let states: Vec<Readiness> = of_pool.map(|known| known.entry.state).collect();
+        let listed = states.iter().filter(|state| **state != Readiness::Gone).count();
+        (listed, states.iter().filter(|state| **state == Readiness::Draining).count())
+    }
+
+    /// The fleet has decided which servers get nothing new; gives the lines that are others now.
+    pub fn drain(&mut self, drained: &BTreeSet<String>) -> Vec<Listed> {
+        let former = std::mem::replace(&mut self.drained, drained.clone());
+        let changed = former.symmetric_difference(drained).filter_map(|name| self.known.get(name));
+        let running = changed.filter(|known| known.entry.state == Readiness::Running);
+        running.map(|known| self.line(known)).collect()
+    }
+
+    fn line(&self, known: &Known) -> Listed {
+        let state = self.effective(&known.entry);
+        Listed { server: known.server, state, pool: known.entry.pool, started: known.started }
     }
 
     /// The server at an address, the latest to be listed there.
@@ -212,8 +246,7 @@
         if entry.state != Readiness::Gone {
             self.by_address.insert(entry.address, known.server);
         }
-        let state = entry.state.into();
-        Listed { server: known.server, state, pool: entry.pool, started: known.started }
+        self.line(&self.known[&entry.name])
     }
 
     /// The list as it is kept on disk: a line with a checksum, then the news that would bring it.
