--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod journal;
 pub mod keys;
 pub mod records;
+pub mod release;
+mod replacing;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -11,15 +11,17 @@
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use daemon::control::Wished;
 use daemon::records::{self, RecordsCommand};
+use daemon::release::{self, Start};
 use daemon::settings::{self, Plan};
 use daemon::{control, keys, run, serve};
+use outs::Kind;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tracing_subscriber::EnvFilter;
 
 mod tables;
 
-use tables::{show, show_council, show_limits, show_members, show_outs, show_suspicions};
+use tables::{show, show_council, show_limits, show_members, show_outs, show_release, show_suspicions};
 
 #[derive(Parser)]
 #[command(
@@ -93,6 +95,11 @@
         #[command(flatten)]
         order: Order,
     },
+    /// Replace the proxies of the fleet by a decision, in waves
+    Release {
+        #[command(subcommand)]
+        what: ReleaseCommand,
+    },
     /// Ask a running border proxy who is out by the fleet's decision, since when and why
     Outs {
         #[arg(long)]
@@ -150,6 +157,67 @@
     },
 }
 
+#[derive(Subcommand)]
+enum ReleaseCommand {
+    /// Put a file beside this proxy's state, and have all proxies look for it there
+    Stage {
+        file: PathBuf,
+        #[arg(long, value_enum)]
+        kind: Staged,
+        #[arg(long, default_value = "")]
+        why: String,
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Replace all proxies in waves, once all are ready; or go on after a halt
+    Start {
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Let nobody out for it any more
+    Halt {
+        #[arg(long, default_value = "")]
+        why: String,
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Have all go back that run it, the newest wave first
+    Back {
+        #[command(flatten)]
+        order: Order,
+    },
+    /// A proxy that is out never comes back: it takes up no place any more
+    WriteOff {
+        proxy: String,
+        #[arg(long)]
+        why: String,
+        #[command(flatten)]
+        order: Order,
+    },
+    /// Print it
+    State {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum Staged {
+    Settings,
+    Program,
+}
+
+impl From<Staged> for Kind {
+    fn from(staged: Staged) -> Self {
+        match staged {
+            Staged::Settings => Self::Settings,
+            Staged::Program => Self::Program,
+        }
+    }
+}
+
 /// How something is asked for. Exit code 3 where it is refused, 1 where it was not decided in time.
 #[derive(Args)]
 struct Order {
@@ -232,8 +300,9 @@
         Command::Run { config, log } => {
             log.begin();
             let Some(plan) = plan(&config)? else { return Ok(wrong) };
-            runtime()?.block_on(run::run(plan))?;
+            run_by(plan, config)?;
         }
+        Command::Release { what } => return carry_out_release(what),
         Command::Records { what } => records::carry_out(&what)?,
         Command::Key { what: KeyCommand::New { file } } => println!("{}", keys::draw(&file)?),
         Command::Key { what: KeyCommand::Public { file } } => println!("{}", keys::public(&file)?),
@@ -279,6 +348,55 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Runs a proxy, and what it is to become by a release; goes on as it is where that can't be run.
+fn run_by(mut plan: Plan, config: PathBuf) -> Result<()> {
+    fs::create_dir_all(&plan.state).with_context(|| format!("state directory {}", plan.state.display()))?;
+    let mut change = None;
+    match release::start(&plan.state)? {
+        Start::Here(runs) => plan.runs = runs,
+        Start::Elsewhere(other) => change = Some(other),
+    }
+    plan.config = config;
+    loop {
+        if let Some(change) = change.take() {
+            let error = change.exec();
+            tracing::error!("release.unrun: {error}");
+            release::give_up(&plan.state, &error.to_string())?;
+            if let Start::Here(runs) = release::start(&plan.state)? {
+                plan.runs = runs;
+            }
+        }
+        let Some(replace) = runtime()?.block_on(run::run(plan.clone()))? else { return Ok(()) };
+        match release::install(&plan.state, &plan.config, &replace) {
+            Ok(next) => change = Some(next),
+            Err(error) => {
+                tracing::error!("release.uninstalled: {error:#}");
+                plan.runs.failed = Some((replace.release, format!("{error:#}")));
+            }
+        }
+    }
+}
+
+fn carry_out_release(what: ReleaseCommand) -> Result<ExitCode> {
+    match what {
+        ReleaseCommand::Stage { file, kind, why, order } => {
+            let Some(plan) = plan(&order.config)? else { return Ok(ExitCode::from(2)) };
+            let sum = release::stage(&plan.state, &file)?;
+            eprintln!("each proxy looks for it in its state directory as staged/{}", hex::encode(sum));
+            wish(Wish::Stage { kind: kind.into(), sum: hex::encode(sum), why }, &order)
+        }
+        ReleaseCommand::Start { order } => wish(Wish::Start, &order),
+        ReleaseCommand::Halt { why, order } => wish(Wish::Halt { why }, &order),
+        ReleaseCommand::Back { order } => wish(Wish::Back, &order),
+        ReleaseCommand::WriteOff { proxy, why, order } => wish(Wish::WriteOff { proxy, why }, &order),
+        ReleaseCommand::State { config, json } => {
+            let Some(outs) = ask::<OutsStatus>(&config, "outs")? else { return Ok(ExitCode::from(2)) };
+            tell(json, &outs.release, || show_release(outs.release.as_ref()))?;
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
 /// Has something decided, or tells what it would come to.
 fn wish(wish: Wish, order: &Order) -> Result<ExitCode> {
     let wished = Wished { wish, dry: order.dry_run };
--- /dev/null
+++ b/daemon/src/release.rs
@@ -0,0 +1,244 @@
+//! A release at this proxy: the staged file, what is installed, and the change from one to the other by `exec`.
+//!
+//! `release.json` in the state directory says which release is installed, and what ran before it. A start by the usual
+//! command goes on with the installed one ([`start`]); one that was not seen well three starts in a row is given up, and
+//! what ran before runs again.
+
+use std::ffi::OsString;
+use std::fs;
+use std::io::{self, ErrorKind, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+
+use anyhow::{Context, Result};
+use outs::Kind;
+use outs::holder::Replace;
+use serde::{Deserialize, Serialize};
+use toml_edit::DocumentMut;
+
+use crate::settings;
+
+/// Set for a process that runs a release, to its number.
+const MARK: &str = "FROSTTHREAD_RELEASE";
+/// Starts in a row that were not seen well, after which a release is given up.
+const MOST_STARTS: u32 = 3;
+
+/// What is installed.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Installed {
+    release: u64,
+    program: PathBuf,
+    config: PathBuf,
+    /// Starts since it was last seen well.
+    starts: u32,
+    failed: Option<String>,
+    /// What ran before, and whether that was a release too.
+    former: (PathBuf, PathBuf),
+    before: Option<Box<Installed>>,
+}
+
+/// How this process runs.
+#[derive(Clone, Debug, Default)]
+pub struct Runs {
+    /// The release; 0 for none.
+    pub release: u64,
+    /// The release that this proxy could not become, and why.
+    pub failed: Option<(u64, String)>,
+}
+
+/// Where a start goes on.
+pub enum Start {
+    Here(Runs),
+    Elsewhere(Change),
+}
+
+/// A program to become, with its settings.
+pub struct Change {
+    program: PathBuf,
+    config: PathBuf,
+    release: u64,
+}
+
+fn file(state: &Path) -> PathBuf {
+    state.join("release.json")
+}
+
+/// Where a release's file is to be put, by its sum.
+pub fn staged(state: &Path, sum: &[u8; 32]) -> PathBuf {
+    state.join("staged").join(hex::encode(sum))
+}
+
+fn read(state: &Path) -> Result<Option<Installed>> {
+    match fs::read_to_string(file(state)) {
+        Ok(text) => Ok(Some(serde_json::from_str(&text).context("release.json")?)),
+        Err(error) if error.kind() == ErrorKind::NotFound => Ok(None),
+        Err(error) => Err(error).context("release.json"),
+    }
+}
+
+fn write(state: &Path, installed: Option<&Installed>) -> Result<()> {
+    let Some(installed) = installed else {
+        fs::remove_file(file(state))?;
+        return Ok(());
+    };
+    let mut fresh = tempfile::NamedTempFile::new_in(state)?;
+    fresh.write_all(serde_json::to_string(installed)?.as_bytes())?;
+    fresh.as_file().sync_all()?;
+    fresh.persist(file(state))?;
+    Ok(())
+}
+
+/// Looks at what is installed where a process starts.
+pub fn start(state: &Path) -> Result<Start> {
+    let Some(mut installed) = read(state)? else { return Ok(Start::Here(Runs::default())) };
+    let release = installed.release;
+    if std::env::var(MARK).is_ok_and(|mark| mark == release.to_string()) {
+        return Ok(Start::Here(Runs { release, failed: None }));
+    }
+    if installed.failed.is_none() && installed.starts >= MOST_STARTS {
+        installed.failed = Some(format!("{MOST_STARTS} starts in a row were not well"));
+        write(state, Some(&installed))?;
+    }
+    if let Some(why) = installed.failed {
+        return Ok(Start::Here(Runs { release: 0, failed: Some((release, why)) }));
+    }
+    installed.starts += 1;
+    write(state, Some(&installed))?;
+    let Installed { program, config, .. } = installed;
+    Ok(Start::Elsewhere(Change { program, config, release }))
+}
+
+/// The release that runs was seen well.
+pub fn well(state: &Path) -> Result<()> {
+    match read(state)? {
+        Some(mut installed) if installed.starts > 0 => {
+            installed.starts = 0;
+            write(state, Some(&installed))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Installs what a proxy is to become, or what ran before. `config` is the file that it runs by now.
+pub fn install(state: &Path, config: &Path, replace: &Replace) -> Result<Change> {
+    let before = read(state)?;
+    if !replace.forward {
+        let installed = before.context("release.json: nothing is installed")?;
+        write(state, installed.before.as_deref())?;
+        let release = installed.before.map_or(0, |before| before.release);
+        let (program, config) = installed.former;
+        return Ok(Change { program, config, release });
+    }
+    let own = (std::env::current_exe()?, fs::canonicalize(config)?);
+    let file = staged(state, &replace.sum);
+    let (program, config) = match replace.kind {
+        Kind::Program => (fs::canonicalize(file)?, own.1.clone()),
+        Kind::Settings => (own.0.clone(), fs::canonicalize(file.with_extension("toml"))?),
+    };
+    let release = replace.release;
+    let (starts, failed, before) = (1, None, before.map(Box::new));
+    let installed = Installed {
+        release,
+        program: program.clone(),
+        config: config.clone(),
+        starts,
+        failed,
+        former: own,
+        before,
+    };
+    write(state, Some(&installed))?;
+    Ok(Change { program, config, release })
+}
+
+/// What was to be installed can't be run: what runs now goes on.
+pub fn give_up(state: &Path, why: &str) -> Result<()> {
+    if let Some(mut installed) = read(state)? {
+        installed.failed = Some(why.to_owned());
+        write(state, Some(&installed))?;
+    }
+    Ok(())
+}
+
+impl Change {
+    /// Becomes it, with this process's arguments but for the settings; only comes back where that fails.
+    pub fn exec(&self) -> io::Error {
+        let mut arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+        if let Some(at) = arguments.iter().position(|argument| argument == "--config")
+            && let Some(config) = arguments.get_mut(at + 1)
+        {
+            *config = self.config.clone().into_os_string();
+        }
+        let mut command = Command::new(&self.program);
+        command.args(arguments);
+        if self.release > 0 {
+            command.env(MARK, self.release.to_string());
+        } else {
+            command.env_remove(MARK);
+        }
+        command.exec()
+    }
+}
+
+/// Whether the staged file is here, is what was staged, and is fit for this proxy; none while it is not here.
+pub fn check(state: &Path, config: &Path, kind: Kind, sum: &[u8; 32]) -> Option<Result<(), String>> {
+    let path = staged(state, sum);
+    let bytes = fs::read(&path).ok()?;
+    if blake3::hash(&bytes) != *sum {
+        return Some(Err("its sum is another".to_owned()));
+    }
+    Some(match kind {
+        Kind::Settings => check_settings(&bytes, config, &path.with_extension("toml")),
+        Kind::Program => check_program(&path, config),
+    })
+}
+
+/// Tables that are a proxy's own: no release changes them.
+const OWN: [&str; 3] = ["proxy", "listen", "gossip"];
+
+/// A release of settings has the tables that it changes, as they are to stand in the settings of all proxies; what comes
+/// of them here is put into a file of its own.
+fn check_settings(bytes: &[u8], config: &Path, to: &Path) -> Result<(), String> {
+    let text = std::str::from_utf8(bytes).map_err(|_| "no text".to_owned())?;
+    let read = |text: &str| text.parse::<DocumentMut>().map_err(|error| error.message().to_owned());
+    let changes = read(text)?;
+    let mut whole = read(&fs::read_to_string(config).map_err(|error| error.to_string())?)?;
+    for (key, item) in changes.iter() {
+        if OWN.contains(&key) {
+            return Err(format!("{key}: is each proxy's own"));
+        }
+        whole[key] = item.clone();
+    }
+    let whole = whole.to_string();
+    settings::read(&whole).map_err(|faults| faults[0].to_string())?;
+    fs::write(to, whole).map_err(|error| error.to_string())
+}
+
+fn check_program(path: &Path, config: &Path) -> Result<(), String> {
+    let fit = || -> io::Result<bool> {
+        fs::set_permissions(path, fs::Permissions::from_mode(0o755))?;
+        let mut command = Command::new(path);
+        command.arg("check").arg(config).stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+        Ok(command.status()?.success())
+    };
+    match fit() {
+        Ok(true) => Ok(()),
+        Ok(false) => Err("it finds these settings unfit".to_owned()),
+        Err(error) => Err(error.to_string()),
+    }
+}
+
+/// Puts a file where this proxy looks for it; gives its sum.
+pub fn stage(state: &Path, path: &Path) -> Result<[u8; 32]> {
+    let bytes = fs::read(path).with_context(|| path.display().to_string())?;
+    let sum = *blake3::hash(&bytes).as_bytes();
+    let to = staged(state, &sum);
+    fs::create_dir_all(to.parent().context("a folder")?)?;
+    let mut fresh = tempfile::NamedTempFile::new_in(state)?;
+    fresh.write_all(&bytes)?;
+    fresh.as_file().sync_all()?;
+    fresh.persist(to)?;
+    Ok(sum)
+}
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -12,6 +12,7 @@
 use agree::AgreeTerms;
 use agree::seal::FleetKeys;
 use anyhow::{Context, Result};
+use border::decided::Life;
 use border::pool::{News, PoolList};
 use border::scribe::Scribe;
 use border::{BorderProxy, Decisions, Outbound, Side, Watched};
@@ -19,6 +20,7 @@
 use frostthread::Proxy;
 use frostthread::host::Terms;
 use gossip::{GossipTerms, Node};
+use outs::holder::Replace;
 use rand::Rng;
 use records::commit::Admit;
 use records::entry::Author;
@@ -34,6 +36,7 @@
 use crate::feed;
 use crate::journal::Journal;
 use crate::keys::Keyring;
+use crate::replacing::Replacing;
 use crate::settings::{CouncilPlan, GossipPlan, Plan};
 use crate::stamp;
 use crate::wishes::Wishes;
@@ -201,11 +204,13 @@
 }
 
 /// Lets the proxy take part in what all proxies decide.
+#[allow(clippy::too_many_arguments)] // all that it is made of
 fn agree_on(
     proxy: &mut BorderProxy<impl Decisions>,
     plan: &CouncilPlan,
     gossip: &GossipPlan,
     name: &str,
+    life: Life,
     seed: u64,
     now: f64,
     told: mpsc::Sender<io::Result<()>>,
@@ -220,18 +225,21 @@
     let (keeper, found) = opened?;
     let terms = AgreeTerms { founders, beat: plan.beat, lease: plan.lease };
     let keys = FleetKeys { secrets, roster };
-    proxy.decide((terms, plan.outs), keys, found, seed, now).context("council.file")?;
+    proxy.decide((terms, plan.outs), life, keys, found, seed, now).context("council.file")?;
     Ok(keeper)
 }
 
-/// Runs the proxy until it is told to stop.
-pub async fn run(plan: Plan) -> Result<()> {
+/// Runs the proxy until it is told to stop, or is to become another by a release.
+pub async fn run(plan: Plan) -> Result<Option<Replace>> {
     let to_come = plan.to_come.clone();
     run_deciding(plan, |terms, seed, now| Watched::new(Proxy::new(terms, seed, now), to_come)).await
 }
 
 /// The same with something else that decides, made from the terms, a seed and the time.
-pub async fn run_deciding<D: Decisions>(plan: Plan, decide: impl FnOnce(Terms, u64, f64) -> D) -> Result<()> {
+pub async fn run_deciding<D: Decisions>(
+    plan: Plan,
+    decide: impl FnOnce(Terms, u64, f64) -> D,
+) -> Result<Option<Replace>> {
     fs::create_dir_all(&plan.state).with_context(|| format!("state directory {}", plan.state.display()))?;
     let seed: u64 = rand::rng().random();
     let clock = Clock(Instant::now());
@@ -251,6 +259,7 @@
     let (kept_in, mut kept) = mpsc::channel(4);
     let mut keeper = None;
     let mut wishes = Wishes::default();
+    let mut replacing = Replacing::new(&plan);
     if let Some(gossip) = &plan.gossip {
         let Keyring { secrets, roster } = Keyring::read(gossip, &plan.name).context("gossip")?;
         let socket = Sockets::bind(gossip.listen, plan.receive_buffer);
@@ -263,7 +272,9 @@
             proxy.limit(limits, plan.names.1.iter().cloned().zip(shares), seed, clock.now());
         }
         if let Some(council) = &plan.council {
-            keeper = Some(agree_on(&mut proxy, council, gossip, &plan.name, seed, clock.now(), kept_in)?);
+            let life = Life { runs: plan.runs.release, failed: plan.runs.failed.clone(), callers: address };
+            let now = clock.now();
+            keeper = Some(agree_on(&mut proxy, council, gossip, &plan.name, life, seed, now, kept_in)?);
         }
         peers = Some(socket);
     }
@@ -369,6 +380,7 @@
                 tracing::info!(done = done.is_ok(), "gossip.rekeyed");
                 let _ = to.send(done);
             }
+            Some(Ask::Stop) if replacing.leaving.take().is_some() => {}
             Some(Ask::Stop) if stop_at.is_none() => {
                 tracing::info!(conversations = proxy.conversations(), "proxy.stopping");
                 proxy.stop_taking();
@@ -401,6 +413,10 @@
         proxy.turn(now);
         proxy.settle();
         wishes.answer(now, &mut proxy);
+        if replacing.turn(now, &mut proxy) && stop_at.is_none() {
+            proxy.stop_taking();
+            stop_at = Some(now + plan.standing);
+        }
         if let Some((keeper, write)) = keeper.as_ref().and_then(|keeper| Some((keeper, proxy.to_keep(now)?)))
         {
             keeper.write(write);
@@ -437,7 +453,8 @@
             for (_, out) in waiting {
                 backlog.send(out, |out| sockets.try_send(out));
             }
-            return farewell(&mut proxy, &mut sockets, backlog, &mut arrivals, &clock, left).await;
+            farewell(&mut proxy, &mut sockets, backlog, &mut arrivals, &clock, left).await?;
+            return Ok(replacing.leaving);
         }
     }
 }
--- a/daemon/src/settings/fleet.rs
+++ b/daemon/src/settings/fleet.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use ::outs::holder::HolderTerms;
 use border::decided::OutTerms;
 use border::limits::LimitTerms;
 use fleet::{FleetTerms, LoanTerms};
@@ -10,6 +11,11 @@
 use super::reader::{Reader, Rows};
 use super::{CouncilPlan, GossipPlan};
 
+/// The parts of a pool's servers and of all proxies that may be out, and how long a proxy has to be well, where
+/// nothing is said.
+const POOL_PART: f64 = 0.25;
+const PROXY_PART: f64 = 0.1;
+const WELL: f64 = 5_000.0;
 /// A lease is so many beats at the least.
 const LEAST_LEASE_BEATS: f64 = 40.0;
 
@@ -87,14 +93,17 @@
 
     pub(super) fn council(&mut self, top: &mut Rows, state: &str) -> Option<CouncilPlan> {
         let mut rows = self.rows(top, "council", false);
-        let outs = self.outs(top);
-        rows.table?;
+        if rows.table.is_none() {
+            self.outs(top, 0.0);
+            return None;
+        }
         self.beside(top, &rows, "gossip", "which carries what members say");
         let line = rows.line;
         let members = self.texts(&mut rows, "members");
         let file = self.text(&mut rows, "file", Some(""));
         let beat = self.time(&mut rows, "beat", Some(200.0));
         let lease = self.time(&mut rows, "lease", Some(10_000.0));
+        let outs = self.outs(top, lease.unwrap_or_default());
         let (members_key, lease_key) = (rows.key("members"), rows.key("lease"));
         self.done(rows);
         let (members, file, beat, lease) = (members?, file?, beat?, lease?);
@@ -120,19 +129,29 @@
         Some(CouncilPlan { members, file, beat, lease, outs: outs? })
     }
 
-    fn outs(&mut self, top: &mut Rows) -> Option<OutTerms> {
-        let usual = 0.25;
+    fn outs(&mut self, top: &mut Rows, lease: f64) -> Option<OutTerms> {
         let mut rows = self.rows(top, "outs", false);
         if rows.table.is_none() {
-            return Some(OutTerms { pool_part: usual });
+            let holder = HolderTerms { part: PROXY_PART, witnesses: 1, well: WELL, lease };
+            return Some(OutTerms { pool_part: POOL_PART, holder });
         }
         self.beside(top, &rows, "council", "which decides who may be out");
-        let (line, key) = (rows.line, rows.key("pool_part"));
-        let pool_part = self.number(&mut rows, "pool_part", 0.0, 1.0, Some(usual));
+        let pool_part = self.part(&mut rows, "pool_part", POOL_PART);
+        let proxy_part = self.part(&mut rows, "proxy_part", PROXY_PART);
+        let witnesses = self.whole(&mut rows, "witnesses", 1, 100, Some(1));
+        let well = self.time(&mut rows, "well", Some(WELL));
         self.done(rows);
-        if pool_part == Some(0.0) {
-            self.fault(line, key, "0", "a part above 0: nothing could ever be drained");
+        let holder = HolderTerms { part: proxy_part?, witnesses: witnesses? as u16, well: well?, lease };
+        Some(OutTerms { pool_part: pool_part?, holder })
+    }
+
+    /// A part of all above 0, of which one at least may be out.
+    fn part(&mut self, rows: &mut Rows, key: &'static str, usual: f64) -> Option<f64> {
+        let (line, path) = (rows.line, rows.key(key));
+        let part = self.number(rows, key, 0.0, 1.0, Some(usual));
+        if part == Some(0.0) {
+            self.fault(line, path, "0", "a part above 0: none could ever go");
         }
-        Some(OutTerms { pool_part: pool_part? })
+        part
     }
 }
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -19,6 +19,7 @@
 use frostthread::host::Terms;
 use toml_edit::Document;
 
+use crate::release::Runs;
 use reader::{Reader, Rows, line_of};
 
 pub const EXAMPLE: &str = include_str!("../example.toml");
@@ -42,6 +43,9 @@
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub name: String,
+    /// The file that it was read from, and what of a release this process runs: by whoever starts it.
+    pub config: PathBuf,
+    pub runs: Runs,
     /// Directory for what lasts: the cached list, the addresses that it listens on.
     pub state: PathBuf,
     pub callers: SocketAddr,
@@ -192,6 +196,8 @@
         let control = control?;
         Some(Plan {
             name: name?,
+            config: PathBuf::new(),
+            runs: Runs::default(),
             control: if control.is_empty() { state.join("control.sock") } else { PathBuf::from(control) },
             state,
             callers: callers?,
--- a/daemon/src/tables.rs
+++ b/daemon/src/tables.rs
@@ -1,6 +1,6 @@
 //! What a running proxy answers, as tables for people.
 
-use border::decided::{CouncilStatus, DrainStatus, OutsStatus, SeatStatus};
+use border::decided::{AwayStatus, CouncilStatus, DrainStatus, OutsStatus, ReleaseStatus, SeatStatus};
 use border::status::{GossipStatus, LimitStatus, LimitsStatus, MemberStatus, Status, SuspicionStatus};
 use tabled::{Table, Tabled, settings::Style};
 
@@ -178,7 +178,10 @@
     let proved = if council.proved { "" } else { ", not proved yet" };
     println!("votes since decision {}{proved}", council.since);
     let leader = council.leader.as_deref().unwrap_or("nobody that is heard");
-    println!("this proxy {:?}, term {}, led by {leader}", council.role, council.term);
+    println!(
+        "this proxy {:?} with life {}, term {}, led by {leader}",
+        council.role, council.life, council.term
+    );
     println!(
         "decided {}, carried out {}, proved {}; comes to {}; known as of {}",
         council.decided,
@@ -205,13 +208,46 @@
         decision: u64,
         here: usize,
     }
+    #[derive(Tabled)]
+    struct Away<'a> {
+        proxy: &'a str,
+        how: &'a str,
+        since: String,
+        waits_for: &'a str,
+    }
     fn row(drain: &DrainStatus) -> Row<'_> {
         let DrainStatus { server, pool, by, why, decision, here, .. } = drain;
         Row { server, pool: *pool, by, why, decision: *decision, here: *here }
     }
+    fn away(of: &AwayStatus) -> Away<'_> {
+        let since = of.since.map_or("-".to_owned(), |since| since.to_string());
+        Away { proxy: &of.proxy, how: &of.how, since, waits_for: &of.waits_for }
+    }
     println!("{}", Table::new(outs.drains.iter().map(row)).with(Style::sharp()));
+    println!("{}", Table::new(outs.proxies.iter().map(away)).with(Style::sharp()));
+    println!(
+        "{} of {} proxies that may be out; {} see one well",
+        outs.proxies.len(),
+        outs.most,
+        outs.witnesses
+    );
     println!(
         "known as of {}",
         outs.age_ms.map_or("never".to_owned(), |age| format!("{:.1} s ago", age / 1000.0))
     );
 }
+
+pub fn show_release(release: Option<&ReleaseStatus>) {
+    let Some(release) = release else { return println!("no release was staged") };
+    println!(
+        "release {} of {:?} {}, by {}: {}",
+        release.release, release.kind, release.sum, release.by, release.why
+    );
+    println!("{:?}; ready {}", release.phase, release.ready);
+    for (proxy, why) in &release.unfit {
+        println!("{proxy} finds it unfit: {why}");
+    }
+    for (i, (all, run)) in release.waves.iter().enumerate() {
+        println!("wave {i}: {run} of {all} run it");
+    }
+}
--- a/daemon/tests/world/mod.rs
+++ b/daemon/tests/world/mod.rs
@@ -244,6 +244,7 @@
                 .replace("frostthread-state", &text(&self.path(&format!("p{i}"))))
                 .replace("name = \"p1\"", &format!("name = \"p{i}\""))
                 .replace("proxies = 4", &format!("proxies = {PROXIES}"))
+                .replace("standing = \"30 s\"", "standing = \"300 ms\"")
                 .replace("127.0.0.1:4569", "127.0.0.1:0")
                 .replace("127.0.0.1:4600", &feed.to_string())
                 .replace("[iax2]\n", &format!("{tables}[iax2]\n"));
@@ -260,21 +261,44 @@
         command.args(["run", "--config"]).arg(&self.files[proxy]).stderr(Stdio::null());
         self.proxies[proxy] = Some(Running(command.spawn().expect("started")));
         let end = Instant::now() + Duration::from_secs(20);
-        let told = loop {
-            let told = fs::read_to_string(&ready).ok().and_then(|text| serde_json::from_str(&text).ok());
-            match told {
-                Some(told) => break told,
-                None => assert!(Instant::now() < end, "p{proxy} did not get ready"),
-            }
+        while !self.follow(proxy) {
+            assert!(Instant::now() < end, "p{proxy} did not get ready");
             thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Starts it, whatever comes of that.
+    pub fn try_start(&mut self, proxy: usize) {
+        let _ = fs::remove_file(self.path(&format!("p{proxy}")).join("ready.json"));
+        let mut command = frostthread();
+        command.args(["run", "--config"]).arg(&self.files[proxy]).stderr(Stdio::null());
+        self.proxies[proxy] = Some(Running(command.spawn().expect("started")));
+    }
+
+    /// Learns where a proxy listens: by a release it becomes another program, at other ports. False before it is ready.
+    pub fn follow(&self, proxy: usize) -> bool {
+        let ready = self.path(&format!("p{proxy}")).join("ready.json");
+        let told = fs::read_to_string(&ready).ok();
+        let Some(told) = told.and_then(|text| serde_json::from_str::<serde_json::Value>(&text).ok()) else {
+            return false;
         };
-        let address = |key: &str| -> SocketAddr {
-            let told: &serde_json::Value = &told;
-            told[key].as_str().expect("text").parse().expect("an address")
-        };
+        let address =
+            |key: &str| -> SocketAddr { told[key].as_str().expect("text").parse().expect("an address") };
         self.callers.lock().expect("whole")[proxy] = Some(address("callers"));
         self.switch.real.lock().expect("whole").insert(address("peers"), proxy);
         self.switch.at.lock().expect("whole")[proxy] = Some(address("peers"));
+        true
+    }
+
+    /// Where a proxy takes callers, by its latest word.
+    pub fn takes(&self, proxy: usize) -> SocketAddr {
+        self.callers.lock().expect("whole")[proxy].expect("runs")
+    }
+
+    /// What a proxy's process was started with.
+    pub fn line(&self, proxy: usize) -> String {
+        let id = self.proxies[proxy].as_ref().expect("runs").0.id();
+        fs::read_to_string(format!("/proc/{id}/cmdline")).unwrap_or_default()
     }
 
     pub fn kill(&mut self, proxy: usize) {
@@ -325,6 +349,9 @@
         let end = Instant::now() + Duration::from_secs(20);
         while !holds(self) {
             assert!(Instant::now() < end, "{what}: not within 20 s");
+            (0..PROXIES).filter(|&proxy| self.proxies[proxy].is_some()).for_each(|proxy| {
+                self.follow(proxy);
+            });
             thread::sleep(Duration::from_millis(50));
         }
     }
--- a/outs/src/drains.rs
+++ b/outs/src/drains.rs
@@ -10,8 +10,6 @@
 use agree::Index;
 use serde::{Deserialize, Serialize};
 
-/// The form of commands and of the state.
-const VERSION: u8 = 1;
 /// Bytes of names, and of the reason that is kept.
 pub const LONGEST_NAME: usize = 120;
 pub const LONGEST_REASON: usize = 120;
@@ -69,50 +67,12 @@
     drains: BTreeMap<String, Drain>,
 }
 
-fn write(what: &impl Serialize) -> Vec<u8> {
-    postcard::to_extend(what, vec![VERSION]).expect("plain data")
-}
-
-fn read<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
-    let body = bytes.strip_prefix(&[VERSION])?;
-    let (what, rest) = postcard::take_from_bytes(body).ok()?;
-    rest.is_empty().then_some(what)
-}
-
-impl Command {
-    pub fn write(&self) -> Vec<u8> {
-        write(self)
-    }
-
-    pub fn read(bytes: &[u8]) -> Option<Self> {
-        read(bytes)
-    }
-}
-
-impl Verdict {
-    pub fn write(&self) -> Vec<u8> {
-        write(self)
-    }
-
-    pub fn read(bytes: &[u8]) -> Option<Self> {
-        read(bytes)
-    }
-}
-
 /// How many of a pool of so many servers may be out: that part of them, and one at least.
 pub fn most_out(part: f64, servers: usize) -> u16 {
     ((part * servers as f64).floor().max(1.0)).min(f64::from(u16::MAX)) as u16
 }
 
 impl Drains {
-    pub(crate) fn state(&self) -> Vec<u8> {
-        write(self)
-    }
-
-    pub(crate) fn read(bytes: &[u8]) -> Option<Self> {
-        read(bytes)
-    }
-
     pub fn get(&self, server: &str) -> Option<&Drain> {
         self.drains.get(server)
     }
--- /dev/null
+++ b/outs/src/holder.rs
@@ -0,0 +1,280 @@
+//! What one proxy does by what is decided: asks to go out when it is its turn, goes when the decision that it began is here,
+//! says that it is back, witnesses that others are well or missed, and opens the next wave. No I/O; what it asks for is
+//! asked again until it is so or is no longer wanted.
+//!
+//! Call [`Holder::turn`] at each beat with what is decided and what this proxy sees; it gives the commands to ask for, and
+//! whether this proxy is to go now.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::Hasher as _;
+use std::net::SocketAddr;
+
+use agree::{Hash, Id, Index};
+
+use crate::grants::{self, Away};
+use crate::releases::{self, Kind, Phase, Release};
+use crate::{Command, Outs};
+
+/// A grant that is not begun after so many leases is taken back by whoever notices.
+const FORFEIT_LEASES: f64 = 1.0;
+/// Of others so many times the witnesses that are wanted look at one: some of them may be cut off from it.
+const LOOKERS: usize = 2;
+/// One that is back has to answer at its callers' socket so many times in the time that it has to be well.
+const ANSWERS: u32 = 4;
+/// A wish that is not decided is asked for again after so many beats.
+const AGAIN_BEATS: u32 = 10;
+
+/// What is agreed, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct HolderTerms {
+    /// The part of the proxies that may be out at once; one at least.
+    pub part: f64,
+    pub witnesses: u16,
+    /// How long one that is back has to be well.
+    pub well: f64,
+    pub lease: f64,
+}
+
+/// How this proxy stands.
+#[derive(Clone, Debug)]
+pub struct Own {
+    pub id: Id,
+    /// All of the fleet, this one too.
+    pub fleet: Vec<Id>,
+    /// The release that this process runs; 0 for none.
+    pub runs: Index,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+    /// Whether it leads the council.
+    pub leads: bool,
+    /// Others of which nothing is heard.
+    pub silent: BTreeSet<Id>,
+    /// The release that this proxy could not become, and why.
+    pub failed: Option<(Index, String)>,
+    /// Whether the staged file with that sum is here and fit, or what is wrong with it.
+    pub staged: Option<(Hash, Result<(), String>)>,
+}
+
+/// What this proxy is to become.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Replace {
+    pub release: Index,
+    pub kind: Kind,
+    pub sum: Hash,
+    /// To run the release, or to go back to what ran before it.
+    pub forward: bool,
+}
+
+/// One that is back, as this proxy has seen it since.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    back: Index,
+    answers: u32,
+    first: f64,
+}
+
+/// What one proxy has in mind.
+#[derive(Clone, Debug, Default)]
+pub struct Holder {
+    /// Grants of others and since when they are known here.
+    granted: BTreeMap<Id, (Index, f64)>,
+    seen: BTreeMap<Id, Seen>,
+    /// What was asked for, and how many beats ago.
+    asked: Vec<(Command, u32)>,
+    /// It began; the shell is at it.
+    going: bool,
+}
+
+/// Whether this proxy is among those that look at another: the same few at all, drawn by both.
+fn looks(own: Id, other: Id, fleet: &[Id], lookers: usize) -> bool {
+    let drawn = |of: Id| {
+        let mut hasher = siphasher::sip::SipHasher13::new_with_keys(other, 1);
+        hasher.write_u64(of);
+        hasher.finish()
+    };
+    let mine = drawn(own);
+    fleet.iter().filter(|&&of| of != other && drawn(of) < mine).count() < lookers
+}
+
+impl Holder {
+    /// Those that are back and that this proxy looks at: each is to be asked for a sign of life at its callers' socket.
+    pub fn to_look_at(&self, outs: &Outs, own: &Own) -> Vec<(Id, SocketAddr)> {
+        let lookers = LOOKERS * usize::from(outs.grants.witnesses().max(1));
+        let back = outs.grants.all_away().filter_map(|(id, away)| match away {
+            Away::Back { callers, seen_by, .. } if !seen_by.contains(&own.id) => Some((id, *callers)),
+            _ => None,
+        });
+        back.filter(|(id, _)| *id != own.id && looks(own.id, *id, &own.fleet, lookers)).collect()
+    }
+
+    /// Somebody answered at that callers' socket.
+    pub fn answered(&mut self, now: f64, outs: &Outs, callers: SocketAddr) {
+        for (id, away) in outs.grants.all_away() {
+            if let Away::Back { since, callers: at, .. } = away
+                && *at == callers
+            {
+                let seen = self.seen.entry(id).or_default();
+                if seen.back != *since {
+                    *seen = Seen { back: *since, answers: 0, first: now };
+                }
+                seen.answers += 1;
+            }
+        }
+    }
+
+    /// Looks at what is decided. Gives what to ask for, and what this proxy is to become, once.
+    pub fn turn(
+        &mut self,
+        now: f64,
+        outs: &Outs,
+        own: &Own,
+        terms: &HolderTerms,
+    ) -> (Vec<Command>, Option<Replace>) {
+        let mut wanted = Vec::new();
+        self.own_steps(outs, own, &mut wanted);
+        self.of_others(now, outs, own, terms, &mut wanted);
+        if own.leads {
+            conduct(outs, own, terms, &mut wanted);
+        }
+        let goes = self.goes(outs, own);
+        (self.fresh(wanted), goes)
+    }
+
+    /// Of what is wanted, what was not asked for lately.
+    fn fresh(&mut self, wanted: Vec<Command>) -> Vec<Command> {
+        self.asked.iter_mut().for_each(|(_, beats)| *beats += 1);
+        self.asked.retain(|(command, beats)| wanted.contains(command) && *beats < AGAIN_BEATS);
+        let fresh: Vec<Command> =
+            wanted.into_iter().filter(|command| !self.asked.iter().any(|(of, _)| of == command)).collect();
+        self.asked.extend(fresh.iter().cloned().map(|command| (command, 0)));
+        fresh
+    }
+
+    fn own_steps(&self, outs: &Outs, own: &Own, wanted: &mut Vec<Command>) {
+        let proxy = own.id;
+        if let Some(release) = outs.releases.current().filter(|of| of.phase == Phase::Staged)
+            && let Some((_, found)) = own.staged.as_ref().filter(|(sum, _)| *sum == release.sum)
+        {
+            let release_is = release.number;
+            let known = (release.ready.contains(&proxy), release.unfit.get(&proxy));
+            match found {
+                Ok(()) if !known.0 => {
+                    wanted.push(Command::Releases(releases::Command::Ready { release: release_is, proxy }));
+                }
+                Err(why) if known.1 != Some(why) => {
+                    let why = why.clone();
+                    wanted.push(Command::Releases(releases::Command::Unfit {
+                        release: release_is,
+                        proxy,
+                        why,
+                    }));
+                }
+                _ => {}
+            }
+        }
+        if let Some((release, why)) = &own.failed
+            && let Some(of) = outs.releases.current().filter(|of| of.number == *release)
+            && matches!(of.phase, Phase::Running { .. })
+        {
+            let (release, why) = (*release, why.clone());
+            wanted.push(Command::Releases(releases::Command::Halt { release, why }));
+        }
+        match outs.grants.away(proxy) {
+            None => {
+                if let Some((release, _)) = self.change(outs, own) {
+                    let release = release.number;
+                    wanted.push(Command::Grants(grants::Command::Ask { proxy, release }));
+                }
+            }
+            Some(Away::Granted { grant, .. }) => {
+                wanted.push(Command::Grants(grants::Command::Begin { proxy, grant: *grant }));
+            }
+            // This process has begun nothing: it is the one that came after.
+            Some(Away::Out { .. }) if !self.going && self.change(outs, own).is_none() => {
+                let (runs, callers) = (own.runs, own.callers);
+                wanted.push(Command::Grants(grants::Command::Back { proxy, runs, callers }));
+            }
+            _ => {}
+        }
+    }
+
+    /// The release that it has still to change to, or from, by what is decided.
+    fn change<'a>(&self, outs: &'a Outs, own: &Own) -> Option<(&'a Release, bool)> {
+        let failed = own.failed.as_ref().map(|(release, _)| *release);
+        let turn = outs.releases.turn_of(own.id);
+        turn.filter(|(of, forward)| *forward != (own.runs == of.number) && failed != Some(of.number))
+    }
+
+    fn goes(&mut self, outs: &Outs, own: &Own) -> Option<Replace> {
+        let out = matches!(outs.grants.away(own.id), Some(Away::Out { .. }));
+        if !out {
+            self.going = false;
+        }
+        let (release, forward) = self.change(outs, own).filter(|_| out && !self.going)?;
+        self.going = true;
+        Some(Replace { release: release.number, kind: release.kind, sum: release.sum, forward })
+    }
+
+    /// What it was to become it could not: it is still what it was.
+    pub fn stays(&mut self) {
+        self.going = false;
+    }
+
+    fn of_others(
+        &mut self,
+        now: f64,
+        outs: &Outs,
+        own: &Own,
+        terms: &HolderTerms,
+        wanted: &mut Vec<Command>,
+    ) {
+        let lookers = LOOKERS * usize::from(outs.grants.witnesses().max(1));
+        let looked_at = |id: Id| id != own.id && looks(own.id, id, &own.fleet, lookers);
+        for &proxy in own.fleet.iter().filter(|&&id| looked_at(id)) {
+            let witness = own.id;
+            let missed = outs.grants.missed_by(proxy).any(|by| by == witness);
+            let silent = own.silent.contains(&proxy);
+            if silent && !missed && outs.grants.written_off(proxy).is_none() {
+                wanted.push(Command::Grants(grants::Command::Missed { proxy, witness }));
+            } else if !silent && missed {
+                wanted.push(Command::Grants(grants::Command::Heard { proxy, witness }));
+            }
+        }
+        let mut granted = BTreeMap::new();
+        for (id, away) in outs.grants.all_away().filter(|(id, _)| looked_at(*id)) {
+            match away {
+                Away::Granted { grant, .. } => {
+                    let known = self.granted.get(&id).filter(|(of, _)| of == grant);
+                    let since = known.map_or(now, |(_, since)| *since);
+                    granted.insert(id, (*grant, since));
+                    if now - since > FORFEIT_LEASES * terms.lease {
+                        wanted.push(Command::Grants(grants::Command::Forfeit { proxy: id, grant: *grant }));
+                    }
+                }
+                Away::Back { since, seen_by, .. } if !seen_by.contains(&own.id) => {
+                    let well = self.seen.get(&id).is_some_and(|seen| {
+                        seen.back == *since && seen.answers >= ANSWERS && now - seen.first >= terms.well
+                    });
+                    if well {
+                        wanted.push(Command::Grants(grants::Command::Well { proxy: id, witness: own.id }));
+                    }
+                }
+                _ => {}
+            }
+        }
+        self.granted = granted;
+        self.seen.retain(|id, _| outs.grants.away(*id).is_some());
+    }
+}
+
+/// What a leader sees to: that the budget is the settings', and that waves open.
+fn conduct(outs: &Outs, own: &Own, terms: &HolderTerms, wanted: &mut Vec<Command>) {
+    let most = crate::drains::most_out(terms.part, own.fleet.len());
+    let witnesses = terms.witnesses;
+    if (outs.grants.most(), outs.grants.witnesses()) != (most, witnesses) {
+        wanted.push(Command::Grants(grants::Command::Budget { most, witnesses }));
+    }
+    if let Some((release, wave)) = outs.releases.opens_next() {
+        wanted.push(Command::Releases(releases::Command::Open { release, wave }));
+    }
+}
--- a/outs/src/lib.rs
+++ b/outs/src/lib.rs
@@ -1,42 +1,131 @@
 //! Who may be out at once, as decided for all border proxies, without I/O.
 //!
-//! [`Outs`] is the machine that the agreement gives its decisions to. So far it knows drains of central servers:
-//! [`drains`] says what may be asked, and when it is refused. A proxy reads from it which servers get nothing new.
+//! [`Outs`] is the machine that the agreement gives its decisions to: [`drains`] of central servers, [`grants`] for border
+//! proxies, [`releases`] that replace them in waves. [`holder`] is what one proxy does by it: when it asks, goes and says
+//! that it is back, and what it tells of others.
 
 #![forbid(unsafe_code)]
 
 pub mod drains;
+pub mod grants;
+pub mod holder;
+pub mod releases;
 
 use agree::{Index, Machine, Unknown};
+use serde::{Deserialize, Serialize};
 
-pub use drains::{Command, Drain, Drains, Verdict};
+pub use drains::{Drain, Drains};
+pub use grants::Grants;
+pub use releases::{Kind, Phase, Release, Releases};
 
-/// The number by which the agreement knows commands of drains.
-pub const DRAINS: u8 = 1;
+/// The part of the agreement that all of this is.
+pub const OUTS: u8 = 1;
+/// The form of commands, answers and of the state.
+const VERSION: u8 = 1;
+
+/// What may be asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Command {
+    Drains(drains::Command),
+    Grants(grants::Command),
+    Releases(releases::Command),
+}
+
+/// What became of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    Drains(drains::Verdict),
+    Grants(grants::Verdict),
+    Releases(releases::Verdict),
+}
+
+fn write(what: &impl Serialize) -> Vec<u8> {
+    postcard::to_extend(what, vec![VERSION]).expect("plain data")
+}
+
+fn read<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
+    let body = bytes.strip_prefix(&[VERSION])?;
+    let (what, rest) = postcard::take_from_bytes(body).ok()?;
+    rest.is_empty().then_some(what)
+}
+
+impl Command {
+    pub fn write(&self) -> Vec<u8> {
+        write(self)
+    }
+}
+
+impl Verdict {
+    pub fn read(bytes: &[u8]) -> Option<Self> {
+        read(bytes)
+    }
+}
 
 /// All that is decided about who is out.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Outs {
     pub drains: Drains,
+    pub grants: Grants,
+    pub releases: Releases,
+}
+
+impl Outs {
+    fn carry_out(&mut self, index: Index, command: Command) -> Verdict {
+        let verdict = self.of_part(index, command);
+        let grants = &self.grants;
+        self.releases.settle(|proxy| grants.away(proxy).is_some());
+        verdict
+    }
+
+    fn of_part(&mut self, index: Index, command: Command) -> Verdict {
+        match command {
+            Command::Drains(command) => Verdict::Drains(self.drains.decide(index, command)),
+            Command::Grants(command) => Verdict::Grants(self.grant(index, command)),
+            Command::Releases(command) => {
+                let halts =
+                    matches!(command, releases::Command::Halt { .. } | releases::Command::Back { .. });
+                let verdict = self.releases.decide(index, command);
+                // Whoever was let out for it and has not gone stays.
+                if let Some(release) = self.releases.current().filter(|_| halts) {
+                    self.grants.recall(release.number);
+                }
+                Verdict::Releases(verdict)
+            }
+        }
+    }
+
+    fn grant(&mut self, index: Index, command: grants::Command) -> grants::Verdict {
+        if let grants::Command::Ask { proxy, release } = &command {
+            let turn = self.releases.turn_of(*proxy).is_some_and(|(of, _)| of.number == *release);
+            if !turn {
+                return grants::Verdict::Moot;
+            }
+        }
+        let verdict = self.grants.decide(index, command);
+        if let Some((proxy, runs)) = self.grants.came_in() {
+            self.releases.came_in(proxy, runs);
+        }
+        verdict
+    }
 }
 
 impl Machine for Outs {
     fn decide(&mut self, index: Index, part: u8, command: &[u8]) -> Result<Vec<u8>, Unknown> {
         let unknown = |what: &str| Unknown { index, part, what: what.to_owned() };
-        if part != DRAINS {
+        if part != OUTS {
             return Err(unknown("no part of this program: a newer one is wanted"));
         }
-        let command = Command::read(command).ok_or_else(|| unknown("no command of this program"))?;
-        Ok(self.drains.decide(index, command).write())
+        let command = read(command).ok_or_else(|| unknown("no command of this program"))?;
+        Ok(write(&self.carry_out(index, command)))
     }
 
     fn state(&self) -> Vec<u8> {
-        self.drains.state()
+        write(self)
     }
 
     fn restore(&mut self, index: Index, state: &[u8]) -> Result<(), Unknown> {
-        let unread = || Unknown { index, part: DRAINS, what: "a state of no known form".to_owned() };
-        self.drains = Drains::read(state).ok_or_else(unread)?;
+        let unread = || Unknown { index, part: OUTS, what: "a state of no known form".to_owned() };
+        *self = read(state).ok_or_else(unread)?;
         Ok(())
     }
 }
--- a/outs/tests/drains.rs
+++ b/outs/tests/drains.rs
@@ -1,8 +1,8 @@
 //! Drains are decided alike everywhere, within their pool's budget.
 
 use agree::Machine;
-use outs::drains::{LONGEST_REASON, most_out};
-use outs::{Command, DRAINS, Outs, Verdict};
+use outs::drains::{Command, LONGEST_REASON, Verdict, most_out};
+use outs::{OUTS, Outs};
 use rstest::rstest;
 
 fn drain(server: &str, pool: u16, most: u16, listed_out: u16) -> Command {
@@ -14,8 +14,14 @@
     Command::Undrain { server: server.to_owned() }
 }
 
+fn written(command: &Command) -> Vec<u8> {
+    outs::Command::Drains(command.clone()).write()
+}
+
 fn told(outs: &mut Outs, command: &Command) -> Verdict {
-    Verdict::read(&outs.decide(5, DRAINS, &command.write()).expect("known")).expect("a verdict")
+    let told = outs.decide(5, OUTS, &written(command)).expect("known");
+    let Some(outs::Verdict::Drains(verdict)) = outs::Verdict::read(&told) else { panic!("{told:?}") };
+    verdict
 }
 
 #[test]
@@ -49,9 +55,9 @@
 }
 
 #[rstest]
-#[case::another_part(9, &drain("a", 0, 1, 0).write())]
-#[case::another_version(DRAINS, &[2, 0])]
-#[case::rubbish(DRAINS, &[1, 9, 9])]
+#[case::another_part(9, &written(&drain("a", 0, 1, 0)))]
+#[case::another_version(OUTS, &[2, 0])]
+#[case::rubbish(OUTS, &[1, 9, 9])]
 fn what_this_program_does_not_know_is_an_error(#[case] part: u8, #[case] command: &[u8]) {
     assert!(Outs::default().decide(3, part, command).is_err());
     assert!(Outs::default().restore(3, &[7]).is_err());
--- /dev/null
+++ b/outs/tests/releases.rs
@@ -0,0 +1,147 @@
+//! A release through all orders of a few decisions: nobody is let out before its wave or after a halt, and from every
+//! state the way back ends with nobody running it.
+
+use std::collections::{HashSet, VecDeque};
+
+use agree::{Id, Machine};
+use outs::grants::{self, Away};
+use outs::releases::{self, Kind, Phase};
+use outs::{Command, OUTS, Outs, Verdict};
+
+const PROXIES: [Id; 3] = [1, 2, 3];
+const RELEASE: u64 = 2;
+
+fn told(outs: &mut Outs, index: u64, command: &Command) -> Verdict {
+    Verdict::read(&outs.decide(index, OUTS, &command.write()).expect("known")).expect("a verdict")
+}
+
+fn stage() -> Command {
+    let (by, why) = ("p1".to_owned(), String::new());
+    Command::Releases(releases::Command::Stage { kind: Kind::Program, sum: [7; 32], by, why, unix: 0 })
+}
+
+fn ready(proxy: Id) -> Command {
+    Command::Releases(releases::Command::Ready { release: RELEASE, proxy })
+}
+
+fn start() -> Command {
+    Command::Releases(releases::Command::Start { release: RELEASE, proxies: PROXIES.len() as u16 })
+}
+
+fn staged() -> Outs {
+    let mut outs = Outs::default();
+    told(&mut outs, 1, &Command::Grants(grants::Command::Budget { most: 1, witnesses: 1 }));
+    told(&mut outs, RELEASE, &stage());
+    outs
+}
+
+/// One that is out runs the release, or what ran before it.
+fn all(outs: &Outs) -> Vec<Command> {
+    let mut all = vec![
+        Command::Releases(releases::Command::Halt { release: RELEASE, why: "bad".into() }),
+        Command::Releases(releases::Command::Back { release: RELEASE }),
+        start(),
+    ];
+    all.extend((0..3).map(|wave| Command::Releases(releases::Command::Open { release: RELEASE, wave })));
+    for proxy in PROXIES {
+        let grant = match outs.grants.away(proxy) {
+            Some(Away::Granted { grant, .. }) => *grant,
+            _ => 0,
+        };
+        let (witness, callers) = (proxy % 3 + 1, ([127, 0, 0, 1], 4569).into());
+        all.extend([
+            Command::Grants(grants::Command::Ask { proxy, release: RELEASE }),
+            Command::Grants(grants::Command::Begin { proxy, grant }),
+            Command::Grants(grants::Command::Back { proxy, runs: RELEASE, callers }),
+            Command::Grants(grants::Command::Back { proxy, runs: 0, callers }),
+            Command::Grants(grants::Command::Well { proxy, witness }),
+        ]);
+    }
+    all
+}
+
+fn running(outs: &Outs) -> usize {
+    PROXIES.iter().filter(|&&proxy| outs.releases.runs(proxy) == RELEASE).count()
+}
+
+/// Words that are sure to come in the end: back it goes, and nobody runs it any more.
+fn goes_back(mut outs: Outs) {
+    let back = Command::Releases(releases::Command::Back { release: RELEASE });
+    told(&mut outs, 50, &back);
+    for round in 0..8 {
+        for proxy in PROXIES {
+            let grant = 100 + round;
+            let (witness, callers) = (proxy % 3 + 1, ([127, 0, 0, 1], 4569).into());
+            for command in [
+                grants::Command::Ask { proxy, release: RELEASE },
+                grants::Command::Begin { proxy, grant },
+                grants::Command::Back { proxy, runs: 0, callers },
+                grants::Command::Well { proxy, witness },
+            ] {
+                told(&mut outs, grant, &Command::Grants(command));
+            }
+        }
+    }
+    assert_eq!(running(&outs), 0, "{outs:?}");
+    let over = outs.releases.current().expect("staged").is_over();
+    assert!(over && outs.grants.out().count() == 0, "{outs:?}");
+}
+
+#[test]
+fn in_all_orders_nobody_goes_before_its_wave_or_after_a_halt_and_the_way_back_ends() {
+    let mut outs = staged();
+    PROXIES
+        .iter()
+        .for_each(|&proxy| assert!(matches!(told(&mut outs, 3, &ready(proxy)), Verdict::Releases(_))));
+    let mut known = HashSet::new();
+    let mut next = VecDeque::from([(outs, 4)]);
+    while let Some((outs, index)) = next.pop_front() {
+        for command in all(&outs) {
+            let mut after = outs.clone();
+            let verdict = told(&mut after, index, &command);
+            if let Command::Grants(grants::Command::Ask { proxy, .. }) = command
+                && verdict == Verdict::Grants(grants::Verdict::Done)
+            {
+                let release = outs.releases.current().expect("staged");
+                let wave = release.wave_of(proxy).expect("started");
+                let open = match release.phase {
+                    Phase::Running { wave: open } => wave <= open,
+                    Phase::GoingBack => outs.releases.runs(proxy) == RELEASE,
+                    _ => false,
+                };
+                assert!(open, "{command:?} in {release:?}");
+            }
+            let halted = matches!(after.releases.current().map(|of| &of.phase), Some(Phase::Halted { .. }));
+            let granted = after.grants.all_away().any(|(_, away)| matches!(away, Away::Granted { .. }));
+            assert!(!(halted && granted), "let out though halted: {command:?}");
+            if known.insert(format!("{after:?}")) {
+                goes_back(after.clone());
+                next.push_back((after, index + 1));
+            }
+        }
+    }
+    assert!(known.len() > 60, "all states that there are: {}", known.len());
+}
+
+#[test]
+fn all_have_to_be_ready_and_one_release_goes_at_a_time() {
+    let mut outs = staged();
+    told(&mut outs, 3, &ready(1));
+    let unfit =
+        Command::Releases(releases::Command::Unfit { release: RELEASE, proxy: 2, why: "no disk".into() });
+    told(&mut outs, 4, &unfit);
+    told(&mut outs, 5, &ready(3));
+    let told_of = |outs: &mut Outs, command: &Command| match told(outs, 6, command) {
+        Verdict::Releases(verdict) => verdict,
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(told_of(&mut outs, &start()), releases::Verdict::Unready { ready: 2, proxies: 3 });
+    assert_eq!(told_of(&mut outs, &stage()), releases::Verdict::Another { release: RELEASE });
+    told(&mut outs, 7, &ready(2));
+    assert_eq!(told_of(&mut outs, &start()), releases::Verdict::Done);
+    let waves = &outs.releases.current().expect("staged").waves;
+    assert_eq!(waves.iter().map(Vec::len).collect::<Vec<_>>(), [1, 1, 1], "{waves:?}");
+    let mut other = Outs::default();
+    other.restore(9, &outs.state()).expect("its own form");
+    assert_eq!(other, outs);
+}
--- a/proxy/src/border/peers.rs
+++ b/proxy/src/border/peers.rs
@@ -8,7 +8,7 @@
 use gossip::keys::{Roster, Secrets};
 
 use super::BorderProxy;
-use crate::decided::{Answer, CouncilStatus, Decided, OutTerms, OutsStatus, Wish};
+use crate::decided::{Answer, CouncilStatus, Decided, Life, OutTerms, OutsStatus, Wish};
 use crate::decisions::Decisions;
 use crate::limits::{FleetLimits, LimitTerms};
 use crate::status::{GossipStatus, LimitsStatus};
@@ -103,20 +103,29 @@
     pub fn decide(
         &mut self,
         terms: (AgreeTerms, OutTerms),
+        life: Life,
         keys: FleetKeys,
         file: Result<Kept, Lost>,
         seed: u64,
         now: f64,
     ) -> Result<(), Unknown> {
         if let Some(node) = &self.hands.gossip {
-            self.hands.decided = Some(Decided::new(node, terms, keys, file, seed, now)?);
+            self.hands.decided = Some(Decided::new(node, terms, life, keys, file, seed, now)?);
         }
         Ok(())
     }
 
-    /// Brings servers that the fleet drains, or drains no more, to whoever decides.
+    /// What is decided of this proxy itself, and what the shell is to see to for it.
+    pub fn decided(&mut self) -> Option<&mut Decided> {
+        self.hands.decided.as_mut()
+    }
+
+    /// Brings servers that the fleet drains, or drains no more, to whoever decides; looks at proxies that are back.
     pub(super) fn drain(&mut self) {
         let now = self.hands.now;
+        for at in self.hands.decided.as_mut().map(Decided::looks).unwrap_or_default() {
+            self.hands.servers.poke(now, at);
+        }
         let Some(drained) = self.hands.decided.as_mut().and_then(Decided::news) else { return };
         let lines = self.hands.pool.drain(drained);
         self.module.listed(&lines, false, &mut self.hands);
@@ -139,7 +148,8 @@
             let shots = hands.conversations.iter().flatten().filter_map(|c| c.shot.as_ref());
             shots.filter(|shot| Some(shot.server) == server).count()
         };
-        hands.decided.as_ref().map(|decided| OutsStatus::of(decided, hands.now, here))
+        let (decided, node) = hands.decided.as_ref().zip(hands.gossip.as_ref())?;
+        Some(OutsStatus::of(decided, node, hands.now, here))
     }
 
     /// Asks for a decision; gives the number that [`BorderProxy::decision`] tells its outcome by. With `dry` nothing
--- a/proxy/src/border/servers.rs
+++ b/proxy/src/border/servers.rs
@@ -15,9 +15,12 @@
         while let Some((leg, happening)) = self.hands.servers.happening() {
             match happening {
                 Happening::Pong { peer, elements } => {
+                    let now = self.hands.now;
                     self.hands.tally.pongs += 1;
+                    if let Some(decided) = &mut self.hands.decided {
+                        decided.answered(now, peer);
+                    }
                     if let Some(server) = self.hands.pool.at(peer) {
-                        let now = self.hands.now;
                         self.hands.witness(server, |evidence, life| evidence.answered(now, life));
                         self.reported(server, Hints::read(&elements).report());
                     }
--- a/proxy/src/decided.rs
+++ b/proxy/src/decided.rs
@@ -2,13 +2,15 @@
 //! moves words both ways; [`Decided::wish`] asks for a decision, [`Decided::outcome`] tells what came of it.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 
 use agree::disk::{Kept, Lost, Write};
 use agree::seal::FleetKeys;
-use agree::{AgreeStanding, AgreeTerms, Agreement, Council, Id, Outcome, Refusal, Seat, Unknown};
+use agree::{AgreeStanding, AgreeTerms, Agreement, Council, Id, Machine, Outcome, Refusal, Seat, Unknown};
 use gossip::Node;
 use gossip::wire::{Part, Standing};
-use outs::{Command, DRAINS, Drains, Outs, Verdict};
+use outs::holder::{Holder, HolderTerms, Own, Replace};
+use outs::{Command, Drains, Kind, OUTS, Outs, Phase, Verdict, drains, grants, releases};
 use serde::{Deserialize, Serialize};
 
 use crate::pool::PoolList;
@@ -32,6 +34,22 @@
     Remove {
         proxy: String,
     },
+    /// `sum` is the BLAKE3 sum of a file, in hexadecimal digits.
+    Stage {
+        kind: Kind,
+        sum: String,
+        why: String,
+    },
+    Start,
+    Halt {
+        why: String,
+    },
+    Back,
+    /// A proxy that is out never comes back.
+    WriteOff {
+        proxy: String,
+        why: String,
+    },
 }
 
 /// What became of a wish.
@@ -48,11 +66,23 @@
     },
 }
 
-/// What is agreed for drains.
+/// What is agreed for who may be out.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct OutTerms {
     /// The part of a pool's central servers that may be out at once; one at least.
     pub pool_part: f64,
+    pub holder: HolderTerms,
+}
+
+/// What the shell knows of this process.
+#[derive(Clone, Debug)]
+pub struct Life {
+    /// The release that it runs; 0 for none.
+    pub runs: u64,
+    /// The release that it could not become, and why.
+    pub failed: Option<(u64, String)>,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
 }
 
 /// What is decided for all, as this proxy knows it.
@@ -62,6 +92,14 @@
     name: String,
     /// The servers that are drained, as the pool list was last told.
     drained: BTreeSet<String>,
+    holder: Holder,
+    own: Own,
+    /// What this proxy's own wishes came to concerns nobody.
+    own_wishes: BTreeSet<u64>,
+    looks: Vec<SocketAddr>,
+    replace: Option<Replace>,
+    turn_at: f64,
+    beat: f64,
 }
 
 fn refusal(refusal: Refusal) -> String {
@@ -80,14 +118,31 @@
     pub fn new(
         node: &Node,
         terms: (AgreeTerms, OutTerms),
+        life: Life,
         keys: FleetKeys,
         file: Result<Kept, Lost>,
         seed: u64,
         now: f64,
     ) -> Result<Self, Unknown> {
         let name = node.name(node.id()).unwrap_or_default().to_owned();
+        let beat = terms.0.beat;
         let agreement = Agreement::new(node.id(), terms.0, keys, Outs::default(), file, seed, now)?;
-        Ok(Self { agreement, terms: terms.1, name, drained: BTreeSet::new() })
+        let Life { runs, failed, callers } = life;
+        let (fleet, silent) = (node.fleet().collect(), BTreeSet::new());
+        let own = Own { id: node.id(), fleet, runs, callers, leads: false, silent, failed, staged: None };
+        Ok(Self {
+            agreement,
+            terms: terms.1,
+            name,
+            drained: BTreeSet::new(),
+            holder: Holder::default(),
+            own,
+            own_wishes: BTreeSet::new(),
+            looks: Vec::new(),
+            replace: None,
+            turn_at: now,
+            beat,
+        })
     }
 
     pub fn rekey(&mut self, keys: FleetKeys) {
@@ -104,6 +159,10 @@
             self.agreement.set_peers(alive.map(|(id, _)| id).collect::<Vec<_>>());
             self.agreement.turn(now);
         }
+        if now >= self.turn_at {
+            self.turn_at = now + self.beat;
+            self.hold(now, node);
+        }
         while let Some(out) = self.agreement.outgoing() {
             // What the cap forbids is lost, as on the network: it is said again.
             node.say_to(now, out.to, Part::Agreement, out.bytes);
@@ -111,7 +170,59 @@
     }
 
     pub fn due(&self) -> f64 {
-        self.agreement.due()
+        self.agreement.due().min(self.turn_at)
+    }
+
+    /// What this proxy itself does by what is decided.
+    fn hold(&mut self, now: f64, node: &Node) {
+        let dead = node.members.all().filter(|(_, member)| member.standing == Standing::Dead);
+        self.own.silent = dead.map(|(id, _)| id).collect();
+        self.own.fleet = node.fleet().collect();
+        self.own.leads = self.agreement.role() == agree::Role::Leads;
+        let outs = self.agreement.machine();
+        let (wanted, replace) = self.holder.turn(now, outs, &self.own, &self.terms.holder);
+        self.looks = self.holder.to_look_at(outs, &self.own).into_iter().map(|(_, at)| at).collect();
+        self.replace = replace.or(self.replace.take());
+        for command in wanted {
+            self.own_wishes.extend(self.agreement.propose(now, OUTS, command.write()));
+        }
+    }
+
+    /// Callers' sockets of others that are to be asked for a sign of life now.
+    pub fn looks(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.looks)
+    }
+
+    /// Somebody answered at that address.
+    pub fn answered(&mut self, now: f64, at: SocketAddr) {
+        self.holder.answered(now, self.agreement.machine(), at);
+    }
+
+    /// What this proxy is to become now, if anything.
+    pub fn replace(&mut self) -> Option<Replace> {
+        self.replace.take()
+    }
+
+    /// What it was to become it could not.
+    pub fn stays(&mut self, release: u64, why: &str) {
+        self.holder.stays();
+        self.own.failed = Some((release, why.to_owned()));
+    }
+
+    /// The file of a release that is staged, until it is known whether it is fit here.
+    pub fn to_check(&self) -> Option<(Kind, agree::Hash)> {
+        let release = self.agreement.machine().releases.current().filter(|of| of.phase == Phase::Staged)?;
+        let checked = self.own.staged.as_ref().is_some_and(|(sum, fit)| *sum == release.sum && fit.is_ok());
+        (!checked).then_some((release.kind, release.sum))
+    }
+
+    pub fn checked(&mut self, sum: agree::Hash, fit: Result<(), String>) {
+        self.own.staged = Some((sum, fit));
+    }
+
+    /// Whether this process was seen well with the release that it runs.
+    pub fn is_well(&self) -> bool {
+        self.agreement.machine().releases.runs(self.own.id) == self.own.runs
     }
 
     /// The servers that get nothing new, where they are others than when this was last asked.
@@ -135,6 +246,12 @@
         self.agreement.standing(now)
     }
 
+    /// The number of the release that is under way, or was last.
+    fn release(&self) -> Result<u64, String> {
+        let release = self.agreement.machine().releases.current();
+        release.map(|release| release.number).ok_or_else(|| "no release was staged".to_owned())
+    }
+
     /// What would be asked for, and why it would not be.
     fn command(&self, wish: &Wish, node: &Node, pool: &PoolList, unix: f64) -> Result<Asked, String> {
         let id = |name: &str| {
@@ -144,19 +261,43 @@
         };
         let standing = self.agreement.standing(0.0);
         Ok(match wish {
-            Wish::Undrain { server } => Asked::Outs(Command::Undrain { server: server.clone() }),
+            Wish::Undrain { server } => {
+                Asked::Outs(Command::Drains(drains::Command::Undrain { server: server.clone() }))
+            }
+            Wish::Stage { kind, sum, why } => Asked::Outs(Command::Releases(releases::Command::Stage {
+                kind: *kind,
+                sum: unhex(sum).ok_or_else(|| format!("{sum}: 64 hexadecimal digits wanted"))?,
+                by: self.name.clone(),
+                why: why.clone(),
+                unix: unix as u64,
+            })),
+            Wish::Start => Asked::Outs(Command::Releases(releases::Command::Start {
+                release: self.release()?,
+                proxies: node.fleet().count() as u16,
+            })),
+            Wish::Halt { why } => {
+                let (release, why) = (self.release()?, why.clone());
+                Asked::Outs(Command::Releases(releases::Command::Halt { release, why }))
+            }
+            Wish::Back => {
+                Asked::Outs(Command::Releases(releases::Command::Back { release: self.release()? }))
+            }
+            Wish::WriteOff { proxy, why } => {
+                let (proxy, why) = (id(proxy)?, why.clone());
+                Asked::Outs(Command::Grants(grants::Command::WriteOff { proxy, why }))
+            }
             Wish::Drain { server, why } => {
                 let listed = pool.named(server).ok_or_else(|| format!("{server}: not on the pool list"))?;
                 let (of, listed_out) = pool.out_of(pool.pool(listed));
-                Asked::Outs(Command::Drain {
+                Asked::Outs(Command::Drains(drains::Command::Drain {
                     server: server.clone(),
                     pool: pool.pool(listed),
-                    most: outs::drains::most_out(self.terms.pool_part, of),
+                    most: drains::most_out(self.terms.pool_part, of),
                     listed_out: listed_out as u16,
                     by: self.name.clone(),
                     why: why.clone(),
                     unix: unix as u64,
-                })
+                }))
             }
             Wish::Remove { proxy } => Asked::Council(standing.council.without(id(proxy)?)),
             Wish::Add { proxy, life } => {
@@ -172,7 +313,11 @@
     /// What a wish would come to by what this proxy knows now, without asking for it.
     pub fn try_wish(&self, wish: &Wish, node: &Node, pool: &PoolList, unix: f64) -> Result<Answer, String> {
         Ok(match self.command(wish, node, pool, unix)? {
-            Asked::Outs(command) => verdict(0, &self.drains().clone().decide(0, command)),
+            Asked::Outs(command) => {
+                let told = self.agreement.machine().clone().decide(0, OUTS, &command.write());
+                let told = told.map_err(|unknown| unknown.to_string())?;
+                Verdict::read(&told).map_or(Answer::Already, |told| verdict(0, &told))
+            }
             Asked::Council(council) if council.follows(&self.agreement.standing(0.0).council) => {
                 Answer::Done { decision: 0 }
             }
@@ -190,7 +335,7 @@
         pool: &PoolList,
     ) -> Result<u64, String> {
         match self.command(wish, node, pool, unix)? {
-            Asked::Outs(command) => self.agreement.propose(now, DRAINS, command.write()),
+            Asked::Outs(command) => self.agreement.propose(now, OUTS, command.write()),
             Asked::Council(council) => self.agreement.propose_council(now, council),
         }
         .map_err(refusal)
@@ -202,7 +347,12 @@
     }
 
     pub fn outcome(&mut self) -> Option<(u64, Answer)> {
-        let (request, outcome) = self.agreement.outcome()?;
+        let (request, outcome) = loop {
+            let (request, outcome) = self.agreement.outcome()?;
+            if !self.own_wishes.remove(&request) {
+                break (request, outcome);
+            }
+        };
         let answer = match outcome {
             Outcome::Refused(why) => Answer::Refused { why: refusal(why) },
             Outcome::Done { by } => Answer::Done { decision: by },
@@ -231,26 +381,46 @@
     Council(Council),
 }
 
+fn unhex(digits: &str) -> Option<agree::Hash> {
+    let pairs: Vec<&[u8]> = digits.as_bytes().chunks(2).collect();
+    let byte = |pair: &&[u8]| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
+    pairs.iter().map(byte).collect::<Option<Vec<u8>>>()?.try_into().ok()
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 fn verdict(decision: u64, verdict: &Verdict) -> Answer {
-    match verdict {
-        Verdict::Done => Answer::Done { decision },
-        Verdict::Already => Answer::Already,
-        Verdict::Unfit => {
-            Answer::Refused { why: "a name or reason is empty or too long, or too many are drained".into() }
+    use {drains::Verdict as D, grants::Verdict as G, releases::Verdict as R};
+    let why = match verdict {
+        Verdict::Drains(D::Done) | Verdict::Grants(G::Done) | Verdict::Releases(R::Done) => {
+            return Answer::Done { decision };
         }
-        Verdict::OverBudget { out, most, drained } => {
-            let drained = drained.join(" ");
-            Answer::Refused {
-                why: format!("{out} of its pool would be out, {most} may be; drained: {drained}"),
-            }
+        Verdict::Drains(D::Already) | Verdict::Grants(G::Moot) | Verdict::Releases(R::Moot) => {
+            return Answer::Already;
         }
-    }
+        Verdict::Drains(D::Unfit) | Verdict::Grants(G::Unfit) | Verdict::Releases(R::Unfit) => {
+            "a name or reason is empty or too long, or there are too many".to_owned()
+        }
+        Verdict::Drains(D::OverBudget { out, most, drained }) => {
+            format!("{out} of its pool would be out, {most} may be; drained: {}", drained.join(" "))
+        }
+        Verdict::Grants(G::Full { out, most }) => format!("{out} proxies are out, {most} may be"),
+        Verdict::Releases(R::Unready { ready, proxies }) => {
+            format!("{ready} of {proxies} proxies are ready, or one is unfit: `release state` has them")
+        }
+        Verdict::Releases(R::Another { release }) => format!("release {release} is under way"),
+    };
+    Answer::Refused { why }
 }
 
 /// The council and how this proxy stands with it, for operators.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CouncilStatus {
     pub role: agree::Role,
+    /// The number of this proxy's disk, by which it is let in; 0 where it votes as a founder.
+    pub life: u64,
     pub term: u64,
     pub leader: Option<String>,
     /// Decisions known, those carried out, and those proved to whoever has no vote.
@@ -292,12 +462,13 @@
             standing.lives.iter().map(|(&id, &life)| SeatStatus { name: name(id), life, has: None });
         Self {
             role: standing.role,
+            life: standing.life,
             term: standing.term,
             leader: standing.leader.map(name),
             decided: standing.decided,
             applied: standing.applied,
             sealed: standing.sealed,
-            hash: standing.hash[..8].iter().map(|byte| format!("{byte:02x}")).collect(),
+            hash: hex(&standing.hash[..8]),
             age_ms: Some(standing.age).filter(|age| age.is_finite()),
             seats: standing.council.seats().iter().map(seat).collect(),
             since: standing.version,
@@ -313,6 +484,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OutsStatus {
     pub drains: Vec<DrainStatus>,
+    /// Proxies that are out, how many may be, and how many others have to see one well.
+    pub proxies: Vec<AwayStatus>,
+    pub most: u16,
+    pub witnesses: u16,
+    pub release: Option<ReleaseStatus>,
     pub age_ms: Option<f64>,
 }
 
@@ -329,8 +505,75 @@
     pub here: usize,
 }
 
+/// A proxy that takes up a place.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AwayStatus {
+    pub proxy: String,
+    /// `granted`, `out`, `back` or `missed`.
+    pub how: String,
+    /// By which decision, and what is waited for.
+    pub since: Option<u64>,
+    pub waits_for: String,
+}
+
+/// The release that is under way, or was last.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReleaseStatus {
+    pub release: u64,
+    pub kind: Kind,
+    pub sum: String,
+    pub by: String,
+    pub why: String,
+    pub phase: Phase,
+    pub ready: usize,
+    pub unfit: Vec<(String, String)>,
+    /// By wave: all of it, and those that run it.
+    pub waves: Vec<(usize, usize)>,
+}
+
+impl AwayStatus {
+    fn of(grants: &outs::Grants, id: Id, name: &impl Fn(Id) -> String) -> Self {
+        use grants::Away;
+        let (how, since, waits_for) = match grants.away(id) {
+            Some(Away::Granted { grant, .. }) => {
+                ("granted", Some(*grant), "its word that it goes".to_owned())
+            }
+            Some(Away::Out { since }) => ("out", Some(*since), "its word that it is back".to_owned()),
+            Some(Away::Back { since, seen_by, .. }) => {
+                let (seen, of) = (seen_by.len(), grants.witnesses());
+                ("back", Some(*since), format!("others to see it well: {seen} of {of} have"))
+            }
+            None => {
+                let by: Vec<String> = grants.missed_by(id).map(name).collect();
+                ("missed", None, format!("word of it; missed by {}", by.join(" ")))
+            }
+        };
+        Self { proxy: name(id), how: how.to_owned(), since, waits_for }
+    }
+}
+
+impl ReleaseStatus {
+    fn of(releases: &outs::Releases, name: &impl Fn(Id) -> String) -> Option<Self> {
+        let of = releases.current()?;
+        let runs = |wave: &Vec<Id>| wave.iter().filter(|id| releases.runs(**id) == of.number).count();
+        Some(Self {
+            release: of.number,
+            kind: of.kind,
+            sum: hex(&of.sum),
+            by: of.by.clone(),
+            why: of.why.clone(),
+            phase: of.phase.clone(),
+            ready: of.ready.len(),
+            unfit: of.unfit.iter().map(|(&id, why)| (name(id), why.clone())).collect(),
+            waves: of.waves.iter().map(|wave| (wave.len(), runs(wave))).collect(),
+        })
+    }
+}
+
 impl OutsStatus {
-    pub fn of(decided: &Decided, now: f64, here: impl Fn(&str) -> usize) -> Self {
+    pub fn of(decided: &Decided, node: &Node, now: f64, here: impl Fn(&str) -> usize) -> Self {
+        let name = |id: Id| node.name(id).unwrap_or("?").to_owned();
+        let Outs { grants, releases, .. } = decided.agreement.machine();
         let row = |(server, drain): (&str, &outs::Drain)| DrainStatus {
             server: server.to_owned(),
             pool: drain.pool,
@@ -341,6 +584,13 @@
             here: here(server),
         };
         let age_ms = Some(decided.age(now)).filter(|age| age.is_finite());
-        Self { drains: decided.drains().iter().map(row).collect(), age_ms }
+        Self {
+            drains: decided.drains().iter().map(row).collect(),
+            proxies: grants.out().map(|id| AwayStatus::of(grants, id, &name)).collect(),
+            most: grants.most(),
+            witnesses: grants.witnesses(),
+            release: ReleaseStatus::of(releases, &name),
+            age_ms,
+        }
     }
 }
