Releases are halted by evidence: released proxies ranked among the others, span by span

Need: a bad release has to stop before it is everywhere, by a test with a known rate of false alarms. Change: outs/evidence, Mann and Whitney's test on changes against each proxy's own spans before; proxy/earned counts what became of conversations; reports go to the council beside its messages. Five processes: settings without a route are halted after the first wave and taken back.

--- a/daemon/src/settings/fleet.rs
+++ b/daemon/src/settings/fleet.rs
@@ -16,6 +16,8 @@
 const POOL_PART: f64 = 0.25;
 const PROXY_PART: f64 = 0.1;
 const WELL: f64 = 5_000.0;
+/// Released proxies are compared with others by spans of this length.
+const SPAN: f64 = 10_000.0;
 /// A lease is so many beats at the least.
 const LEAST_LEASE_BEATS: f64 = 40.0;
 
@@ -133,16 +135,18 @@
         let mut rows = self.rows(top, "outs", false);
         if rows.table.is_none() {
             let holder = HolderTerms { part: PROXY_PART, witnesses: 1, well: WELL, lease };
-            return Some(OutTerms { pool_part: POOL_PART, holder });
+            return Some(OutTerms { pool_part: POOL_PART, holder, span: Some(SPAN) });
         }
         self.beside(top, &rows, "council", "which decides who may be out");
         let pool_part = self.part(&mut rows, "pool_part", POOL_PART);
         let proxy_part = self.part(&mut rows, "proxy_part", PROXY_PART);
         let witnesses = self.whole(&mut rows, "witnesses", 1, 100, Some(1));
         let well = self.time(&mut rows, "well", Some(WELL));
+        let judged = self.truth(&mut rows, "judged", true)?;
+        let span = self.time(&mut rows, "span", Some(SPAN));
         self.done(rows);
         let holder = HolderTerms { part: proxy_part?, witnesses: witnesses? as u16, well: well?, lease };
-        Some(OutTerms { pool_part: pool_part?, holder })
+        Some(OutTerms { pool_part: pool_part?, holder, span: span.filter(|_| judged) })
     }
 
     /// A part of all above 0, of which one at least may be out.
--- a/daemon/tests/release.rs
+++ b/daemon/tests/release.rs
@@ -15,10 +15,14 @@
 use world::{PROXIES, Story};
 
 const TABLES: &str = "[council]\nmembers = [\"p0\", \"p1\", \"p2\"]\nbeat = \"50 ms\"\nlease = \"2 s\"\n\n\
-                      [outs]\nproxy_part = 0.2\nwitnesses = 2\nwell = \"300 ms\"\n\n";
+                      [outs]\nproxy_part = 0.2\nwitnesses = 2\nwell = \"300 ms\"\n";
 
 fn story() -> Story {
-    let story = Story::new(1, TABLES);
+    with("judged = false\n")
+}
+
+fn with(more: &str) -> Story {
+    let story = Story::new(1, &format!("{TABLES}{more}\n"));
     story.until("a budget that all know", |story| (0..PROXIES).all(|proxy| outs(story, proxy)["most"] == 1));
     story
 }
@@ -195,3 +199,22 @@
     assert!(story.ask(dead, &["release", "back"]).status.success());
     story.until("over", |story| release(story)["phase"] == "done");
 }
+
+#[test]
+fn a_release_that_serves_worse_is_halted_by_evidence_after_its_first_wave_and_goes_back() {
+    let story = with("span = \"200 ms\"\n");
+    story.demand([60.0; PROXIES]);
+    // What each proxy was like before.
+    story.pass(7_000.0);
+    // It knows no way for the number that all call.
+    stage(&story, "settings", b"[[route]]\nprefix = \"9\"\ngrade = \"open\"\npool = 0\n");
+    assert!(story.ask(0, &["release", "start"]).status.success());
+    story.until("halted", |story| release(story)["phase"]["halted"].is_object());
+    let why = release(&story)["phase"]["halted"]["why"].clone();
+    assert!(why.as_str().is_some_and(|why| why.contains("mean rank")), "{why}");
+    assert_eq!(replaced(&story).len(), 1, "the first wave alone");
+    assert!(story.ask(4, &["release", "back"]).status.success());
+    one_at_a_time(&story, "all back", |story| {
+        replaced(story).is_empty() && release(story)["phase"] == "done"
+    });
+}
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -51,7 +51,7 @@
 fn the_example_with_its_optional_tables_passes_too() {
     let keys = ["[", "listen", "address", "seeds", "key", "fleet_keys", "roster", "cap", "beat", "liars"];
     let fleet = ["window", "lease", "drift", "spread", "floor", "most", "share_window"];
-    let council = ["members", "file", "pool_part", "proxy_part", "witnesses", "well"];
+    let council = ["members", "file", "pool_part", "proxy_part", "witnesses", "well", "judged", "span"];
     let more = ["folder", "promise", "delay", "patience", "segment", "share", "probe", "setups_repeat"];
     let whole: Vec<&str> = EXAMPLE
         .lines()
--- a/gossip/src/wire.rs
+++ b/gossip/src/wire.rs
@@ -137,6 +137,8 @@
     Limits,
     /// Decisions in one order.
     Agreement,
+    /// What became of conversations, for the council to compare.
+    Evidence,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/outs/src/holder.rs
+++ b/outs/src/holder.rs
@@ -11,6 +11,7 @@
 
 use agree::{Hash, Id, Index};
 
+use crate::evidence::Judgement;
 use crate::grants::{self, Away};
 use crate::releases::{self, Kind, Phase, Release};
 use crate::{Command, Outs};
@@ -123,18 +124,20 @@
     }
 
     /// Looks at what is decided. Gives what to ask for, and what this proxy is to become, once.
+    /// `judge` says whether the next wave may open after the one that it is asked of.
     pub fn turn(
         &mut self,
         now: f64,
         outs: &Outs,
         own: &Own,
         terms: &HolderTerms,
+        judge: impl FnMut(Index, usize) -> Judgement,
     ) -> (Vec<Command>, Option<Replace>) {
         let mut wanted = Vec::new();
         self.own_steps(outs, own, &mut wanted);
         self.of_others(now, outs, own, terms, &mut wanted);
         if own.leads {
-            conduct(outs, own, terms, &mut wanted);
+            conduct(outs, own, terms, judge, &mut wanted);
         }
         let goes = self.goes(outs, own);
         (self.fresh(wanted), goes)
@@ -268,13 +271,22 @@
 }
 
 /// What a leader sees to: that the budget is the settings', and that waves open.
-fn conduct(outs: &Outs, own: &Own, terms: &HolderTerms, wanted: &mut Vec<Command>) {
+fn conduct(
+    outs: &Outs,
+    own: &Own,
+    terms: &HolderTerms,
+    mut judge: impl FnMut(Index, usize) -> Judgement,
+    wanted: &mut Vec<Command>,
+) {
     let most = crate::drains::most_out(terms.part, own.fleet.len());
     let witnesses = terms.witnesses;
     if (outs.grants.most(), outs.grants.witnesses()) != (most, witnesses) {
         wanted.push(Command::Grants(grants::Command::Budget { most, witnesses }));
     }
-    if let Some((release, wave)) = outs.releases.opens_next() {
-        wanted.push(Command::Releases(releases::Command::Open { release, wave }));
+    let Some((release, wave)) = outs.releases.opens_next() else { return };
+    match judge(release, usize::from(wave) - 1) {
+        Judgement::Go => wanted.push(Command::Releases(releases::Command::Open { release, wave })),
+        Judgement::Halt { why } => wanted.push(Command::Releases(releases::Command::Halt { release, why })),
+        Judgement::Wait => {}
     }
 }
--- a/outs/src/lib.rs
+++ b/outs/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 pub mod drains;
+pub mod evidence;
 pub mod grants;
 pub mod holder;
 pub mod releases;
--- a/outs/src/releases.rs
+++ b/outs/src/releases.rs
@@ -235,6 +235,15 @@
                 current.phase = Phase::Running { wave: 0 };
                 Verdict::Done
             }
+            // An operator's word that the next wave may open, whatever is known.
+            (Command::Start { .. }, Phase::Running { .. }) => match self.opens_next() {
+                Some((_, wave)) => {
+                    let current = self.current.as_mut().expect("it opens");
+                    current.phase = Phase::Running { wave };
+                    Verdict::Done
+                }
+                None => Verdict::Moot,
+            },
             // An operator who starts it again goes on where it was halted.
             (Command::Start { .. }, Phase::Halted { wave, .. }) => {
                 current.phase = Phase::Running { wave };
--- /dev/null
+++ b/outs/tests/evidence.rs
@@ -0,0 +1,102 @@
+//! A release that does nothing goes on; one that serves worse is halted, how soon depends on the traffic.
+
+use agree::Id;
+use outs::evidence::{Evidence, FALSE_ALARM, Judgement, LEAST, Report, SPANS};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+
+const PROXIES: u64 = 40;
+/// Those that run the release after each wave but the last.
+const RELEASED: [u64; 3] = [1, 2, 4];
+
+/// Conversations of a proxy in a span, each served with its proxy's own chance, worse by some part where it runs the
+/// release.
+fn report(chance: &mut Pcg64Mcg, proxy: Id, traffic: f64, worse: f64) -> Report {
+    let own = 0.85 + 0.1 * (proxy as f64 * 0.618).fract();
+    let conversations = (traffic * (0.5 + chance.random::<f64>())) as u16;
+    let kept = (0..conversations).filter(|_| chance.random::<f64>() < own * (1.0 - worse)).count();
+    let kept = kept as f32 / f32::from(conversations.max(1));
+    let quantile = (0.2 + 0.1 * chance.random::<f64>()) as f32;
+    Report { conversations, kept, lost: 1.0 - kept, quantile: (quantile * 50.0).ceil() / 50.0 }
+}
+
+/// Plays a release through its waves; gives the wave after which it was halted.
+fn play(seed: u64, traffic: f64, worse: f64) -> Option<usize> {
+    let mut chance = Pcg64Mcg::seed_from_u64(seed);
+    let mut evidence = Evidence::default();
+    let mut span = 0;
+    let mut pass = |evidence: &mut Evidence, released: u64, span: &mut u64| {
+        *span += 1;
+        for proxy in 0..PROXIES {
+            let worse = if proxy < released { worse } else { 0.0 };
+            evidence.told(*span, proxy, report(&mut chance, proxy, traffic, worse));
+        }
+    };
+    (0..40).for_each(|_| pass(&mut evidence, 0, &mut span));
+    evidence.begins(7);
+    for (wave, released) in RELEASED.into_iter().enumerate() {
+        loop {
+            pass(&mut evidence, released, &mut span);
+            match evidence.judge(span, 7, wave, |id| id < released) {
+                Judgement::Wait => assert!(span < 1_000, "waits for ever"),
+                Judgement::Go => break,
+                Judgement::Halt { .. } => return Some(wave),
+            }
+        }
+    }
+    None
+}
+
+#[test]
+fn a_release_that_does_nothing_is_seldom_halted() {
+    let runs = 400;
+    let alarms = (0..runs).filter(|&seed| play(seed, 40.0, 0.0).is_some()).count();
+    eprintln!("{alarms} false alarms in {runs}");
+    // Twice the stated rate: these many runs tell it no nearer.
+    assert!((alarms as f64) < 2.0 * FALSE_ALARM * runs as f64, "{alarms} of {runs}");
+}
+
+#[rstest]
+#[case::a_third_worse(0.33, 40.0, 0.95)]
+#[case::a_tenth_worse(0.1, 200.0, 0.9)]
+#[case::three_in_a_hundred_worse(0.03, 2000.0, 0.9)]
+#[case::three_in_a_hundred_worse_with_little_traffic(0.03, 200.0, 0.9)]
+#[case::three_in_a_hundred_worse_with_very_little(0.03, 40.0, 0.2)]
+fn one_that_serves_worse_is_halted_before_the_last_wave(
+    #[case] worse: f64,
+    #[case] traffic: f64,
+    #[case] least: f64,
+) {
+    let waves: Vec<_> = (0..60).map(|seed| play(seed, traffic, worse)).collect();
+    let halted = waves.iter().flatten().count() as f64 / 60.0;
+    let first_two = waves.iter().flatten().filter(|&&wave| wave < 2).count();
+    eprintln!(
+        "{worse} worse at {traffic} a span: {halted:.2} halted, {first_two} of 60 by the first two waves"
+    );
+    assert!(halted >= least, "{halted}");
+}
+
+#[test]
+fn too_little_traffic_means_to_wait() {
+    let mut evidence = Evidence::default();
+    let quiet = Report { conversations: LEAST - 1, kept: 0.0, lost: 1.0, quantile: 1.0 };
+    for span in 1..200 {
+        (0..PROXIES).for_each(|proxy| evidence.told(span, proxy, quiet));
+        assert_eq!(evidence.judge(span, 7, 0, |id| id == 0), Judgement::Wait);
+    }
+    let well = Report { conversations: LEAST, kept: 1.0, lost: 0.0, quantile: 0.1 };
+    for span in 200..200 + SPANS as u64 {
+        assert_eq!(evidence.judge(span, 7, 0, |id| id == 0), Judgement::Wait);
+        (0..PROXIES).for_each(|proxy| evidence.told(span, proxy, well));
+    }
+    assert_eq!(evidence.judge(200 + SPANS as u64, 7, 0, |id| id == 0), Judgement::Go);
+}
+
+#[rstest]
+#[case(&[1, 2, 3])]
+#[case(&Report { kept: f32::NAN, ..Report::default() }.write())]
+#[case(&Report { lost: 7.0, ..Report::default() }.write())]
+fn a_report_of_no_use_is_none(#[case] bytes: &[u8]) {
+    assert_eq!(Report::read(bytes), None);
+}
--- a/proxy/src/border/callers.rs
+++ b/proxy/src/border/callers.rs
@@ -57,6 +57,7 @@
         }
         let Some((grade, first)) = self.routes.find(context, called) else {
             self.hands.tally.unrouted += 1;
+            self.hands.earned.lost(None);
             return turn_away(causes::NO_ROUTE);
         };
         let hints = Hints::read(elements);
@@ -87,6 +88,8 @@
             accepted: false,
             ringing: false,
             stands: false,
+            grade,
+            taken: now - waited,
         };
         let index = handle.0 as usize;
         if self.hands.conversations.len() <= index {
--- a/proxy/src/border/hands.rs
+++ b/proxy/src/border/hands.rs
@@ -13,6 +13,7 @@
 
 use crate::causes;
 use crate::decided::Decided;
+use crate::earned::Earned;
 use crate::errands::Errands;
 use crate::hints::Hints;
 use crate::limits::FleetLimits;
@@ -35,6 +36,9 @@
     pub(super) accepted: bool,
     pub(super) ringing: bool,
     pub(super) stands: bool,
+    pub(super) grade: usize,
+    /// When it was taken, by when its caller asked.
+    pub(super) taken: f64,
 }
 
 /// What carries out the module's wishes.
@@ -57,6 +61,7 @@
     pub(super) scribe: Option<Scribe>,
     pub(super) limits: Option<FleetLimits>,
     pub(super) decided: Option<Decided>,
+    pub(super) earned: Earned,
 }
 
 impl Hands {
@@ -93,6 +98,12 @@
         }
     }
 
+    /// It was refused or failed.
+    fn lost(&mut self, handle: Handle) {
+        let grade = self.conversation(handle).map(|conversation| conversation.grade);
+        self.earned.lost(grade);
+    }
+
     /// Has it recorded what became of a conversation.
     pub(super) fn closed(&mut self, handle: Handle, outcome: Outcome) {
         let (now, serial) = (self.now, self.conversation(handle).map(|c| c.serial));
@@ -135,12 +146,14 @@
 
     fn refuse(&mut self, handle: Handle, come_back: Option<f64>) {
         self.tally.refused += 1;
+        self.lost(handle);
         self.closed(handle, Outcome::Refused);
         self.close(handle, causes::REFUSED, come_back);
     }
 
     fn fail(&mut self, handle: Handle) {
         self.tally.failed += 1;
+        self.lost(handle);
         self.closed(handle, Outcome::Failed);
         self.close(handle, causes::FAILED, None);
     }
--- a/proxy/src/border/mod.rs
+++ b/proxy/src/border/mod.rs
@@ -23,6 +23,7 @@
 use crate::causes;
 use crate::decided::Decided;
 use crate::decisions::Decisions;
+use crate::earned::Earned;
 use crate::errands::Errands;
 use crate::pool::{News, PoolList, Unfit};
 use crate::routes::Routes;
@@ -118,6 +119,7 @@
                 scribe: None,
                 limits: None,
                 decided: None,
+                earned: Earned::new(terms.terms.grades),
             },
             module,
             number_key: (seed, !seed),
@@ -213,6 +215,9 @@
         }
         if let Some((decided, node)) = self.hands.decided.as_mut().zip(self.hands.gossip.as_mut()) {
             decided.exchange(now, node);
+            if decided.reports(now) {
+                decided.report(now, node, self.hands.earned.report());
+            }
         }
         self.drain();
         self.hear_callers(0.0);
--- a/proxy/src/border/servers.rs
+++ b/proxy/src/border/servers.rs
@@ -64,11 +64,13 @@
                 if std::mem::replace(&mut conversation.stands, true) {
                     return;
                 }
-                let serial = conversation.serial;
+                let (serial, grade, took) =
+                    (conversation.serial, conversation.grade, now - conversation.taken);
                 if !std::mem::replace(&mut conversation.accepted, true) {
                     self.hands.callers.accept(now, caller, &Elements::new());
                 }
                 self.hands.tally.stood += 1;
+                self.hands.earned.stood(grade, took);
                 if let Some(scribe) = &mut self.hands.scribe {
                     scribe.answered(now, serial);
                 }
@@ -95,6 +97,9 @@
         }
         let ending = causes::of_standing(end);
         let cut = ending != Ending::Ok;
+        if cut {
+            self.hands.earned.cut();
+        }
         *(if cut { &mut self.hands.tally.cut } else { &mut self.hands.tally.cleared }) += 1;
         self.hands.closed(handle, if cut { Outcome::Cut } else { Outcome::Stood });
         self.hands.close(handle, if cut { causes::CUT } else { cause::NORMAL_CLEARING }, None);
--- a/proxy/src/decided.rs
+++ b/proxy/src/decided.rs
@@ -9,6 +9,7 @@
 use agree::{AgreeStanding, AgreeTerms, Agreement, Council, Id, Machine, Outcome, Refusal, Seat, Unknown};
 use gossip::Node;
 use gossip::wire::{Part, Standing};
+use outs::evidence::{Evidence, Judgement, Report};
 use outs::holder::{Holder, HolderTerms, Own, Replace};
 use outs::{Command, Drains, Kind, OUTS, Outs, Phase, Verdict, drains, grants, releases};
 use serde::{Deserialize, Serialize};
@@ -72,6 +73,8 @@
     /// The part of a pool's central servers that may be out at once; one at least.
     pub pool_part: f64,
     pub holder: HolderTerms,
+    /// Spans in milliseconds, by which released proxies are compared with others; none where no release is judged.
+    pub span: Option<f64>,
 }
 
 /// What the shell knows of this process.
@@ -100,6 +103,9 @@
     replace: Option<Replace>,
     turn_at: f64,
     beat: f64,
+    /// What proxies told of their conversations, kept where this one may have to judge.
+    evidence: Evidence,
+    report_at: f64,
 }
 
 fn refusal(refusal: Refusal) -> String {
@@ -142,6 +148,8 @@
             replace: None,
             turn_at: now,
             beat,
+            evidence: Evidence::default(),
+            report_at: now + terms.1.span.unwrap_or(f64::INFINITY),
         })
     }
 
@@ -154,6 +162,11 @@
         while let Some((from, bytes)) = node.said_to(Part::Agreement) {
             self.agreement.receive(now, from, &bytes);
         }
+        while let Some((from, bytes)) = node.said_to(Part::Evidence) {
+            if let Some((report, span)) = Report::read(&bytes).zip(self.terms.span) {
+                self.evidence.told((now / span) as u64, from, report);
+            }
+        }
         if self.agreement.due() <= now {
             let alive = node.members.all().filter(|(_, member)| member.standing != Standing::Dead);
             self.agreement.set_peers(alive.map(|(id, _)| id).collect::<Vec<_>>());
@@ -170,7 +183,7 @@
     }
 
     pub fn due(&self) -> f64 {
-        self.agreement.due().min(self.turn_at)
+        self.agreement.due().min(self.turn_at).min(self.report_at)
     }
 
     /// What this proxy itself does by what is decided.
@@ -180,7 +193,16 @@
         self.own.fleet = node.fleet().collect();
         self.own.leads = self.agreement.role() == agree::Role::Leads;
         let outs = self.agreement.machine();
-        let (wanted, replace) = self.holder.turn(now, outs, &self.own, &self.terms.holder);
+        let runs = |id: Id, release: u64| outs.releases.runs(id) == release;
+        let (span, evidence) = (self.terms.span, &mut self.evidence);
+        if let Some(release) = outs.releases.current().filter(|of| of.phase == Phase::Staged) {
+            evidence.begins(release.number);
+        }
+        let judge = |release, wave| match span {
+            Some(span) => evidence.judge((now / span) as u64, release, wave, |id| runs(id, release)),
+            None => Judgement::Go,
+        };
+        let (wanted, replace) = self.holder.turn(now, outs, &self.own, &self.terms.holder, judge);
         self.looks = self.holder.to_look_at(outs, &self.own).into_iter().map(|(_, at)| at).collect();
         self.replace = replace.or(self.replace.take());
         for command in wanted {
@@ -188,6 +210,22 @@
         }
     }
 
+    /// Whether what became of conversations is to be told now.
+    pub fn reports(&self, now: f64) -> bool {
+        now >= self.report_at
+    }
+
+    /// Tells the council what became of this proxy's conversations in the span that is over.
+    pub fn report(&mut self, now: f64, node: &mut Node, report: Report) {
+        let Some(span) = self.terms.span else { return };
+        self.report_at = now + span;
+        self.evidence.told((now / span) as u64, self.own.id, report);
+        let council = self.agreement.standing(now).council;
+        for member in council.ids().filter(|&id| id != self.own.id) {
+            node.say_to(now, member, Part::Evidence, report.write());
+        }
+    }
+
     /// Callers' sockets of others that are to be asked for a sign of life now.
     pub fn looks(&mut self) -> Vec<SocketAddr> {
         std::mem::take(&mut self.looks)
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod causes;
 pub mod decided;
 mod decisions;
+mod earned;
 mod errands;
 pub mod hints;
 pub mod limits;
