Drill release: 40 processes replaced under one budget; a wave no longer asks all at once

Need: what five processes show may not hold for forty. Change: drill release on sockets (cuts, losses, two killed), a witness of who is away from callers' sockets and processes alone, baselines timer and push (--release-by).

--- a/agree/src/agreement.rs
+++ b/agree/src/agreement.rs
@@ -234,7 +234,9 @@
                 self.has(now, from, term, round, life, index, fits, signed);
             }
             Message::Tell { seal } => self.told(from, seal),
-            Message::Pull { index, hash, version, piece } => self.pulled(from, index, &hash, version, piece),
+            Message::Pull { index, hash, version, sealed, piece } => {
+                self.pulled(from, index, &hash, version, sealed, piece);
+            }
             Message::Entries { prev, hash, entries } => self.entries(from, prev, &hash, entries),
             Message::Council { link } => self.linked(from, *link),
             Message::Piece { index, hash, term, at, of, bytes } => {
--- a/agree/src/follow.rs
+++ b/agree/src/follow.rs
@@ -17,6 +17,8 @@
 
 /// Others that a new proof is passed to at each beat.
 const FAN_OUT: usize = 2;
+/// Whoever knows of more than it has asks once in so many beats, beside whom it heard it from.
+const PULL_BEATS: u64 = 2;
 /// Whoever has heard nothing new asks another once in so many beats.
 const REPAIR_BEATS: u64 = 10;
 /// Statements whose signatures are gathered at once.
@@ -140,6 +142,11 @@
         self.following.passes = (self.peers().len() as f64 + 2.0).log2().ceil() as u32;
     }
 
+    /// Up to where a proof is known.
+    pub(crate) fn sealed(&self) -> Index {
+        self.following.seal.as_ref().map_or(0, |seal| seal.statement.index)
+    }
+
     pub(crate) fn tell(&mut self, to: Id) {
         if let Some(seal) = self.following.seal.clone() {
             self.send(to, &Message::Tell { seal });
@@ -156,10 +163,12 @@
                 }
             }
         }
-        let sealed = self.following.seal.as_ref().map_or(0, |seal| seal.statement.index);
         let led = matches!(self.post, Post::Leading(_));
-        if sealed > self.applied && !led {
-            if let Some(to) = self.any_voter() {
+        if self.sealed() > self.applied && !led {
+            // From anybody: what all pulled from the few that vote would be over their caps.
+            if self.beats.is_multiple_of(PULL_BEATS)
+                && let Some(to) = self.any_peer()
+            {
                 self.catch_up(to);
             }
         } else if self.beats.is_multiple_of(REPAIR_BEATS)
@@ -174,8 +183,8 @@
         let decided = self.kept.log.mark(self.decided).unwrap_or_default();
         let staged = self.following.staged.as_ref().map(Log::last).filter(|last| last.index > decided.index);
         let Mark { index, hash, .. } = staged.unwrap_or(decided);
-        let version = self.trust.0;
-        self.send(to, &Message::Pull { index, hash, version, piece });
+        let (version, sealed) = (self.trust.0, self.sealed());
+        self.send(to, &Message::Pull { index, hash, version, sealed, piece });
     }
 
     /// A proof came.
@@ -236,6 +245,7 @@
         index: Index,
         hash: &Hash,
         version: Index,
+        sealed: Index,
         piece: Option<(Index, u32)>,
     ) {
         if version < self.trust.0 {
@@ -253,14 +263,18 @@
         if of.index <= index {
             return;
         }
-        self.tell(from);
+        if sealed < of.index {
+            self.tell(from);
+        }
         let log = &self.kept.log;
         if index < log.base().index {
             self.send_piece(from, of.snapshot, 0);
         } else if log.has(index, hash) {
             let mut entries = log.since(index, ENTRIES);
             entries.truncate((self.applied.saturating_sub(index)) as usize);
-            self.send(from, &Message::Entries { prev: index, hash: *hash, entries });
+            if !entries.is_empty() {
+                self.send(from, &Message::Entries { prev: index, hash: *hash, entries });
+            }
         }
     }
 
@@ -275,7 +289,7 @@
     }
 
     pub(crate) fn entries(&mut self, from: Id, prev: Index, hash: &Hash, mut entries: Vec<Entry>) {
-        let sealed = self.following.seal.as_ref().map_or(0, |seal| seal.statement.index);
+        let sealed = self.sealed();
         let Some(decided) = self.kept.log.mark(self.decided) else { return };
         if self.is_seated() || entries.is_empty() || !(decided.index..sealed).contains(&prev) {
             return;
--- a/agree/src/standing.rs
+++ b/agree/src/standing.rs
@@ -107,7 +107,7 @@
             decided: self.decided,
             applied: self.applied,
             hash: self.hash_at(self.applied).unwrap_or_default(),
-            sealed: self.following.seal.as_ref().map_or(0, |seal| seal.statement.index),
+            sealed: self.sealed(),
             council: self.trust.1.clone(),
             version: self.trust.0,
             linked: self.is_linked(),
--- a/agree/src/wire.rs
+++ b/agree/src/wire.rs
@@ -86,11 +86,13 @@
     Tell {
         seal: Seal,
     },
-    /// Please send what follows my log, or the proof of the council after mine, or a piece of the snapshot there.
+    /// Please send what follows my log, or the proof of the council after mine, or a piece of the snapshot there;
+    /// `sealed` is the newest proof that I have.
     Pull {
         index: Index,
         hash: Hash,
         version: Index,
+        sealed: Index,
         piece: Option<(Index, u32)>,
     },
     Entries {
--- a/lab/src/drill.rs
+++ b/lab/src/drill.rs
@@ -12,6 +12,8 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
+use crate::release::ReleasePlay;
+
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Drill {
@@ -28,6 +30,8 @@
     #[serde(default)]
     pub gossip: GossipPlay,
     #[serde(default)]
+    pub release: Option<ReleasePlay>,
+    #[serde(default)]
     pub shape: Shape,
     #[serde(default, rename = "grade")]
     pub grades: Vec<Grade>,
@@ -276,6 +280,7 @@
         }
         match name {
             "bad-day" => Self::read(include_str!("../drills/bad-day.toml")),
+            "release" => Self::read(include_str!("../drills/release.toml")),
             "gossip-100" => Self::read(include_str!("../drills/gossip-100.toml")),
             "fleet-limits" => Self::read(include_str!("../drills/fleet-limits.toml")),
             "new-shape" => Self::read(include_str!("../drills/new-shape.toml")),
@@ -471,10 +476,12 @@
         let mut file = format!(
             "[proxy]\nname = {name:?}\nproxies = {}\nstate = {state:?}\n\n[listen]\ncallers = {callers:?}\n\
              receive_buffer = 4194304\n\n[pool]\nfeed = {feed:?}\n\n[iax2]\nresend = \"{REPEAT} ms\"\n\n\
-             [stop]\nstanding = \"1 s\"\n\n[rules]\nmax_shots = {}\nrelease = \"{RELEASE} ms\"\ncold = \"{COLD} ms\"\n\
+             [stop]\nstanding = \"{} s\"\n\n[rules]\nmax_shots = {}\nrelease = \"{RELEASE} ms\"\ncold = \"{COLD} ms\"\n\
              fall_multiple = {FALL_MULTIPLE:?}\nfall_span = \"{FALL_SPAN} ms\"\nlongest_advice = \"2 s\"\n\
              over_share = {OVER_SHARE:?}\nanswer_lead = \"{ANSWER_LEAD} ms\"\n",
-            self.fleet.proxies, terms.max_shots,
+            self.fleet.proxies,
+            if self.release.is_some() { 5 } else { 1 },
+            terms.max_shots,
         );
         let pools: Vec<String> = (0..self.pools()).map(|pool| pool.to_string()).collect();
         let ms = |seconds: f64| (seconds * 1000.0).round();
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod peers;
 pub mod permits;
 pub mod platform;
+pub mod release;
 pub mod report;
 pub mod simulated;
 pub mod sockets;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -7,13 +7,14 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, ensure};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use lab::alone::{self, ServerPlay};
 use lab::baseline::{Broken, Plain, Routing};
 use lab::drill::{Drill, LinkFaults, Tenant};
 use lab::events::Events;
 use lab::permits::{self, Case, Fault, Outcome, Way};
+use lab::release::By;
 use lab::report::{self, Summary};
 use lab::{page, platform, simulated, sockets};
 use tabled::{Table, Tabled, settings::Style};
@@ -226,6 +227,9 @@
     /// Do not tell the proxies of the fleet's limit: the check is to catch them
     #[arg(long)]
     unlimited: bool,
+    /// How the proxies of a drill with a release are replaced
+    #[arg(long, value_enum)]
+    release_by: Option<By>,
     /// Play it again without gossip
     #[arg(long)]
     without_gossip: bool,
@@ -288,6 +292,10 @@
     drill.seed = line.seed.unwrap_or(drill.seed);
     drill.gossip.on |= line.gossip;
     drill.gossip.limit_told &= !line.unlimited;
+    if let Some((play, by)) = drill.release.as_mut().zip(line.release_by) {
+        play.by = by;
+    }
+    ensure!(!(line.simulated && drill.release.is_some()), "a release is played on sockets");
     drill.gossip.loss = line.gossip_loss.unwrap_or(drill.gossip.loss);
     set(&mut drill.gossip.liars, line.liars);
     set(&mut drill.gossip.liars_borne, line.liars_borne);
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -6,6 +6,7 @@
 use tabled::{Table, Tabled, settings::Style};
 
 use crate::drill::Drill;
+use crate::release::By;
 use crate::sockets::Cost;
 use crate::witness::Verdict;
 use crate::world::World;
@@ -61,10 +62,27 @@
     /// Where each server may get so many set-ups a second from all proxies: that, the most it got, and what
     /// broke it.
     pub limit: Option<(usize, usize, Verdict)>,
+    /// Where there is a release.
+    pub release: Option<ReleaseSummary>,
     /// Conversations a second that all servers could carry, by second.
     pub capacity: Vec<f64>,
 }
 
+/// What a release came to, as seen at callers' sockets and processes.
+#[derive(Clone, Debug, Serialize)]
+pub struct ReleaseSummary {
+    pub by: By,
+    /// Proxies that may be away at once, the most that were, looks at which more were, and the first of those.
+    pub allowed: usize,
+    pub most: usize,
+    pub broken: u64,
+    pub told: Vec<String>,
+    /// How many run something else than at first.
+    pub replaced: usize,
+    /// Seconds from its start until all were replaced, if they were.
+    pub took: Option<f64>,
+}
+
 /// What gossip came to, as seen from outside; times in milliseconds.
 #[derive(Clone, Debug, Serialize)]
 pub struct GossipSummary {
@@ -176,6 +194,15 @@
             cost: None,
             limit: (drill.gossip.limit > 0)
                 .then(|| (drill.gossip.limit, world.witness.most, world.witness.limited.clone())),
+            release: drill.release.zip(world.away.as_ref()).map(|(play, away)| ReleaseSummary {
+                by: play.by,
+                allowed: play.most(drill.fleet.proxies),
+                most: away.most,
+                broken: away.broken,
+                told: away.told.clone(),
+                replaced: away.replaced,
+                took: away.replaced_at.map(|at| at / 1000.0 - play.at),
+            }),
             capacity: world.capacity.clone(),
             fallen_servers: world.servers.iter().filter(|s| s.central.fallen).count(),
         }
@@ -183,7 +210,9 @@
 
     pub fn broken(&self) -> u64 {
         let limited = self.limit.as_ref().map_or(0, |(.., limited)| limited.broken);
-        self.rules.iter().map(|rule| rule.verdict.broken).sum::<u64>() + limited
+        // Not all replaced is a break too.
+        let released = self.release.as_ref().map_or(0, |of| of.broken + u64::from(of.took.is_none()));
+        self.rules.iter().map(|rule| rule.verdict.broken).sum::<u64>() + limited + released
     }
 
     /// The same with what its proxies cost, if any ran throughout.
@@ -199,6 +228,17 @@
             println!("limit of the fleet: at most {most} of {limit} set-ups in any second at any server");
             limited.told.iter().for_each(|told| println!("BROKEN: {told}"));
         }
+        if let Some(release) = &self.release {
+            let took = release.took.map_or_else(
+                || format!("{} replaced at the end", release.replaced),
+                |took| format!("all replaced in {took:.1} s"),
+            );
+            println!(
+                "release {:?}: {took}; at most {} of {} away at once",
+                release.by, release.most, release.allowed
+            );
+            release.told.iter().for_each(|told| println!("BROKEN: {told}"));
+        }
         #[derive(Tabled)]
         struct Row {
             rule: &'static str,
--- a/lab/src/sockets.rs
+++ b/lab/src/sockets.rs
@@ -33,6 +33,7 @@
 use crate::drill::Drill;
 use crate::events::Events;
 use crate::peers::{self, Liars};
+use crate::release::{self, AwayWitness, By};
 use crate::world::{Out, Place, World};
 
 /// How far the clock at which a datagram is read may lie from when it passed.
@@ -51,6 +52,10 @@
     Subscribed(usize, OwnedWriteHalf),
     Ready(usize, Ready),
     Resume(usize),
+    /// A callers' socket gave a sign of life.
+    Alive(usize),
+    /// The release could not be started, or what a proxy makes of it.
+    Release(Result<()>),
     /// A datagram at the socket that stands for a member towards the others.
     Gossip(usize, SocketAddr, Bytes),
     Believed(usize, Vec<String>),
@@ -92,6 +97,9 @@
     switched: Vec<SocketAddr>,
     liars: Liars,
     chance: Pcg64Mcg,
+    /// Proxies that a baseline has yet to replace, with when.
+    replacing: Vec<(f64, usize)>,
+    looked: f64,
     _folder: TempDir,
 }
 
@@ -175,6 +183,8 @@
             switched: Vec::new(),
             liars: Liars::new(proxies, Vec::new()),
             chance: Pcg64Mcg::seed_from_u64(0),
+            replacing: Vec::new(),
+            looked: 0.0,
             _folder: folder,
         };
         run.chance = Pcg64Mcg::seed_from_u64(run.world.drill.seed ^ 0x1055);
@@ -222,6 +232,7 @@
         }
         // The day begins when all are there.
         run.began = Instant::now();
+        run.watch_release();
         if run.world.drill.gossip.on {
             let controls = run.seats.iter().map(|seat| seat.state.join("control.sock"));
             tokio::spawn(ask_around(controls.collect(), run.come.clone()));
@@ -337,10 +348,70 @@
             terms.cap,
             terms.beat,
             terms.liars,
-            self.world.drill.limit_settings(),
+            self.world.drill.limit_settings()
+                + &self.world.drill.release.map_or(String::new(), |play| play.settings()),
         ))
     }
 
+    /// Has the release begin in its time, and looks at who is away from now on.
+    fn watch_release(&mut self) {
+        let Some(play) = self.world.drill.release else { return };
+        let proxies = self.seats.len();
+        self.world.away = Some(AwayWitness::new(proxies, play.most(proxies), self.images()));
+        let addresses = self.seats.iter().filter_map(|seat| seat.callers).collect();
+        let come = self.come.clone();
+        tokio::spawn(release::look_around(addresses, move |proxy| come.send(Come::Alive(proxy)).is_ok()));
+        let at = play.at * 1000.0;
+        // What the budget gives on average, if each took two seconds.
+        let spread = 2_000.0 * (proxies as f64 / play.most(proxies) as f64).ceil();
+        let states: Vec<PathBuf> = self.seats.iter().map(|seat| seat.state.clone()).collect();
+        match play.by {
+            By::Agreed => {
+                let come = self.come.clone();
+                tokio::spawn(async move {
+                    tokio::time::sleep(Duration::from_secs_f64(at / 1000.0)).await;
+                    let _ = come.send(Come::Release(release::start(states).await));
+                });
+            }
+            By::Timer => {
+                let draw = |proxy| (at + spread * self.chance.random::<f64>(), proxy);
+                self.replacing = (0..proxies).map(draw).collect();
+            }
+            By::Push => self.replacing = (0..proxies).map(|proxy| (at, proxy)).collect(),
+        }
+    }
+
+    fn images(&self) -> Vec<String> {
+        self.seats.iter().map(|seat| release::image(seat.child.as_ref().and_then(Child::id))).collect()
+    }
+
+    /// Who is away, and proxies that a baseline replaces: told to stop, and started again when they have.
+    fn look(&mut self, now: f64) -> Result<()> {
+        if self.world.away.is_none() || now - self.looked < 100.0 {
+            return Ok(());
+        }
+        self.looked = now;
+        let due: Vec<usize> =
+            self.replacing.iter().filter(|(at, _)| *at <= now).map(|(_, proxy)| *proxy).collect();
+        self.replacing.retain(|(at, _)| *at > now);
+        due.iter().for_each(|&proxy| self.signal(proxy, Signal::SIGTERM));
+        if self.world.drill.release.is_some_and(|play| play.by != By::Agreed) {
+            for proxy in 0..self.seats.len() {
+                let child = self.seats[proxy].child.as_mut();
+                if child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_)))) {
+                    self.start(proxy)?;
+                }
+            }
+        }
+        let images = self.images();
+        for proxy in std::mem::take(&mut self.world.witness.stopping) {
+            let image = images[proxy].clone();
+            self.world.away.as_mut().expect("watched").stopping(now, proxy, image);
+        }
+        self.world.away.as_mut().expect("watched").look(now, &images);
+        Ok(())
+    }
+
     /// Passes a message on between members, or loses it.
     fn pass(&mut self, from: usize, to: usize, bytes: &Bytes) {
         let now = self.now();
@@ -380,11 +451,13 @@
             }
             self.world.turn(now);
             self.carry_out().await?;
+            self.look(now)?;
             if self.liars.due() <= now {
                 self.liars.turn(now);
                 self.hear_liars();
             }
-            let due = self.world.due().min(self.liars.due());
+            let looks = if self.world.away.is_some() { self.looked + 100.0 } else { f64::INFINITY };
+            let due = self.world.due().min(self.liars.due()).min(looks);
             let wait = (due.min(end) - self.now()).max(0.0);
             let first = tokio::time::timeout(Duration::from_secs_f64(wait / 1000.0), self.comes.recv()).await;
             let mut next = first.ok().flatten();
@@ -410,9 +483,24 @@
                 self.tell(proxy, &news.write()).await;
             }
             Come::Ready(proxy, Ready { callers, peers }) => {
+                let first = self.seats[proxy].callers.is_none();
                 (self.seats[proxy].callers, self.seats[proxy].peers) = (Some(callers), peers);
                 self.world.settle_proxy(proxy, callers);
+                if first && self.world.drill.release.is_some() {
+                    // By a release it begins anew at the same port.
+                    let config = self.seats[proxy].state.join("settings.toml");
+                    let settings = fs::read_to_string(&config)?;
+                    fs::write(config, settings.replacen("127.0.0.1:0", &callers.to_string(), 1))?;
+                }
+            }
+            Come::Alive(proxy) => {
+                let now = self.now();
+                let image = release::image(self.seats[proxy].child.as_ref().and_then(Child::id));
+                if let Some(away) = &mut self.world.away {
+                    away.heard(now, proxy, &image);
+                }
             }
+            Come::Release(started) => started?,
             Come::Gossip(to, from, bytes) => {
                 if let Some(member) = self.seats.iter().position(|seat| seat.peers == Some(from)) {
                     let now = self.now();
@@ -429,6 +517,13 @@
         Ok(())
     }
 
+    /// What befalls the proxy until then is the script's doing.
+    fn script(&mut self, proxy: usize, until: f64) {
+        if let Some(away) = &mut self.world.away {
+            away.script(proxy, until);
+        }
+    }
+
     async fn tell(&mut self, proxy: usize, line: &str) {
         let seat = &mut self.seats[proxy];
         if let Some(subscriber) = &mut seat.subscriber
@@ -471,13 +566,20 @@
                 }
                 Out::Added { server } => self.add_server(server)?,
                 Out::Kill { proxy } => {
+                    self.script(proxy, f64::INFINITY);
                     self.seats[proxy].subscriber = None;
                     if let Some(mut child) = self.seats[proxy].child.take() {
                         child.kill().await?;
                     }
                 }
-                Out::Start { proxy } => self.start(proxy)?,
+                Out::Start { proxy } => {
+                    let now = self.now();
+                    self.script(proxy, now);
+                    self.start(proxy)?;
+                }
                 Out::Stall { proxy, span } => {
+                    let now = self.now();
+                    self.script(proxy, now + span);
                     self.signal(proxy, Signal::SIGSTOP);
                     let come = self.come.clone();
                     tokio::spawn(async move {
@@ -549,13 +651,19 @@
 }
 
 async fn await_ready(file: PathBuf, proxy: usize, come: mpsc::UnboundedSender<Come>) {
-    let look = |file: &Path| -> Option<Ready> { serde_json::from_str(&fs::read_to_string(file).ok()?).ok() };
-    for _ in 0..READY_WAIT.as_millis() / 10 {
-        if let Some(ready) = look(&file) {
-            let _ = come.send(Come::Ready(proxy, ready));
-            return;
+    let mut told = String::new();
+    loop {
+        // A process that becomes another says anew where it listens.
+        let text = fs::read_to_string(&file).unwrap_or_default();
+        if text != told
+            && let Ok(ready) = serde_json::from_str(&text)
+        {
+            told = text;
+            if come.send(Come::Ready(proxy, ready)).is_err() {
+                return;
+            }
         }
-        tokio::time::sleep(Duration::from_millis(10)).await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
 
--- a/lab/src/witness.rs
+++ b/lab/src/witness.rs
@@ -7,9 +7,10 @@
 //! 4. No cold server is sent more than the stated multiple of what it can do at that moment.
 //! 5. After a time-out, reset or cancel, no shot before the release is over.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 
+use border::causes;
 use border::pool::{News, Readiness};
 use bytes::Bytes;
 use iax2::element::{self, Elements};
@@ -79,6 +80,8 @@
     pub most: usize,
     pub limited: Verdict,
     pub verdicts: [Verdict; 5],
+    /// Proxies that have told a caller that they are stopping, since this was last taken.
+    pub stopping: BTreeSet<usize>,
     /// Set-ups that reached servers, copies of them, and NEWs so late that their wait could not be known.
     pub setups: u64,
     pub copies: u64,
@@ -140,6 +143,7 @@
             most: 0,
             limited: Verdict::default(),
             verdicts: Default::default(),
+            stopping: BTreeSet::new(),
             setups: 0,
             copies: 0,
             unknowable: 0,
@@ -236,6 +240,9 @@
         self.trace(number, now, format!("proxy: {}", say(&full)));
         let Some(asked) = self.asked.get_mut(&number) else { return };
         asked.taken = true;
+        if full.is(kind::IAX, iax::REJECT) && elements(&full).cause() == Some(causes::STOPPING) {
+            self.stopping.insert(asked.proxy);
+        }
         let what = match (full.kind, full.subclass) {
             (kind::CONTROL, control::ANSWER) => "stands",
             (kind::IAX, iax::REJECT) => "refused",
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -21,6 +21,7 @@
 use crate::feed::Feed;
 use crate::link::Link;
 use crate::peers::Seen;
+use crate::release::AwayWitness;
 use crate::witness::{ServerFacts, Witness};
 
 /// After the last first try, what is under way is given so long.
@@ -105,6 +106,8 @@
 }
 
 pub struct World {
+    /// Who is away while a release goes on, where there is one.
+    pub away: Option<AwayWitness>,
     pub drill: Drill,
     pub servers: Vec<Stand>,
     pub callers: Callers,
@@ -149,6 +152,7 @@
             servers,
             callers: Callers::new(&drill, own()),
             link: Link::new(drill.link, own()),
+            away: None,
             witness: Witness::new(slack, (drill.gossip.limit > 0).then_some(drill.gossip.limit)),
             feed: None,
             flights: BinaryHeap::new(),
--- a/outs/src/holder.rs
+++ b/outs/src/holder.rs
@@ -184,7 +184,7 @@
         }
         match outs.grants.away(proxy) {
             None => {
-                if let Some((release, _)) = self.change(outs, own) {
+                if let Some((release, _)) = self.change(outs, own).filter(|_| outs.is_next(proxy)) {
                     let release = release.number;
                     wanted.push(Command::Grants(grants::Command::Ask { proxy, release }));
                 }
--- a/outs/src/lib.rs
+++ b/outs/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod holder;
 pub mod releases;
 
-use agree::{Index, Machine, Unknown};
+use agree::{Id, Index, Machine, Unknown};
 use serde::{Deserialize, Serialize};
 
 pub use drains::{Drain, Drains};
@@ -95,6 +95,19 @@
         }
     }
 
+    /// Whether a proxy's turn has come to ask: those before it in its release's order would leave a place free. Without
+    /// this all of a wave would ask again and again, and each refusal is a decision that all are told.
+    pub fn is_next(&self, proxy: Id) -> bool {
+        let free = usize::from(self.grants.most()).saturating_sub(self.grants.out().count());
+        let waits = |id: Id| {
+            let there = !self.grants.counts(id) && self.grants.written_off(id).is_none();
+            there && self.releases.turn_of(id).is_some()
+        };
+        let order = self.releases.current().into_iter().flat_map(|release| release.waves.iter().flatten());
+        let ahead = order.take_while(|&&id| id != proxy).filter(|&&id| waits(id)).count();
+        self.grants.counts(proxy) || ahead < free
+    }
+
     fn grant(&mut self, index: Index, command: grants::Command) -> grants::Verdict {
         if let grants::Command::Ask { proxy, release } = &command {
             let turn = self.releases.turn_of(*proxy).is_some_and(|(of, _)| of.number == *release);
--- a/outs/tests/releases.rs
+++ b/outs/tests/releases.rs
@@ -145,3 +145,49 @@
     other.restore(9, &outs.state()).expect("its own form");
     assert_eq!(other, outs);
 }
+
+#[test]
+fn of_a_wave_only_so_many_ask_as_there_are_places() {
+    const ALL: u64 = 40;
+    let mut outs = Outs::default();
+    told(&mut outs, 1, &Command::Grants(grants::Command::Budget { most: 4, witnesses: 1 }));
+    told(&mut outs, RELEASE, &stage());
+    (0..ALL).for_each(|proxy| assert!(matches!(told(&mut outs, 3, &ready(proxy)), Verdict::Releases(_))));
+    told(
+        &mut outs,
+        4,
+        &Command::Releases(releases::Command::Start { release: RELEASE, proxies: ALL as u16 }),
+    );
+    let (mut index, mut asked) = (5, 0);
+    for _ in 0..200 {
+        let next: Vec<Id> = (0..ALL)
+            .filter(|&proxy| outs.releases.turn_of(proxy).is_some() && outs.grants.away(proxy).is_none())
+            .filter(|&proxy| outs.is_next(proxy))
+            .collect();
+        assert!(next.len() + outs.grants.out().count() <= 4, "{next:?}");
+        let callers = ([127, 0, 0, 1], 4569).into();
+        for proxy in next {
+            asked += 1;
+            let grant = index;
+            let steps = [
+                grants::Command::Ask { proxy, release: RELEASE },
+                grants::Command::Begin { proxy, grant },
+                grants::Command::Back { proxy, runs: RELEASE, callers },
+                grants::Command::Well { proxy, witness: (proxy + 1) % ALL },
+            ];
+            for step in steps {
+                assert_eq!(
+                    told(&mut outs, index, &Command::Grants(step)),
+                    Verdict::Grants(grants::Verdict::Done)
+                );
+                index += 1;
+            }
+        }
+        if let Some((release, wave)) = outs.releases.opens_next() {
+            told(&mut outs, index, &Command::Releases(releases::Command::Open { release, wave }));
+            index += 1;
+        }
+    }
+    assert!(outs.releases.current().expect("staged").is_over());
+    assert_eq!(asked, ALL, "nobody asks in vain");
+}
