--- a/outs/src/holder.rs
+++ b/outs/src/holder.rs
@@ -1,9 +1,8 @@
 //! What one proxy does by what is decided: asks to go out when it is its turn, goes when the decision that it began is here,
-//! says that it is back, witnesses that others are well or missed, and opens the next wave. No I/O; what it asks for is
-//! asked again until it is so or is no longer wanted.
+//! says that it is back, witnesses that others are well or missed, and opens the next wave. No I/O.
 //!
-//! Call [`Holder::turn`] at each beat with what is decided and what this proxy sees; it gives the commands to ask for, and
-//! whether this proxy is to go now.
+//! Call [`Holder::turn`] at each beat with what is decided and what this proxy sees; it gives all that this proxy wants
+//! decided now, and whether it is to go.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher as _;
@@ -22,8 +21,6 @@
 const LOOKERS: usize = 2;
 /// One that is back has to answer at its callers' socket so many times in the time that it has to be well.
 const ANSWERS: u32 = 4;
-/// A wish that is not decided is asked for again after so many beats.
-const AGAIN_BEATS: u32 = 10;
 
 /// What is agreed, in milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -80,8 +77,6 @@
     /// Grants of others and since when they are known here.
     granted: BTreeMap<Id, (Index, f64)>,
     seen: BTreeMap<Id, Seen>,
-    /// What was asked for, and how many beats ago.
-    asked: Vec<(Command, u32)>,
     /// It began; the shell is at it.
     going: bool,
 }
@@ -123,7 +118,7 @@
         }
     }
 
-    /// Looks at what is decided. Gives what to ask for, and what this proxy is to become, once.
+    /// Looks at what is decided. Gives what this proxy wants decided, and what it is to become, once.
     /// `judge` says whether the next wave may open after the one that it is asked of.
     pub fn turn(
         &mut self,
@@ -140,17 +135,7 @@
             conduct(outs, own, terms, judge, &mut wanted);
         }
         let goes = self.goes(outs, own);
-        (self.fresh(wanted), goes)
-    }
-
-    /// Of what is wanted, what was not asked for lately.
-    fn fresh(&mut self, wanted: Vec<Command>) -> Vec<Command> {
-        self.asked.iter_mut().for_each(|(_, beats)| *beats += 1);
-        self.asked.retain(|(command, beats)| wanted.contains(command) && *beats < AGAIN_BEATS);
-        let fresh: Vec<Command> =
-            wanted.into_iter().filter(|command| !self.asked.iter().any(|(of, _)| of == command)).collect();
-        self.asked.extend(fresh.iter().cloned().map(|command| (command, 0)));
-        fresh
+        (wanted, goes)
     }
 
     fn own_steps(&self, outs: &Outs, own: &Own, wanted: &mut Vec<Command>) {
--- /dev/null
+++ b/proxy/src/decided/mod.rs
@@ -0,0 +1,263 @@
+//! The tie between what is decided for all proxies, the gossip that carries it, and this proxy. [`Decided::exchange`]
+//! moves words both ways; [`Decided::wish`] asks for a decision, [`Decided::outcome`] tells what came of it.
+
+mod status;
+mod wishes;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use agree::disk::{Kept, Lost, Write};
+use agree::seal::FleetKeys;
+use agree::{AgreeStanding, AgreeTerms, Agreement, Id, Unknown};
+use gossip::Node;
+use gossip::wire::{Part, Standing};
+use outs::evidence::{Evidence, Judgement, Report};
+use outs::holder::{Holder, HolderTerms, Own, Replace};
+use outs::{Command, Drains, Kind, OUTS, Outs, Phase};
+
+pub use status::{AwayStatus, CouncilStatus, DrainStatus, OutsStatus, ReleaseStatus, SeatStatus};
+pub use wishes::{Answer, Wish};
+
+/// What was decided and is still wanted is asked for again after so many beats.
+const AGAIN_BEATS: f64 = 10.0;
+
+/// What is agreed for who may be out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OutTerms {
+    /// The part of a pool's central servers that may be out at once; one at least.
+    pub pool_part: f64,
+    pub holder: HolderTerms,
+    /// Spans in milliseconds, by which released proxies are compared with others; none where no release is judged.
+    pub span: Option<f64>,
+}
+
+/// What the shell knows of this process.
+#[derive(Clone, Debug)]
+pub struct Life {
+    /// The release that it runs; 0 for none.
+    pub runs: u64,
+    /// The release that it could not become, and why.
+    pub failed: Option<(u64, String)>,
+    /// Where it takes callers.
+    pub callers: SocketAddr,
+}
+
+/// What is decided for all, as this proxy knows it.
+pub struct Decided {
+    agreement: Agreement<Outs, FleetKeys>,
+    terms: OutTerms,
+    name: String,
+    /// The servers that are drained, as the pool list was last told.
+    drained: BTreeSet<String>,
+    holder: Holder,
+    own: Own,
+    /// What this proxy itself has asked for, by number; and what was decided lately, with when it may ask again.
+    asked: BTreeMap<u64, Command>,
+    rests: Vec<(Command, f64)>,
+    looks: Vec<SocketAddr>,
+    replace: Option<Replace>,
+    turn_at: f64,
+    beat: f64,
+    /// What proxies told of their conversations, kept where this one may have to judge.
+    evidence: Evidence,
+    report_at: f64,
+}
+
+impl Decided {
+    /// `file` is what the disk gave.
+    pub fn new(
+        node: &Node,
+        terms: (AgreeTerms, OutTerms),
+        life: Life,
+        keys: FleetKeys,
+        file: Result<Kept, Lost>,
+        seed: u64,
+        now: f64,
+    ) -> Result<Self, Unknown> {
+        let name = node.name(node.id()).unwrap_or_default().to_owned();
+        let beat = terms.0.beat;
+        let agreement = Agreement::new(node.id(), terms.0, keys, Outs::default(), file, seed, now)?;
+        let Life { runs, failed, callers } = life;
+        let (fleet, silent) = (node.fleet().collect(), BTreeSet::new());
+        let own = Own { id: node.id(), fleet, runs, callers, leads: false, silent, failed, staged: None };
+        Ok(Self {
+            agreement,
+            terms: terms.1,
+            name,
+            drained: BTreeSet::new(),
+            holder: Holder::default(),
+            own,
+            asked: BTreeMap::new(),
+            rests: Vec::new(),
+            looks: Vec::new(),
+            replace: None,
+            turn_at: now,
+            beat,
+            evidence: Evidence::default(),
+            report_at: now + terms.1.span.unwrap_or(f64::INFINITY),
+        })
+    }
+
+    pub fn rekey(&mut self, keys: FleetKeys) {
+        self.agreement.rekey(keys);
+    }
+
+    /// Does what has fallen due, and moves words between the agreement and the gossip.
+    pub fn exchange(&mut self, now: f64, node: &mut Node) {
+        while let Some((from, bytes)) = node.said_to(Part::Agreement) {
+            self.agreement.receive(now, from, &bytes);
+        }
+        while let Some((from, bytes)) = node.said_to(Part::Evidence) {
+            if let Some((report, span)) = Report::read(&bytes).zip(self.terms.span) {
+                self.evidence.told((now / span) as u64, from, report);
+            }
+        }
+        if self.agreement.due() <= now {
+            let alive = node.members.all().filter(|(_, member)| member.standing != Standing::Dead);
+            self.agreement.set_peers(alive.map(|(id, _)| id).collect::<Vec<_>>());
+            self.agreement.turn(now);
+        }
+        if now >= self.turn_at {
+            self.turn_at = now + self.beat;
+            self.hold(now, node);
+        }
+        while let Some(out) = self.agreement.outgoing() {
+            // What the cap forbids is lost, as on the network: it is said again.
+            node.say_to(now, out.to, Part::Agreement, out.bytes);
+        }
+    }
+
+    pub fn due(&self) -> f64 {
+        self.agreement.due().min(self.turn_at).min(self.report_at)
+    }
+
+    /// What this proxy itself does by what is decided.
+    fn hold(&mut self, now: f64, node: &Node) {
+        let dead = node.members.all().filter(|(_, member)| member.standing == Standing::Dead);
+        self.own.silent = dead.map(|(id, _)| id).collect();
+        self.own.fleet = node.fleet().collect();
+        self.own.leads = self.agreement.role() == agree::Role::Leads;
+        let outs = self.agreement.machine();
+        let runs = |id: Id, release: u64| outs.releases.runs(id) == release;
+        let (span, evidence) = (self.terms.span, &mut self.evidence);
+        if let Some(release) = outs.releases.current().filter(|of| of.phase == Phase::Staged) {
+            evidence.begins(release.number);
+        }
+        let judge = |release, wave| match span {
+            Some(span) => evidence.judge((now / span) as u64, release, wave, |id| runs(id, release)),
+            None => Judgement::Go,
+        };
+        let (wanted, replace) = self.holder.turn(now, outs, &self.own, &self.terms.holder, judge);
+        self.looks = self.holder.to_look_at(outs, &self.own).into_iter().map(|(_, at)| at).collect();
+        self.replace = replace.or(self.replace.take());
+        self.ask(now, wanted);
+    }
+
+    /// Asks for what is wanted and not asked for yet, and for nothing that is wanted no more: what waits while no majority
+    /// is heard would all be decided at once afterwards.
+    fn ask(&mut self, now: f64, wanted: Vec<Command>) {
+        let vain: Vec<u64> = self
+            .asked
+            .iter()
+            .filter(|(_, command)| !wanted.contains(command))
+            .map(|(&request, _)| request)
+            .collect();
+        for request in vain {
+            self.asked.remove(&request);
+            self.agreement.forget(request);
+        }
+        self.rests.retain(|(_, until)| now < *until);
+        for command in wanted {
+            let waits =
+                self.asked.values().chain(self.rests.iter().map(|(of, _)| of)).any(|of| *of == command);
+            if !waits && let Ok(request) = self.agreement.propose(now, OUTS, command.write()) {
+                self.asked.insert(request, command);
+            }
+        }
+    }
+
+    /// Whether what became of conversations is to be told now.
+    pub fn reports(&self, now: f64) -> bool {
+        now >= self.report_at
+    }
+
+    /// Tells the council what became of this proxy's conversations in the span that is over.
+    pub fn report(&mut self, now: f64, node: &mut Node, report: Report) {
+        let Some(span) = self.terms.span else { return };
+        self.report_at = now + span;
+        self.evidence.told((now / span) as u64, self.own.id, report);
+        let council = self.agreement.standing(now).council;
+        for member in council.ids().filter(|&id| id != self.own.id) {
+            node.say_to(now, member, Part::Evidence, report.write());
+        }
+    }
+
+    /// Callers' sockets of others that are to be asked for a sign of life now.
+    pub fn looks(&mut self) -> Vec<SocketAddr> {
+        std::mem::take(&mut self.looks)
+    }
+
+    /// Somebody answered at that address.
+    pub fn answered(&mut self, now: f64, at: SocketAddr) {
+        self.holder.answered(now, self.agreement.machine(), at);
+    }
+
+    /// What this proxy is to become now, if anything.
+    pub fn replace(&mut self) -> Option<Replace> {
+        self.replace.take()
+    }
+
+    /// What it was to become it could not.
+    pub fn stays(&mut self, release: u64, why: &str) {
+        self.holder.stays();
+        self.own.failed = Some((release, why.to_owned()));
+    }
+
+    /// The file of a release that is staged, until it is known whether it is fit here.
+    pub fn to_check(&self) -> Option<(Kind, agree::Hash)> {
+        let release = self.agreement.machine().releases.current().filter(|of| of.phase == Phase::Staged)?;
+        let checked = self.own.staged.as_ref().is_some_and(|(sum, fit)| *sum == release.sum && fit.is_ok());
+        (!checked).then_some((release.kind, release.sum))
+    }
+
+    pub fn checked(&mut self, sum: agree::Hash, fit: Result<(), String>) {
+        self.own.staged = Some((sum, fit));
+    }
+
+    /// Whether this process was seen well with the release that it runs.
+    pub fn is_well(&self) -> bool {
+        self.agreement.machine().releases.runs(self.own.id) == self.own.runs
+    }
+
+    /// The servers that get nothing new, where they are others than when this was last asked.
+    pub fn news(&mut self) -> Option<&BTreeSet<String>> {
+        let drained: BTreeSet<String> = self.drains().iter().map(|(server, _)| server.to_owned()).collect();
+        let changed = drained != self.drained;
+        self.drained = drained;
+        changed.then_some(&self.drained)
+    }
+
+    pub fn drains(&self) -> &Drains {
+        &self.agreement.machine().drains
+    }
+
+    /// How old what this proxy knows of the decisions can be, in milliseconds.
+    pub fn age(&self, now: f64) -> f64 {
+        self.agreement.age(now)
+    }
+
+    pub fn standing(&self, now: f64) -> AgreeStanding {
+        self.agreement.standing(now)
+    }
+
+    /// Bytes for the disk, as [`Agreement::to_write`].
+    pub fn to_write(&mut self, now: f64) -> Option<Write> {
+        self.agreement.to_write(now)
+    }
+
+    /// What the disk came to.
+    pub fn written(&mut self, now: f64, well: bool) {
+        if well { self.agreement.written(now) } else { self.agreement.unwritten(now) }
+    }
+}
--- /dev/null
+++ b/proxy/src/decided/wishes.rs
@@ -0,0 +1,233 @@
+//! What operators want decided, and what came of it.
+
+use agree::{Council, Machine, Outcome, Refusal, Seat};
+use gossip::Node;
+use outs::{Command, Kind, OUTS, Verdict, drains, grants, releases};
+use serde::{Deserialize, Serialize};
+
+use super::{AGAIN_BEATS, Decided};
+use crate::pool::PoolList;
+
+/// What an operator wants decided.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Wish {
+    Drain {
+        server: String,
+        why: String,
+    },
+    Undrain {
+        server: String,
+    },
+    /// `life` where it is not one that a member of the council has heard of.
+    Add {
+        proxy: String,
+        life: Option<u64>,
+    },
+    Remove {
+        proxy: String,
+    },
+    /// `sum` is the BLAKE3 sum of a file, in hexadecimal digits.
+    Stage {
+        kind: Kind,
+        sum: String,
+        why: String,
+    },
+    Start,
+    Halt {
+        why: String,
+    },
+    Back,
+    /// A proxy that is out never comes back.
+    WriteOff {
+        proxy: String,
+        why: String,
+    },
+}
+
+/// What became of a wish.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Answer {
+    /// Decided, and by which decision.
+    Done {
+        decision: u64,
+    },
+    Already,
+    Refused {
+        why: String,
+    },
+}
+
+fn refusal(refusal: Refusal) -> String {
+    match refusal {
+        Refusal::NotOneSeat => "a council changes by one seat at a time, and keeps one at least",
+        Refusal::ChangeUnderWay => "the change before it is not decided yet, or not proved to all: ask again",
+        Refusal::NoMajority => "too few of that council would vote now: it could decide nothing",
+        Refusal::TooLong => "longer than any decision",
+        Refusal::TooMany => "too many wishes wait",
+    }
+    .to_owned()
+}
+
+impl Decided {
+    /// The number of the release that is under way, or was last.
+    fn release(&self) -> Result<u64, String> {
+        let release = self.agreement.machine().releases.current();
+        release.map(|release| release.number).ok_or_else(|| "no release was staged".to_owned())
+    }
+
+    /// What would be asked for, and why it would not be.
+    fn command(&self, wish: &Wish, node: &Node, pool: &PoolList, unix: f64) -> Result<Asked, String> {
+        let id = |name: &str| {
+            node.fleet()
+                .find(|&id| node.name(id) == Some(name))
+                .ok_or_else(|| format!("{name}: not in the roster"))
+        };
+        let standing = self.agreement.standing(0.0);
+        Ok(match wish {
+            Wish::Undrain { server } => {
+                Asked::Outs(Command::Drains(drains::Command::Undrain { server: server.clone() }))
+            }
+            Wish::Stage { kind, sum, why } => Asked::Outs(Command::Releases(releases::Command::Stage {
+                kind: *kind,
+                sum: unhex(sum).ok_or_else(|| format!("{sum}: 64 hexadecimal digits wanted"))?,
+                by: self.name.clone(),
+                why: why.clone(),
+                unix: unix as u64,
+            })),
+            Wish::Start => Asked::Outs(Command::Releases(releases::Command::Start {
+                release: self.release()?,
+                proxies: node.fleet().count() as u16,
+            })),
+            Wish::Halt { why } => {
+                let (release, why) = (self.release()?, why.clone());
+                Asked::Outs(Command::Releases(releases::Command::Halt { release, why }))
+            }
+            Wish::Back => {
+                Asked::Outs(Command::Releases(releases::Command::Back { release: self.release()? }))
+            }
+            Wish::WriteOff { proxy, why } => {
+                let (proxy, why) = (id(proxy)?, why.clone());
+                Asked::Outs(Command::Grants(grants::Command::WriteOff { proxy, why }))
+            }
+            Wish::Drain { server, why } => {
+                let listed = pool.named(server).ok_or_else(|| format!("{server}: not on the pool list"))?;
+                let (of, listed_out) = pool.out_of(pool.pool(listed));
+                Asked::Outs(Command::Drains(drains::Command::Drain {
+                    server: server.clone(),
+                    pool: pool.pool(listed),
+                    most: drains::most_out(self.terms.pool_part, of),
+                    listed_out: listed_out as u16,
+                    by: self.name.clone(),
+                    why: why.clone(),
+                    unix: unix as u64,
+                }))
+            }
+            Wish::Remove { proxy } => Asked::Council(standing.council.without(id(proxy)?)),
+            Wish::Add { proxy, life } => {
+                let id = id(proxy)?;
+                let life = life.or(standing.lives.get(&id).copied());
+                let unheard =
+                    || format!("{proxy}: its disk's number is not known here; `council state` there has it");
+                Asked::Council(standing.council.with(Seat { id, life: life.ok_or_else(unheard)? }))
+            }
+        })
+    }
+
+    /// What a wish would come to by what this proxy knows now, without asking for it.
+    pub fn try_wish(&self, wish: &Wish, node: &Node, pool: &PoolList, unix: f64) -> Result<Answer, String> {
+        Ok(match self.command(wish, node, pool, unix)? {
+            Asked::Outs(command) => {
+                let told = self.agreement.machine().clone().decide(0, OUTS, &command.write());
+                let told = told.map_err(|unknown| unknown.to_string())?;
+                Verdict::read(&told).map_or(Answer::Already, |told| verdict(0, &told))
+            }
+            Asked::Council(council) if council.follows(&self.agreement.standing(0.0).council) => {
+                Answer::Done { decision: 0 }
+            }
+            Asked::Council(_) => Answer::Refused { why: refusal(Refusal::NotOneSeat) },
+        })
+    }
+
+    /// Asks for a decision; gives the number that its outcome comes under.
+    pub fn wish(
+        &mut self,
+        now: f64,
+        unix: f64,
+        wish: &Wish,
+        node: &Node,
+        pool: &PoolList,
+    ) -> Result<u64, String> {
+        match self.command(wish, node, pool, unix)? {
+            Asked::Outs(command) => self.agreement.propose(now, OUTS, command.write()),
+            Asked::Council(council) => self.agreement.propose_council(now, council),
+        }
+        .map_err(refusal)
+    }
+
+    /// No longer wants to know what became of a wish.
+    pub fn forget(&mut self, request: u64) {
+        self.agreement.forget(request);
+    }
+
+    pub fn outcome(&mut self) -> Option<(u64, Answer)> {
+        let (request, outcome) = loop {
+            let (request, outcome) = self.agreement.outcome()?;
+            match self.asked.remove(&request) {
+                // What is wanted all the same, as where it was refused, is asked for again after a while.
+                Some(command) => self.rests.push((command, self.turn_at + AGAIN_BEATS * self.beat)),
+                None => break (request, outcome),
+            }
+        };
+        let answer = match outcome {
+            Outcome::Refused(why) => Answer::Refused { why: refusal(why) },
+            Outcome::Done { by } => Answer::Done { decision: by },
+            Outcome::Decided { index, answer } if answer.is_empty() => Answer::Done { decision: index },
+            Outcome::Decided { index, answer } => match Verdict::read(&answer) {
+                Some(told) => verdict(index, &told),
+                None => Answer::Done { decision: index },
+            },
+        };
+        Some((request, answer))
+    }
+}
+
+enum Asked {
+    Outs(Command),
+    Council(Council),
+}
+
+fn unhex(digits: &str) -> Option<agree::Hash> {
+    let pairs: Vec<&[u8]> = digits.as_bytes().chunks(2).collect();
+    let byte = |pair: &&[u8]| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
+    pairs.iter().map(byte).collect::<Option<Vec<u8>>>()?.try_into().ok()
+}
+
+pub(super) fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn verdict(decision: u64, verdict: &Verdict) -> Answer {
+    use {drains::Verdict as D, grants::Verdict as G, releases::Verdict as R};
+    let why = match verdict {
+        Verdict::Drains(D::Done) | Verdict::Grants(G::Done) | Verdict::Releases(R::Done) => {
+            return Answer::Done { decision };
+        }
+        Verdict::Drains(D::Already) | Verdict::Grants(G::Moot) | Verdict::Releases(R::Moot) => {
+            return Answer::Already;
+        }
+        Verdict::Drains(D::Unfit) | Verdict::Grants(G::Unfit) | Verdict::Releases(R::Unfit) => {
+            "a name or reason is empty or too long, or there are too many".to_owned()
+        }
+        Verdict::Drains(D::OverBudget { out, most, drained }) => {
+            format!("{out} of its pool would be out, {most} may be; drained: {}", drained.join(" "))
+        }
+        Verdict::Grants(G::Full { out, most }) => format!("{out} proxies are out, {most} may be"),
+        Verdict::Releases(R::Unready { ready, proxies }) => {
+            format!("{ready} of {proxies} proxies are ready, or one is unfit: `release state` has them")
+        }
+        Verdict::Releases(R::Another { release }) => format!("release {release} is under way"),
+    };
+    Answer::Refused { why }
+}
