--- a/agree/src/agreement.rs
+++ b/agree/src/agreement.rs
@@ -22,7 +22,8 @@
 
 /// Messages that wait to be sent, or for the disk; past that the oldest are lost, as on the network.
 const MOST_OUT: usize = 256;
-/// A snapshot is taken at every so many entries, the same ones at each member: its digest is part of what is signed.
+/// A snapshot is taken at every so many entries, the same ones at each member: its digest is part of what is
+/// signed.
 pub(crate) const SNAPSHOT_EVERY: u64 = 128;
 /// Entries kept for those who are behind: those since the last snapshot but one.
 const SNAPSHOTS: usize = 2;
@@ -90,8 +91,8 @@
 }
 
 impl<M: Machine, S: Signs> Agreement<M, S> {
-    /// `file` is what the disk gave, as [`crate::disk::recover`] reads it. An error only where the machine makes
-    /// nothing of its own snapshot.
+    /// `file` is what the disk gave, as [`crate::disk::recover`] reads it. An error only where the machine
+    /// makes nothing of its own snapshot.
     pub fn new(
         id: Id,
         terms: AgreeTerms,
@@ -286,8 +287,8 @@
         }
     }
 
-    /// Bytes for the disk: to be written and synced, in place of the whole file where they begin anew. The next ones
-    /// come when these are told as [`Agreement::written`] or [`Agreement::unwritten`].
+    /// Bytes for the disk: to be written and synced, in place of the whole file where they begin anew. The
+    /// next ones come when these are told as [`Agreement::written`] or [`Agreement::unwritten`].
     pub fn to_write(&mut self, now: f64) -> Option<Write> {
         if !self.keeps() {
             self.disk.skip();
--- a/agree/src/council.rs
+++ b/agree/src/council.rs
@@ -1,5 +1,5 @@
-//! Who votes. A council is changed by one seat at a time, by a logged decision: any majority of the old one and any
-//! of the new one then have a member in common.
+//! Who votes. A council is changed by one seat at a time, by a logged decision: any majority of the old one
+//! and any of the new one then have a member in common.
 
 use serde::{Deserialize, Serialize};
 
@@ -9,8 +9,8 @@
 /// Seats at most: a proof of seven fits a message.
 pub const MOST_SEATS: usize = 7;
 
-/// A voter. `life` is 0 for who was there from the founding on with its disk; one that was let in anew votes by the
-/// number that its new disk drew.
+/// A voter. `life` is 0 for who was there from the founding on with its disk; one that was let in anew votes
+/// by the number that its new disk drew.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Seat {
     pub id: Id,
--- a/agree/src/disk.rs
+++ b/agree/src/disk.rs
@@ -1,6 +1,6 @@
-//! What lasts of one member: its seat's life, its votes, its log, its newest snapshot, the proofs of councils. A file of
-//! [`frames`]; [`recover`] reads it. The shell writes what [`crate::Agreement::to_write`] gives and tells
-//! [`crate::Agreement::written`] once it is synced; what rests on it leaves only then.
+//! What lasts of one member: its seat's life, its votes, its log, its newest snapshot, the proofs of
+//! councils. A file of [`frames`]; [`recover`] reads it. The shell writes what [`crate::Agreement::to_write`]
+//! gives and tells [`crate::Agreement::written`] once it is synced; what rests on it leaves only then.
 //!
 //! | the file | what comes of it |
 //! | --- | --- |
--- a/agree/src/election.rs
+++ b/agree/src/election.rs
@@ -1,6 +1,6 @@
-//! Who leads: Raft's elections (Ongaro and Ousterhout), with a trial round before each, so that a member which was
-//! cut off does not disturb the others when it is back, and a leader that steps down when it hears no majority, so
-//! that one which others hear but do not reach makes room.
+//! Who leads: Raft's elections (Ongaro and Ousterhout), with a trial round before each, so that a member
+//! which was cut off does not disturb the others when it is back, and a leader that steps down when it hears
+//! no majority, so that one which others hear but do not reach makes room.
 
 use std::collections::BTreeSet;
 
@@ -15,8 +15,8 @@
 use crate::seal::Signs;
 use crate::wire::Message;
 
-/// A member that hears no leader for so many beats, up to twice as many by chance, asks for votes; a leader that hears
-/// no majority for so many steps down.
+/// A member that hears no leader for so many beats, up to twice as many by chance, asks for votes; a leader
+/// that hears no majority for so many steps down.
 pub(crate) const PATIENCE_BEATS: f64 = 10.0;
 
 /// What a member does.
--- a/agree/src/follow.rs
+++ b/agree/src/follow.rs
@@ -1,8 +1,9 @@
-//! Decisions on their way to those without a vote, and to members that are too far behind for their leader's log.
+//! Decisions on their way to those without a vote, and to members that are too far behind for their leader's
+//! log.
 //!
-//! The leader puts signatures together into a [`Seal`]; whoever gets a newer one passes it to a few others, and pulls
-//! what it lacks from whoever it came from. So decisions reach hundreds without one member telling them all, and
-//! nobody need be believed but a majority of the council.
+//! The leader puts signatures together into a [`Seal`]; whoever gets a newer one passes it to a few others,
+//! and pulls what it lacks from whoever it came from. So decisions reach hundreds without one member telling
+//! them all, and nobody need be believed but a majority of the council.
 
 use std::collections::BTreeMap;
 
@@ -48,7 +49,8 @@
     /// Signatures that have come, by what they are of.
     signed: BTreeMap<Index, (Statement, BTreeMap<Id, Vec<u8>>)>,
     loading: Option<Loading>,
-    /// Entries that follow what is decided here, until their end is that of a proof: none of them counts before.
+    /// Entries that follow what is decided here, until their end is that of a proof: none of them counts
+    /// before.
     staged: Option<Log>,
 }
 
--- a/agree/src/founding.rs
+++ b/agree/src/founding.rs
@@ -1,10 +1,10 @@
-//! Who may vote when a process starts. A disk that is new, damaged or an older copy could have its member vote twice,
-//! or forget what others were told that it has; so a member asks the others first.
+//! Who may vote when a process starts. A disk that is new, damaged or an older copy could have its member
+//! vote twice, or forget what others were told that it has; so a member asks the others first.
 //!
-//! At the founding nobody has a vote: each waits until all others say so, is then ready, and votes once all others are
-//! at least ready. So whoever finds a founder that votes while its own disk is new has lost its state, and gets no
-//! vote from it; it is let in anew under the number that its disk drew. Later starts wait for the others' word
-//! too: of all, or after a while of so many that a majority is together.
+//! At the founding nobody has a vote: each waits until all others say so, is then ready, and votes once all
+//! others are at least ready. So whoever finds a founder that votes while its own disk is new has lost its
+//! state, and gets no vote from it; it is let in anew under the number that its disk drew. Later starts wait
+//! for the others' word too: of all, or after a while of so many that a majority is together.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -48,7 +48,8 @@
         if self.kept.stage == Stage::Founder { 0 } else { self.kept.life }
     }
 
-    /// Who votes, as far as this proxy knows: by its log, or by a proof of a council that its log does not reach.
+    /// Who votes, as far as this proxy knows: by its log, or by a proof of a council that its log does not
+    /// reach.
     pub(crate) fn voters(&self) -> &Council {
         if self.trust.0 > self.kept.log.version() { &self.trust.1 } else { self.kept.log.council() }
     }
--- a/agree/src/fresh.rs
+++ b/agree/src/fresh.rs
@@ -1,7 +1,7 @@
-//! How old what a proxy knows can be. Whoever wants to act by it asks the council: a leader answers once a majority has
-//! answered a round that it began after it was asked, so that no later leader can have decided anything before. What
-//! was decided by the time of asking is then known, by the asker's own clock. Members gather the asks of many into
-//! one, so that hundreds do not all ask the leader.
+//! How old what a proxy knows can be. Whoever wants to act by it asks the council: a leader answers once a
+//! majority has answered a round that it began after it was asked, so that no later leader can have decided
+//! anything before. What was decided by the time of asking is then known, by the asker's own clock. Members
+//! gather the asks of many into one, so that hundreds do not all ask the leader.
 
 use std::collections::VecDeque;
 
@@ -43,7 +43,8 @@
 }
 
 impl<M: Machine, S: Signs> Agreement<M, S> {
-    /// How old what this proxy knows of the decisions can be, in milliseconds; infinity before it was ever told.
+    /// How old what this proxy knows of the decisions can be, in milliseconds; infinity before it was ever
+    /// told.
     pub fn age(&self, now: f64) -> f64 {
         self.fresh.at.map_or(f64::INFINITY, |at| now - at)
     }
--- a/agree/src/lib.rs
+++ b/agree/src/lib.rs
@@ -1,9 +1,10 @@
 //! One order of decisions for all border proxies, without I/O.
 //!
-//! [`Agreement`] is one proxy's part in it. It is handed messages, the time and what its disk came to; it hands back
-//! messages, bytes for the disk, and gives each decision to its [`Machine`] in the one order. [`council`] is who
-//! votes, [`log`] the decisions, [`seal`] the proof by which those outside the council believe them, [`disk`] what
-//! lasts, [`wire`] the form of messages. docs/agree.md weighs the ways and states the bounds.
+//! [`Agreement`] is one proxy's part in it. It is handed messages, the time and what its disk came to; it
+//! hands back messages, bytes for the disk, and gives each decision to its [`Machine`] in the one order.
+//! [`council`] is who votes, [`log`] the decisions, [`seal`] the proof by which those outside the council
+//! believe them, [`disk`] what lasts, [`wire`] the form of messages. docs/agree.md weighs the ways and states
+//! the bounds.
 //!
 //! Times are milliseconds on the proxy's clock, which only goes forward.
 
--- a/agree/src/log.rs
+++ b/agree/src/log.rs
@@ -1,5 +1,5 @@
-//! The decisions in their order. Each entry is chained to all before it by a hash, so that two logs that have the
-//! same hash at an index are the same up to there.
+//! The decisions in their order. Each entry is chained to all before it by a hash, so that two logs that have
+//! the same hash at an index are the same up to there.
 
 use std::collections::VecDeque;
 
--- a/agree/src/machine.rs
+++ b/agree/src/machine.rs
@@ -4,8 +4,8 @@
 
 use crate::log::Index;
 
-/// A decision or a state that this program does not know: made by a newer one, or for another machine. Whoever meets
-/// it stops there, rather than guess.
+/// A decision or a state that this program does not know: made by a newer one, or for another machine.
+/// Whoever meets it stops there, rather than guess.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error("decision {index}: part {part}: {what}")]
 pub struct Unknown {
@@ -14,10 +14,11 @@
     pub what: String,
 }
 
-/// The parts that decisions are given to. Nothing but what it is given may sway it: no clock, no chance, no hash
-/// order.
+/// The parts that decisions are given to. Nothing but what it is given may sway it: no clock, no chance, no
+/// hash order.
 pub trait Machine {
-    /// Carries a decision out. Gives what it came to, for whoever asked: a refusal by the machine's own rules too.
+    /// Carries a decision out. Gives what it came to, for whoever asked: a refusal by the machine's own rules
+    /// too.
     fn decide(&mut self, index: Index, part: u8, command: &[u8]) -> Result<Vec<u8>, Unknown>;
 
     /// All that is to be known of it, to begin anew from.
--- a/agree/src/replicate.rs
+++ b/agree/src/replicate.rs
@@ -1,5 +1,5 @@
-//! The log from its leader to the others, and when an entry is decided: a majority has it on the disk, and it, or one
-//! after it, is of the leader's own term.
+//! The log from its leader to the others, and when an entry is decided: a majority has it on the disk, and
+//! it, or one after it, is of the leader's own term.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -30,7 +30,8 @@
 pub struct Lead {
     pub progress: BTreeMap<Id, Progress>,
     pub round: u64,
-    /// Up to where its own log is on its own disk; what is on its way there, by the position that it waits for.
+    /// Up to where its own log is on its own disk; what is on its way there, by the position that it waits
+    /// for.
     own: Index,
     writing: VecDeque<(u64, Index)>,
 }
@@ -77,7 +78,8 @@
         let Some(progress) = lead.progress.get(&to) else { return };
         let (next, round) = (progress.next, lead.round);
         let mark = self.kept.log.mark(next - 1).unwrap_or_else(|| {
-            // It is further behind than the log reaches: by the proof it gets at a snapshot, and says when it has it.
+            // It is further behind than the log reaches: by the proof it gets at a snapshot, and says when it
+            // has it.
             self.tell(to);
             self.kept.log.mark(self.decided).unwrap_or_default()
         });
@@ -116,7 +118,8 @@
             self.counts.stray += 1;
             return;
         }
-        // Who cannot write can neither follow a term nor hold entries; nor can one that is not known to be sound.
+        // Who cannot write can neither follow a term nor hold entries; nor can one that is not known to be
+        // sound.
         let learns = !self.kept.log.council().contains(self.id);
         if !self.disk.is_sound() || !(self.founding.checked || learns) {
             return;
@@ -147,7 +150,8 @@
         self.send_kept(from, &Message::Have { term, round, life, index, fits, signed });
     }
 
-    /// Puts entries behind an index: what is there already stays, what differs is taken back. Gives the last index.
+    /// Puts entries behind an index: what is there already stays, what differs is taken back. Gives the last
+    /// index.
     pub(crate) fn take(&mut self, prev: Index, entries: Vec<Entry>) -> Index {
         let last = prev + entries.len() as u64;
         let log = &mut self.kept.log;
--- a/agree/src/requests.rs
+++ b/agree/src/requests.rs
@@ -1,5 +1,5 @@
-//! What is asked to be decided. A request is asked again until its decision has come here, whoever leads meanwhile;
-//! by its number it is done once.
+//! What is asked to be decided. A request is asked again until its decision has come here, whoever leads
+//! meanwhile; by its number it is done once.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -73,8 +73,8 @@
 }
 
 impl<M: Machine, S: Signs> Agreement<M, S> {
-    /// Asks for a command of a part to be decided. What it comes to is an [`Agreement::outcome`] with the number that
-    /// this gives.
+    /// Asks for a command of a part to be decided. What it comes to is an [`Agreement::outcome`] with the
+    /// number that this gives.
     pub fn propose(&mut self, now: f64, part: u8, command: Vec<u8>) -> Result<u64, Refusal> {
         if command.len() > MOST_COMMAND {
             return Err(Refusal::TooLong);
--- a/agree/src/seal.rs
+++ b/agree/src/seal.rs
@@ -1,6 +1,6 @@
-//! The proof that something is decided, for those who have no vote. Each member of the council signs what it knows
-//! to be decided; a majority's signatures on the same statement are a [`Seal`], which anybody can pass on. A council
-//! is proved by a seal of the one before it ([`Link`]).
+//! The proof that something is decided, for those who have no vote. Each member of the council signs what it
+//! knows to be decided; a majority's signatures on the same statement are a [`Seal`], which anybody can pass
+//! on. A council is proved by a seal of the one before it ([`Link`]).
 
 use std::collections::BTreeMap;
 
--- a/agree/src/standing.rs
+++ b/agree/src/standing.rs
@@ -23,8 +23,8 @@
     pub malformed: u64,
     pub unknown: u64,
     pub stray: u64,
-    /// Proofs whose signatures are wanting, councils whose proofs are; logs and signatures that differ from what is
-    /// decided.
+    /// Proofs whose signatures are wanting, councils whose proofs are; logs and signatures that differ from
+    /// what is decided.
     pub unproved: u64,
     pub unlinked: u64,
     pub diverged: u64,
--- a/agree/src/tests/exhaustive.rs
+++ b/agree/src/tests/exhaustive.rs
@@ -1,6 +1,6 @@
-//! All orders of a few steps of three members: a message is delivered, delivered to one that dies before its disk
-//! has it, lost or delivered twice; a member's time passes, it is asked for something, it starts again. Whatever the
-//! order, no two decide differently and no two lead in one term.
+//! All orders of a few steps of three members: a message is delivered, delivered to one that dies before its
+//! disk has it, lost or delivered twice; a member's time passes, it is asked for something, it starts again.
+//! Whatever the order, no two decide differently and no two lead in one term.
 
 use std::collections::hash_map::DefaultHasher;
 use std::collections::{BTreeMap, HashSet, VecDeque};
@@ -174,7 +174,8 @@
     Agreement::new(id, terms, Keys(id), Book::default(), file, seed, now).expect("no snapshot")
 }
 
-/// Goes through all orders of so many steps; gives how many states there are, and the first break with its way there.
+/// Goes through all orders of so many steps; gives how many states there are, and the first break with its
+/// way there.
 fn search(start: Three, depth: usize) -> (usize, Option<String>) {
     let mut known = HashSet::new();
     let mut level = vec![(start, Vec::new())];
--- a/agree/src/tests/random.rs
+++ b/agree/src/tests/random.rs
@@ -1,4 +1,5 @@
-//! Five of seven vote, and all faults come together, by seed. A fault put in on purpose is found by the same checks.
+//! Five of seven vote, and all faults come together, by seed. A fault put in on purpose is found by the same
+//! checks.
 
 use rand::Rng;
 use rstest::rstest;
--- a/agree/src/tests/world.rs
+++ b/agree/src/tests/world.rs
@@ -1,5 +1,5 @@
-//! A few proxies on one virtual clock, each with a clock and a disk of its own, and what is checked of them at every
-//! step: no two come to different decisions at an index, nor two lead in one term.
+//! A few proxies on one virtual clock, each with a clock and a disk of its own, and what is checked of them
+//! at every step: no two come to different decisions at an index, nor two lead in one term.
 
 use std::collections::BTreeMap;
 
@@ -19,7 +19,8 @@
 
 pub type Proxy = Agreement<Book, Keys>;
 
-/// Something that was asked for: when, and when its answer came, with the index it was decided at or that was read.
+/// Something that was asked for: when, and when its answer came, with the index it was decided at or that was
+/// read.
 #[derive(Clone, Copy, Debug)]
 pub struct Asked {
     pub line: Option<u64>,
--- a/agree/src/wire.rs
+++ b/agree/src/wire.rs
@@ -1,6 +1,6 @@
-//! The form of what proxies say to each other about decisions, in postcard's compact encoding. Who says it is proved
-//! by what carries it. [`write`] and [`read`] are the two ways; what is read has bounded lists, and nothing else of
-//! it is checked.
+//! The form of what proxies say to each other about decisions, in postcard's compact encoding. Who says it is
+//! proved by what carries it. [`write`] and [`read`] are the two ways; what is read has bounded lists, and
+//! nothing else of it is checked.
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
@@ -86,8 +86,8 @@
     Tell {
         seal: Seal,
     },
-    /// Please send what follows my log, or the proof of the council after mine, or a piece of the snapshot there;
-    /// `sealed` is the newest proof that I have.
+    /// Please send what follows my log, or the proof of the council after mine, or a piece of the snapshot
+    /// there; `sealed` is the newest proof that I have.
     Pull {
         index: Index,
         hash: Hash,
--- a/daemon/src/council.rs
+++ b/daemon/src/council.rs
@@ -1,5 +1,6 @@
-//! Keeps on the disk what a proxy must not forget of the decisions. `agree::disk` says what; this reads it once, and
-//! writes and syncs what is handed to it, away from the loop. A lock beside the file keeps a second process out.
+//! Keeps on the disk what a proxy must not forget of the decisions. `agree::disk` says what; this reads it
+//! once, and writes and syncs what is handed to it, away from the loop. A lock beside the file keeps a second
+//! process out.
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write as _};
@@ -19,7 +20,8 @@
 }
 
 impl Keeper {
-    /// Reads what the file holds, and keeps other processes from it. What each write came to is told over `told`.
+    /// Reads what the file holds, and keeps other processes from it. What each write came to is told over
+    /// `told`.
     pub fn open(path: &Path, told: mpsc::Sender<io::Result<()>>) -> Result<(Self, Result<Kept, Lost>)> {
         let folder = path.parent().context("a file in a folder wanted")?;
         fs::create_dir_all(folder)?;
--- a/daemon/src/release.rs
+++ b/daemon/src/release.rs
@@ -1,8 +1,9 @@
-//! A release at this proxy: the staged file, what is installed, and the change from one to the other by `exec`.
+//! A release at this proxy: the staged file, what is installed, and the change from one to the other by
+//! `exec`.
 //!
-//! `release.json` in the state directory says which release is installed, and what ran before it. A start by the usual
-//! command goes on with the installed one ([`start`]); one that was not seen well three starts in a row is given up, and
-//! what ran before runs again.
+//! `release.json` in the state directory says which release is installed, and what ran before it. A start by
+//! the usual command goes on with the installed one ([`start`]); one that was not seen well three starts in a
+//! row is given up, and what ran before runs again.
 
 use std::ffi::OsString;
 use std::fs;
@@ -14,7 +15,7 @@
 
 use anyhow::{Context, Result};
 use outs::Kind;
-use outs::holder::Replace;
+use outs::holder::{MOST_STARTS, Replace};
 use serde::{Deserialize, Serialize};
 use toml_edit::DocumentMut;
 
@@ -22,8 +23,6 @@
 
 /// Set for a process that runs a release, to its number.
 const MARK: &str = "FROSTTHREAD_RELEASE";
-/// Starts in a row that were not seen well, after which a release is given up.
-const MOST_STARTS: u32 = 3;
 
 /// What is installed.
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -198,8 +197,8 @@
 /// Tables that are a proxy's own: no release changes them.
 const OWN: [&str; 3] = ["proxy", "listen", "gossip"];
 
-/// A release of settings has the tables that it changes, as they are to stand in the settings of all proxies; what comes
-/// of them here is put into a file of its own.
+/// A release of settings has the tables that it changes, as they are to stand in the settings of all proxies;
+/// what comes of them here is put into a file of its own.
 fn check_settings(bytes: &[u8], config: &Path, to: &Path) -> Result<(), String> {
     let text = std::str::from_utf8(bytes).map_err(|_| "no text".to_owned())?;
     let read = |text: &str| text.parse::<DocumentMut>().map_err(|error| error.message().to_owned());
--- a/daemon/src/replacing.rs
+++ b/daemon/src/replacing.rs
@@ -1,5 +1,5 @@
-//! Sees to a proxy's part in a release while it runs: has the staged file checked, notes that it was seen well, and says
-//! when it is to leave for what it is to become.
+//! Sees to a proxy's part in a release while it runs: has the staged file checked, notes that it was seen
+//! well, and says when it is to leave for what it is to become.
 
 use std::path::PathBuf;
 use std::sync::mpsc::{Receiver, channel};
--- a/daemon/src/settings/fleet.rs
+++ b/daemon/src/settings/fleet.rs
@@ -11,8 +11,8 @@
 use super::reader::{Reader, Rows};
 use super::{CouncilPlan, GossipPlan};
 
-/// The parts of a pool's servers and of all proxies that may be out, and how long a proxy has to be well, where
-/// nothing is said.
+/// The parts of a pool's servers and of all proxies that may be out, and how long a proxy has to be well,
+/// where nothing is said.
 const POOL_PART: f64 = 0.25;
 const PROXY_PART: f64 = 0.1;
 const WELL: f64 = 5_000.0;
--- a/daemon/src/stamp.rs
+++ b/daemon/src/stamp.rs
@@ -1,5 +1,5 @@
-//! Datagrams with the time at which the system had them: a proxy that had no turn for a while learns how long each one
-//! has waited. [`ask`] has a socket tell it, [`receive`] reads one.
+//! Datagrams with the time at which the system had them: a proxy that had no turn for a while learns how long
+//! each one has waited. [`ask`] has a socket tell it, [`receive`] reads one.
 
 use std::io::{self, IoSliceMut};
 use std::net::SocketAddr;
--- a/daemon/tests/council.rs
+++ b/daemon/tests/council.rs
@@ -1,5 +1,5 @@
-//! Five processes of the program decide in one order, three of them by their votes, while they are killed, stopped and
-//! cut off, and a disk is lost. What is drained is judged at the central servers' sockets.
+//! Five processes of the program decide in one order, three of them by their votes, while they are killed,
+//! stopped and cut off, and a disk is lost. What is drained is judged at the central servers' sockets.
 
 mod world;
 
--- a/daemon/tests/release.rs
+++ b/daemon/tests/release.rs
@@ -1,6 +1,6 @@
-//! Five processes of the program are replaced by a decision, one after another, while calls go on and one of them is
-//! killed; a halt, a way back, and a release that cannot run. Who is replaced is seen at the processes, who is away at their
-//! callers' sockets.
+//! Five processes of the program are replaced by a decision, one after another, while calls go on and one of
+//! them is killed; a halt, a way back, and a release that cannot run. Who is replaced is seen at the
+//! processes, who is away at their callers' sockets.
 
 mod world;
 
--- a/daemon/tests/world/mod.rs
+++ b/daemon/tests/world/mod.rs
@@ -1,6 +1,6 @@
-//! Five processes of the program behind one switch, with callers and central servers of the test's own. Links between
-//! the proxies are cut, one way or both, and lose; proxies are killed, stopped and started. What counts is what came
-//! to the central servers' sockets.
+//! Five processes of the program behind one switch, with callers and central servers of the test's own. Links
+//! between the proxies are cut, one way or both, and lose; proxies are killed, stopped and started. What
+//! counts is what came to the central servers' sockets.
 
 #![allow(dead_code)] // each story uses some of it
 
@@ -275,7 +275,8 @@
         self.proxies[proxy] = Some(Running(command.spawn().expect("started")));
     }
 
-    /// Learns where a proxy listens: by a release it becomes another program, at other ports. False before it is ready.
+    /// Learns where a proxy listens: by a release it becomes another program, at other ports. False before it
+    /// is ready.
     pub fn follow(&self, proxy: usize) -> bool {
         let ready = self.path(&format!("p{proxy}")).join("ready.json");
         let told = fs::read_to_string(&ready).ok();
--- a/frames/src/lib.rs
+++ b/frames/src/lib.rs
@@ -1,8 +1,10 @@
-//! Frames of bytes by length and checksum, without I/O. [`write`] frames a body, [`read`] finds all that are sound.
+//! Frames of bytes by length and checksum, without I/O. [`write`] frames a body, [`read`] finds all that are
+//! sound.
 //!
-//! A frame is two bytes of mark, two of length, four of CRC-32 over length and body, and the body. A torn tail is
-//! told as such; after a damaged place reading goes on at the next sound frame, and the place is told. The mark is no
-//! valid UTF-8, so no text in a body can hold a frame, not even where the frame around it is damaged.
+//! A frame is two bytes of mark, two of length, four of CRC-32 over length and body, and the body. A torn
+//! tail is told as such; after a damaged place reading goes on at the next sound frame, and the place is
+//! told. The mark is no valid UTF-8, so no text in a body can hold a frame, not even where the frame around
+//! it is damaged.
 
 #![forbid(unsafe_code)]
 
--- a/lab/src/release.rs
+++ b/lab/src/release.rs
@@ -1,8 +1,8 @@
-//! A release played on sockets: what the proxies' settings say of it, who starts it and how, and the witness of who is
-//! away. The witness looks at callers' sockets and processes, never at what a proxy says of itself.
+//! A release played on sockets: what the proxies' settings say of it, who starts it and how, and the witness
+//! of who is away. The witness looks at callers' sockets and processes, never at what a proxy says of itself.
 //!
-//! A proxy is away from its first word to a caller that it is stopping, or from when its callers' socket has been silent
-//! for a while, until another process, or the same one as another program, answers there.
+//! A proxy is away from its first word to a caller that it is stopping, or from when its callers' socket has
+//! been silent for a while, until another process, or the same one as another program, answers there.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs;
@@ -169,8 +169,8 @@
         Self { most_allowed, heard: vec![0.0; proxies], ran, first: images, ..Self::default() }
     }
 
-    /// A proxy told a caller that it is stopping. Soon after another has answered there that was the former one's word,
-    /// read late.
+    /// A proxy told a caller that it is stopping. Soon after another has answered there that was the former
+    /// one's word, read late.
     pub fn stopping(&mut self, now: f64, proxy: usize) {
         let (since, image) = &self.ran[proxy];
         if now - since >= SILENT {
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -72,7 +72,8 @@
 #[derive(Clone, Debug, Serialize)]
 pub struct ReleaseSummary {
     pub by: By,
-    /// Proxies that may be away at once, the most that were, looks at which more were, and the first of those.
+    /// Proxies that may be away at once, the most that were, looks at which more were, and the first of
+    /// those.
     pub allowed: usize,
     pub most: usize,
     pub broken: u64,
--- a/links/src/lib.rs
+++ b/links/src/lib.rs
@@ -1,5 +1,6 @@
-//! Links between members under a virtual clock: what is sent comes later, twice, or never. [`Links::send`] puts
-//! something on its way, [`Links::arrived`] gives what has come by a time. The same seed gives the same order.
+//! Links between members under a virtual clock: what is sent comes later, twice, or never. [`Links::send`]
+//! puts something on its way, [`Links::arrived`] gives what has come by a time. The same seed gives the same
+//! order.
 
 #![forbid(unsafe_code)]
 
--- a/outs/src/drains.rs
+++ b/outs/src/drains.rs
@@ -1,9 +1,9 @@
-//! Central servers that are drained by the fleet's decision: no proxy sends them anything new, what stands there goes
-//! on, until the decision is taken back.
+//! Central servers that are drained by the fleet's decision: no proxy sends them anything new, what stands
+//! there goes on, until the decision is taken back.
 //!
-//! A drain says how many of its pool may be out, and how many are by the list as its asker has it. All of it stands in
-//! the command, so that the machine comes to the same verdict everywhere, and what is out already by another's drain
-//! counts though its asker did not know of it.
+//! A drain says how many of its pool may be out, and how many are by the list as its asker has it. All of it
+//! stands in the command, so that the machine comes to the same verdict everywhere, and what is out already
+//! by another's drain counts though its asker did not know of it.
 
 use std::collections::BTreeMap;
 
--- a/outs/src/evidence.rs
+++ b/outs/src/evidence.rs
@@ -1,11 +1,11 @@
 //! Whether a release does harm: proxies that run it beside those that do not, in the same spans of time.
 //!
-//! Each proxy tells the council, span by span, what became of its conversations ([`Report`]). In each span a released
-//! proxy is ranked among those not released, by how much each has changed against its own spans before the release: if
-//! the release does nothing, its rank is anybody's. The mean rank over some spans is held against what chance gives
-//! (Mann and Whitney's test, spans taken as independent), for each of three measures. A release that does nothing is
-//! halted with a chance of [`FALSE_ALARM`] at the most, over all waves and measures together. Too little traffic means to
-//! wait, not to go.
+//! Each proxy tells the council, span by span, what became of its conversations ([`Report`]). In each span a
+//! released proxy is ranked among those not released, by how much each has changed against its own spans
+//! before the release: if the release does nothing, its rank is anybody's. The mean rank over some spans is
+//! held against what chance gives (Mann and Whitney's test, spans taken as independent), for each of three
+//! measures. A release that does nothing is halted with a chance of [`FALSE_ALARM`] at the most, over all
+//! waves and measures together. Too little traffic means to wait, not to go.
 
 use std::collections::{BTreeMap, VecDeque};
 
@@ -107,7 +107,8 @@
         self.before = Some((release, Before { means, spans }));
     }
 
-    /// All of the waves that are open run the release: is there harm? `runs` tells who runs it; asked again in each span.
+    /// All of the waves that are open run the release: is there harm? `runs` tells who runs it; asked again
+    /// in each span.
     pub fn judge(&mut self, span: u64, release: u64, wave: usize, runs: impl Fn(Id) -> bool) -> Judgement {
         let since = match self.since {
             Some((of, at, since)) if (of, at) == (release, wave) => since,
@@ -145,8 +146,8 @@
         Judgement::Go
     }
 
-    /// The mean rank of those released among the others in a span, by measure, and its variance by chance; none where
-    /// too few have told enough.
+    /// The mean rank of those released among the others in a span, by measure, and its variance by chance;
+    /// none where too few have told enough.
     fn ranks(&self, span: u64, release: u64, runs: &impl Fn(Id) -> bool) -> Option<([f64; MEASURES], f64)> {
         let before = self.before.as_ref().filter(|(of, _)| *of == release).map(|(_, before)| &before.means);
         let (mut released, mut others) = (Vec::new(), Vec::new());
--- a/outs/src/grants.rs
+++ b/outs/src/grants.rs
@@ -1,5 +1,5 @@
-//! Border proxies that are out: who may go, who is away, who is back but not yet seen to be well. Planned and unplanned
-//! count in one sum.
+//! Border proxies that are out: who may go, who is away, who is back but not yet seen to be well. Planned and
+//! unplanned count in one sum.
 //!
 //! | state | how it comes about | counts |
 //! | --- | --- | --- |
@@ -9,9 +9,10 @@
 //! | back | it says that it takes calls again | yes, until enough others have seen it do so |
 //! | missed | enough others say that it does not answer | yes, until enough say that it does |
 //!
-//! A holder begins only when the decision that it began is here, so that one which was cut off, paused, or whose grant
-//! was taken back meanwhile never goes: no clock is trusted. A grant that is not begun is taken back by whoever
-//! notices ([`Command::Forfeit`]); one that never comes back holds its place until an operator writes it off.
+//! A holder begins only when the decision that it began is here, so that one which was cut off, paused, or
+//! whose grant was taken back meanwhile never goes: no clock is trusted. A grant that is not begun is taken
+//! back by whoever notices ([`Command::Forfeit`]); one that never comes back holds its place until an
+//! operator writes it off.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -195,7 +196,8 @@
 
     fn carry_out(&mut self, decided: Index, command: Command) -> Verdict {
         match command {
-            // A smaller budget calls nobody back: what is out comes back, and nothing goes until the sum fits.
+            // A smaller budget calls nobody back: what is out comes back, and nothing goes until the sum
+            // fits.
             Command::Budget { most, witnesses } if most > 0 && witnesses > 0 => {
                 let same = (self.most, self.witnesses) == (most, witnesses);
                 (self.most, self.witnesses) = (most, witnesses);
--- a/outs/src/holder.rs
+++ b/outs/src/holder.rs
@@ -1,8 +1,9 @@
-//! What one proxy does by what is decided: asks to go out when it is its turn, goes when the decision that it began is here,
-//! says that it is back, witnesses that others are well or missed, and opens the next wave. No I/O.
+//! What one proxy does by what is decided: asks to go out when it is its turn, goes when the decision that it
+//! began is here, says that it is back, witnesses that others are well or missed, and opens the next wave. No
+//! I/O.
 //!
-//! Call [`Holder::turn`] at each beat with what is decided and what this proxy sees; it gives all that this proxy wants
-//! decided now, and whether it is to go.
+//! Call [`Holder::turn`] at each beat with what is decided and what this proxy sees; it gives all that this
+//! proxy wants decided now, and whether it is to go.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher as _;
@@ -15,6 +16,8 @@
 use crate::releases::{self, Kind, Phase, Release};
 use crate::{Command, Outs};
 
+/// Starts in a row of a release that were not seen well, after which a proxy gives it up.
+pub const MOST_STARTS: u32 = 3;
 /// A grant that is not begun after so many leases is taken back by whoever notices.
 const FORFEIT_LEASES: f64 = 1.0;
 /// Of others so many times the witnesses that are wanted look at one: some of them may be cut off from it.
@@ -93,7 +96,8 @@
 }
 
 impl Holder {
-    /// Those that are back and that this proxy looks at: each is to be asked for a sign of life at its callers' socket.
+    /// Those that are back and that this proxy looks at: each is to be asked for a sign of life at its
+    /// callers' socket.
     pub fn to_look_at(&self, outs: &Outs, own: &Own) -> Vec<(Id, SocketAddr)> {
         let lookers = LOOKERS * usize::from(outs.grants.witnesses().max(1));
         let back = outs.grants.all_away().filter_map(|(id, away)| match away {
--- a/outs/src/lib.rs
+++ b/outs/src/lib.rs
@@ -1,8 +1,8 @@
 //! Who may be out at once, as decided for all border proxies, without I/O.
 //!
-//! [`Outs`] is the machine that the agreement gives its decisions to: [`drains`] of central servers, [`grants`] for border
-//! proxies, [`releases`] that replace them in waves. [`holder`] is what one proxy does by it: when it asks, goes and says
-//! that it is back, and what it tells of others.
+//! [`Outs`] is the machine that the agreement gives its decisions to: [`drains`] of central servers,
+//! [`grants`] for border proxies, [`releases`] that replace them in waves. [`holder`] is what one proxy does
+//! by it: when it asks, goes and says that it is back, and what it tells of others.
 
 #![forbid(unsafe_code)]
 
@@ -95,8 +95,9 @@
         }
     }
 
-    /// Whether a proxy's turn has come to ask: those before it in its release's order would leave a place free. Without
-    /// this all of a wave would ask again and again, and each refusal is a decision that all are told.
+    /// Whether a proxy's turn has come to ask: those before it in its release's order would leave a place
+    /// free. Without this all of a wave would ask again and again, and each refusal is a decision that all
+    /// are told.
     pub fn is_next(&self, proxy: Id) -> bool {
         let free = usize::from(self.grants.most()).saturating_sub(self.grants.out().count());
         let waits = |id: Id| {
--- a/outs/src/releases.rs
+++ b/outs/src/releases.rs
@@ -7,8 +7,8 @@
 //! | halted | nobody is let out for it; grants that were not begun are taken back | started again, going back |
 //! | going back | whoever runs it asks for a grant to go back, the newest wave first | done |
 //!
-//! One release at a time. Who is in which wave is drawn by the release's number, among those that said they are ready
-//! when it was started: the same everywhere.
+//! One release at a time. Who is in which wave is drawn by the release's number, among those that said they
+//! are ready when it was started: the same everywhere.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::hash::Hasher as _;
--- a/outs/tests/evidence.rs
+++ b/outs/tests/evidence.rs
@@ -10,8 +10,8 @@
 /// Those that run the release after each wave but the last.
 const RELEASED: [u64; 3] = [1, 2, 4];
 
-/// Conversations of a proxy in a span, each served with its proxy's own chance, worse by some part where it runs the
-/// release.
+/// Conversations of a proxy in a span, each served with its proxy's own chance, worse by some part where it
+/// runs the release.
 fn report(chance: &mut Pcg64Mcg, proxy: Id, traffic: f64, worse: f64) -> Report {
     let own = 0.85 + 0.1 * (proxy as f64 * 0.618).fract();
     let conversations = (traffic * (0.5 + chance.random::<f64>())) as u16;
--- a/outs/tests/grants.rs
+++ b/outs/tests/grants.rs
@@ -1,5 +1,5 @@
-//! All orders of a few decisions, and longer ones by chance: never more granted than may be out, one that goes is
-//! counted until it is seen well, and from everywhere there is a way back in.
+//! All orders of a few decisions, and longer ones by chance: never more granted than may be out, one that
+//! goes is counted until it is seen well, and from everywhere there is a way back in.
 
 use std::collections::{BTreeSet, HashSet, VecDeque};
 
--- a/outs/tests/releases.rs
+++ b/outs/tests/releases.rs
@@ -1,5 +1,5 @@
-//! A release through all orders of a few decisions: nobody is let out before its wave or after a halt, and from every
-//! state the way back ends with nobody running it.
+//! A release through all orders of a few decisions: nobody is let out before its wave or after a halt, and
+//! from every state the way back ends with nobody running it.
 
 use std::collections::{HashSet, VecDeque};
 
--- a/proxy/src/border/peers.rs
+++ b/proxy/src/border/peers.rs
@@ -120,7 +120,8 @@
         self.hands.decided.as_mut()
     }
 
-    /// Brings servers that the fleet drains, or drains no more, to whoever decides; looks at proxies that are back.
+    /// Brings servers that the fleet drains, or drains no more, to whoever decides; looks at proxies that are
+    /// back.
     pub(super) fn drain(&mut self) {
         let now = self.hands.now;
         for at in self.hands.decided.as_mut().map(Decided::looks).unwrap_or_default() {
@@ -152,8 +153,8 @@
         Some(OutsStatus::of(decided, node, hands.now, here))
     }
 
-    /// Asks for a decision; gives the number that [`BorderProxy::decision`] tells its outcome by. With `dry` nothing
-    /// is asked for, and the answer is what it would come to by what is known here.
+    /// Asks for a decision; gives the number that [`BorderProxy::decision`] tells its outcome by. With `dry`
+    /// nothing is asked for, and the answer is what it would come to by what is known here.
     pub fn wish(
         &mut self,
         now: f64,
--- a/proxy/src/decided/mod.rs
+++ b/proxy/src/decided/mod.rs
@@ -1,5 +1,6 @@
-//! The tie between what is decided for all proxies, the gossip that carries it, and this proxy. [`Decided::exchange`]
-//! moves words both ways; [`Decided::wish`] asks for a decision, [`Decided::outcome`] tells what came of it.
+//! The tie between what is decided for all proxies, the gossip that carries it, and this proxy.
+//! [`Decided::exchange`] moves words both ways; [`Decided::wish`] asks for a decision, [`Decided::outcome`]
+//! tells what came of it.
 
 mod status;
 mod wishes;
@@ -28,7 +29,8 @@
     /// The part of a pool's central servers that may be out at once; one at least.
     pub pool_part: f64,
     pub holder: HolderTerms,
-    /// Spans in milliseconds, by which released proxies are compared with others; none where no release is judged.
+    /// Spans in milliseconds, by which released proxies are compared with others; none where no release is
+    /// judged.
     pub span: Option<f64>,
 }
 
@@ -52,7 +54,8 @@
     drained: BTreeSet<String>,
     holder: Holder,
     own: Own,
-    /// What this proxy itself has asked for, by number; and what was decided lately, with when it may ask again.
+    /// What this proxy itself has asked for, by number; and what was decided lately, with when it may ask
+    /// again.
     asked: BTreeMap<u64, Command>,
     rests: Vec<(Command, f64)>,
     looks: Vec<SocketAddr>,
@@ -154,8 +157,8 @@
         self.ask(now, wanted);
     }
 
-    /// Asks for what is wanted and not asked for yet, and for nothing that is wanted no more: what waits while no majority
-    /// is heard would all be decided at once afterwards.
+    /// Asks for what is wanted and not asked for yet, and for nothing that is wanted no more: what waits
+    /// while no majority is heard would all be decided at once afterwards.
     fn ask(&mut self, now: f64, wanted: Vec<Command>) {
         let vain: Vec<u64> = self
             .asked
