--- a/proxy/src/decided/status.rs
+++ b/proxy/src/decided/status.rs
@@ -6,7 +6,6 @@
 use serde::{Deserialize, Serialize};
 
 use super::Decided;
-use super::wishes::hex;
 
 /// The council and how this proxy stands with it, for operators.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -61,7 +60,7 @@
             decided: standing.decided,
             applied: standing.applied,
             sealed: standing.sealed,
-            hash: hex(&standing.hash[..8]),
+            hash: hex::encode(&standing.hash[..8]),
             age_ms: Some(standing.age).filter(|age| age.is_finite()),
             seats: standing.council.seats().iter().map(seat).collect(),
             since: standing.version,
@@ -152,7 +151,7 @@
         Some(Self {
             release: of.number,
             kind: of.kind,
-            sum: hex(&of.sum),
+            sum: hex::encode(of.sum),
             by: of.by.clone(),
             why: of.why.clone(),
             phase: of.phase.clone(),
--- a/proxy/src/decided/wishes.rs
+++ b/proxy/src/decided/wishes.rs
@@ -199,13 +199,7 @@
 }
 
 fn unhex(digits: &str) -> Option<agree::Hash> {
-    let pairs: Vec<&[u8]> = digits.as_bytes().chunks(2).collect();
-    let byte = |pair: &&[u8]| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
-    pairs.iter().map(byte).collect::<Option<Vec<u8>>>()?.try_into().ok()
-}
-
-pub(super) fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+    hex::decode(digits).ok()?.try_into().ok()
 }
 
 fn verdict(decision: u64, verdict: &Verdict) -> Answer {
