Attempts are sent when taken and their caller is still there; descriptors, stop, list mended

Three tests red. - INVITEs stood in the outbox of a connection that took nothing and left after their callers had gone (Wires::write). Red. - the stop ended while connections and bytes were unread in the kernel (serve.rs: open() == 0). Two red. - callers could hold all descriptors but 48, central servers' connections and the accept queue were not counted (Border::is_full): accept and the change log's call failed with EMFILE. Who had just asked could be closed as idle. Red. - a configuration read half written was never read again. Signals before their handlers killed the start. Red. - a set-up waiting for a connection to a server told as gone waited for its time-out (listed). Red. - a name that came again at once after it was given up made a second attempt within the release (offered). Red. - by reading only: events marked as had in Follower were lost when the call was dropped before they were taken in; a release on a connection that had come up at the address's next owner was ignored.

Mended: bytes are read in the main loop, so that a connection can be looked at out of turn; Order::SetUp is carried out when the connection takes it and after a look at the caller's; an attempt that was never sent is taken back; counts of all connections against the limit, closes awaited before the next accept; the last look of the stop asks each socket; the change log is asked from what was taken in. platform/tests/orders.rs searches orders of events.

Tried and taken back: telling a former attempt's answer by CSeq's number. A connection on which the call was called off is now left for another while one can be had.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod settings;
 mod stamp;
 mod watch_log;
+mod wires;
 mod wishes;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -1,243 +1,216 @@
 //! Drives one border proxy where the platform's protocol is spoken: connections, the change log, the clock
 //! and signals in; bytes out. Nothing is decided here. [`serve`] runs it as the platform starts it.
 
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::env;
 use std::fs;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
-use bytes::{Buf, Bytes, BytesMut};
-use platform::{Border, Broke, Conn, Order, Plan};
+use platform::{Border, Broke, Conn, Order, Plan, SetUp};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::{Notify, mpsc, watch};
-use tokio::task::{AbortHandle, LocalSet};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::{mpsc, watch};
+use tokio::task::LocalSet;
 
 use crate::clock::{Clock, unix};
-use crate::watch_log;
+use crate::watch_log::{self, Had};
+use crate::wires::{Arrival, Found, Wires};
 
-/// Bytes read from a connection at a time, so that each gets its turn.
-const READ: usize = 16 * 1024;
-/// Arrivals that wait to be told; past that they wait in the sockets.
-const QUEUE: usize = 256;
-/// Arrivals told between two decisions.
+/// Arrivals told between two decisions, and callers' connections taken on.
 const BATCH: usize = 128;
-/// Bytes that wait for a connection which does not read; past that it is closed.
-const OUTBOX: usize = 256 * 1024;
-/// A connection that was dismissed reads on for so long, and no more than so many bytes, so that what it was
-/// told last is not lost with what it still sends.
-const DISMISSED: Duration = Duration::from_millis(2000);
-const DISCARDED: usize = 128 << 20;
+const ACCEPTED: usize = 16;
 /// Between two looks after accepting failed, as it does without descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+const ACCEPT_PAUSE: f64 = 50.0;
+/// Between two tries to read a new configuration that can't be read yet.
+const RELOAD_PAUSE: f64 = 100.0;
 /// After SIGTERM set-ups still come for so long.
 const STOPPING: f64 = 750.0;
+/// What is owed when that is over, but for answers to set-ups, waits no longer than this: a release is due within a
+/// second, and connections that take nothing are given up.
+const OWED: f64 = 1000.0;
+/// When all is said, connections are read for so long at most before they are closed.
+const LAST_READ: Duration = Duration::from_millis(100);
+/// Reads of one connection in one look at it.
+const LOOKS: usize = 4;
 /// Between two log lines that hold beliefs against sockets.
 const BELIEFS: f64 = 1000.0;
 
-enum Arrival {
-    Caller(TcpStream, SocketAddr),
-    Up(Conn, TcpStream),
-    Bytes(Conn, Bytes),
-    Broke(Conn, Broke),
+/// The signals that mean something, from the first moment on.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hang_up: Signal,
 }
 
-/// What is kept of one connection.
-struct Wire {
-    stream: Rc<TcpStream>,
-    outbox: Rc<RefCell<BytesMut>>,
-    /// There is something in the outbox.
-    filled: Rc<Notify>,
-    dismissed: Rc<Cell<bool>>,
-    tasks: [AbortHandle; 2],
-}
-
-impl Drop for Wire {
-    fn drop(&mut self) {
-        self.tasks.iter().for_each(AbortHandle::abort);
+impl Signals {
+    fn new() -> Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+            hang_up: signal(SignalKind::hangup())?,
+        })
     }
 }
 
-struct Wires {
-    wires: HashMap<Conn, Wire>,
-    dials: HashMap<Conn, AbortHandle>,
-    arrivals: mpsc::Sender<Arrival>,
+/// The proxy with its sockets.
+struct Served {
+    border: Border,
+    wires: Wires,
     peers: Option<(UdpSocket, SocketAddr)>,
+    clock: Clock,
 }
 
-impl Wires {
-    fn add(&mut self, conn: Conn, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
-        let stream = Rc::new(stream);
-        let outbox = Rc::new(RefCell::new(BytesMut::new()));
-        let (filled, dismissed) = (Rc::new(Notify::new()), Rc::new(Cell::new(false)));
-        let read =
-            tokio::task::spawn_local(read(conn, stream.clone(), dismissed.clone(), self.arrivals.clone()));
-        let write = write(stream.clone(), outbox.clone(), filled.clone(), dismissed.clone());
-        let write = tokio::task::spawn_local(write);
-        let tasks = [read.abort_handle(), write.abort_handle()];
-        self.wires.insert(conn, Wire { stream, outbox, filled, dismissed, tasks });
-    }
-
-    /// False where the connection takes no more.
-    fn write(&mut self, conn: Conn, mut bytes: Bytes) -> bool {
-        let Some(wire) = self.wires.get(&conn) else { return true };
-        let mut outbox = wire.outbox.borrow_mut();
-        while outbox.is_empty() && !bytes.is_empty() {
-            match wire.stream.try_write(&bytes) {
-                Ok(n) => bytes.advance(n),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-                // The reader hears of it too.
-                Err(_) => return true,
+impl Served {
+    /// Carries out all that is ordered; what comes of it is told and decided on too.
+    fn carry_out(&mut self) {
+        loop {
+            let mut told = false;
+            while let Some(order) = self.border.order() {
+                told |= self.carry(order);
             }
+            if !told {
+                return;
+            }
+            self.border.settle();
         }
-        if bytes.is_empty() {
-            return true;
-        }
-        if outbox.len() + bytes.len() > OUTBOX {
-            return false;
-        }
-        outbox.extend_from_slice(&bytes);
-        wire.filled.notify_one();
-        true
-    }
-
-    fn dial(&mut self, conn: Conn, address: SocketAddr, within: f64) {
-        let arrivals = self.arrivals.clone();
-        let dial = tokio::task::spawn_local(async move {
-            let within = Duration::from_secs_f64(within / 1000.0);
-            let arrival = match tokio::time::timeout(within, TcpStream::connect(address)).await {
-                Ok(Ok(stream)) => Arrival::Up(conn, stream),
-                Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                    Arrival::Broke(conn, Broke::Refused)
-                }
-                Ok(Err(_)) => Arrival::Broke(conn, Broke::Closed),
-                Err(_) => Arrival::Broke(conn, Broke::TimedOut),
-            };
-            let _ = arrivals.send(arrival).await;
-        });
-        self.dials.insert(conn, dial.abort_handle());
-    }
-
-    /// The connection ends once it has nothing more to send.
-    fn dismiss(&mut self, conn: Conn) {
-        let Some(wire) = self.wires.get(&conn) else { return };
-        wire.dismissed.set(true);
-        wire.filled.notify_one();
     }
 
-    /// Carries an order out; gives a connection that takes no more.
-    fn carry_out(&mut self, order: Order) -> Option<Conn> {
+    /// Carries an order out; true where something was told.
+    fn carry(&mut self, order: Order) -> bool {
         match order {
-            Order::Dial { conn, address, within } => self.dial(conn, address, within),
+            Order::Dial { conn, address, within } => self.wires.dial(conn, address, within),
             Order::Write { conn, bytes } => {
-                if !self.write(conn, bytes) {
-                    self.wires.remove(&conn);
-                    return Some(conn);
+                if !self.wires.write(conn, bytes) {
+                    return self.broke(conn, Broke::Closed);
                 }
             }
-            Order::Close { conn } => {
-                self.wires.remove(&conn);
-                if let Some(dial) = self.dials.remove(&conn) {
-                    dial.abort();
+            Order::SetUp(set_up) => return self.send(set_up),
+            Order::CallOff { set_up, bytes } => {
+                // Where part of it is still here, it never reaches the server whole.
+                if self.wires.is_unfinished(set_up) || !self.wires.write(set_up.conn, bytes) {
+                    return self.broke(set_up.conn, Broke::Closed);
                 }
             }
-            Order::Dismiss { conn } => self.dismiss(conn),
+            Order::Evict { conn } => {
+                self.look(conn);
+                self.border.evict(self.clock.now(), conn);
+                return true;
+            }
+            Order::Close { conn } => self.wires.close(conn),
+            Order::Dismiss { conn } => self.wires.dismiss(conn),
             Order::Tell { bytes } => {
                 if let Some((socket, all)) = &self.peers {
                     let _ = socket.try_send_to(&bytes, *all);
                 }
             }
         }
-        None
+        false
     }
-}
 
-/// Reads a connection for as long as it lasts.
-async fn read(conn: Conn, stream: Rc<TcpStream>, dismissed: Rc<Cell<bool>>, arrivals: mpsc::Sender<Arrival>) {
-    let mut discarded = 0;
-    let mut end = None;
-    loop {
-        if dismissed.get() && end.is_none() {
-            end = Some(tokio::time::Instant::now() + DISMISSED);
+    fn broke(&mut self, conn: Conn, how: Broke) -> bool {
+        self.wires.close(conn);
+        self.border.broke(self.clock.now(), conn, how);
+        true
+    }
+
+    /// Sends an attempt, unless its connection takes nothing now or its caller turns out to have gone.
+    fn send(&mut self, set_up: SetUp) -> bool {
+        if self.wires.is_choked(set_up.conn) {
+            self.wires.wait_with(set_up);
+            return false;
         }
-        // A dismissed connection is looked at again before long, though it may say nothing.
-        let wait = end.map_or(Duration::from_millis(250), |end| end - tokio::time::Instant::now());
-        match tokio::time::timeout(wait, stream.readable()).await {
-            Ok(Ok(())) => {}
-            Ok(Err(_)) => break,
-            Err(_) if end.is_some() => break,
-            Err(_) => continue,
+        let told = self.look(set_up.caller);
+        let Some(bytes) = self.border.send(self.clock.now(), set_up) else { return true };
+        if !self.wires.write(set_up.conn, bytes) {
+            return self.broke(set_up.conn, Broke::Closed);
         }
-        // No buffer is held while the connection is idle.
-        let mut buffer = BytesMut::with_capacity(READ);
-        match stream.try_read_buf(&mut buffer) {
-            Ok(0) => break,
-            Ok(n) if dismissed.get() => {
-                discarded += n;
-                if discarded > DISCARDED {
-                    break;
-                }
-                tokio::task::yield_now().await;
-            }
-            Ok(_) => {
-                if arrivals.send(Arrival::Bytes(conn, Bytes::copy_from_slice(&buffer))).await.is_err() {
-                    return;
-                }
+        self.wires.written(set_up);
+        told
+    }
+
+    /// Tells all that a connection holds by now; false where that is nothing.
+    fn look(&mut self, conn: Conn) -> bool {
+        let mut told = false;
+        for _ in 0..LOOKS {
+            let found = self.wires.look(conn);
+            if !self.tell(conn, found) {
+                break;
             }
-            Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => break,
+            told = true;
         }
+        told
     }
-    let _ = arrivals.send(Arrival::Broke(conn, Broke::Closed)).await;
-}
 
-/// Writes what found no room at once; a dismissed connection says no more after that.
-async fn write(
-    stream: Rc<TcpStream>,
-    outbox: Rc<RefCell<BytesMut>>,
-    filled: Rc<Notify>,
-    dismissed: Rc<Cell<bool>>,
-) {
-    loop {
-        filled.notified().await;
-        while !outbox.borrow().is_empty() {
-            if stream.writable().await.is_err() {
-                return;
+    /// Tells what was found at a connection; false where that is nothing.
+    fn tell(&mut self, conn: Conn, found: Found) -> bool {
+        match found {
+            Found::Bytes(bytes) => self.border.received(self.clock.now(), conn, &bytes),
+            Found::Nothing => return false,
+            Found::End => return self.broke(conn, Broke::Closed),
+        }
+        true
+    }
+
+    fn arrived(&mut self, arrival: Arrival) {
+        match arrival {
+            Arrival::Up(conn, stream) => {
+                if self.wires.up(conn, stream) {
+                    self.border.connected(self.clock.now(), conn);
+                }
             }
-            let mut outbox = outbox.borrow_mut();
-            match stream.try_write(&outbox) {
-                Ok(n) => outbox.advance(n),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(_) => return,
+            Arrival::Readable(conn) => {
+                let found = self.wires.read(conn);
+                self.tell(conn, found);
+            }
+            Arrival::Drained(conn) => {
+                for set_up in self.wires.drained(conn) {
+                    self.send(set_up);
+                }
+            }
+            Arrival::Broke(conn, how) => {
+                self.broke(conn, how);
             }
-        }
-        *outbox.borrow_mut() = BytesMut::new();
-        if dismissed.get() {
-            let _ = socket2::SockRef::from(&*stream).shutdown(std::net::Shutdown::Write);
-            return;
         }
     }
-}
 
-async fn accept(listener: TcpListener, arrivals: mpsc::Sender<Arrival>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                if arrivals.send(Arrival::Caller(stream, from)).await.is_err() {
-                    return;
+    fn accepted(&mut self, stream: TcpStream, from: SocketAddr) {
+        let conn = self.border.accepted(self.clock.now(), from.ip());
+        self.wires.add(conn, stream);
+    }
+
+    /// Takes on the callers that have connected by now, some at a time; gives how many.
+    fn accept(&mut self, listener: &TcpListener) -> io::Result<usize> {
+        for accepted in 0..ACCEPTED {
+            match SockRef::from(listener).accept() {
+                Ok((socket, from)) => {
+                    socket.set_nonblocking(true)?;
+                    let from = from.as_socket().unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)));
+                    self.accepted(TcpStream::from_std(socket.into())?, from);
                 }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(accepted),
+                // It was gone before it was taken on.
+                Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
+                Err(error) => return Err(error),
             }
-            Err(error) => {
-                tracing::warn!("accept.failed: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
         }
+        Ok(ACCEPTED)
+    }
+
+    /// Whether nothing is left to be done: asks each connection itself, since what has come may not have been told.
+    fn is_done(&mut self, listener: &TcpListener, late: bool) -> bool {
+        let mut told = self.accept(listener).is_ok_and(|accepted| accepted > 0);
+        for conn in self.border.callers() {
+            told |= self.look(conn);
+        }
+        if told {
+            self.border.settle();
+            self.carry_out();
+        }
+        let owes = self.border.unreleased() > 0 || self.wires.is_any_choked();
+        !told && self.border.open() == 0 && (late || !owes)
     }
 }
 
@@ -248,13 +221,14 @@
 
 /// Runs the proxy until SIGTERM, and until what it has taken then is answered.
 pub async fn serve() -> Result<()> {
+    let signals = Signals::new()?;
     let path = env::var("LB_CONFIG").context("LB_CONFIG names the configuration and is not set")?;
     let plan = read_plan(&path)?;
     let listen = match env::var("LB_LISTEN") {
         Ok(listen) => listen.parse().with_context(|| format!("LB_LISTEN has no use for {listen:?}"))?,
         Err(_) => plan.listen,
     };
-    LocalSet::new().run_until(run(path, plan, listen)).await
+    LocalSet::new().run_until(run(signals, path, plan, listen)).await
 }
 
 fn bind_peers(plan: &Plan) -> Result<Option<(UdpSocket, SocketAddr)>> {
@@ -277,94 +251,98 @@
     bound().with_context(|| format!("listening on {listen}"))
 }
 
-async fn run(path: String, plan: Plan, listen: SocketAddr) -> Result<()> {
+async fn run(signals: Signals, path: String, plan: Plan, listen: SocketAddr) -> Result<()> {
+    let Signals { mut terminate, mut interrupt, mut hang_up } = signals;
     let clock = Clock(Instant::now());
-    let mut border = Border::new(&plan, clock.now(), unix())?;
-    let (arrivals_in, mut arrivals) = mpsc::channel(QUEUE);
+    let border = Border::new(&plan, clock.now(), unix())?;
+    let (arrivals_in, mut arrivals) = mpsc::unbounded_channel();
     let peers = bind_peers(&plan)?;
-    let mut wires =
-        Wires { wires: HashMap::new(), dials: HashMap::new(), arrivals: arrivals_in.clone(), peers };
-    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    let mut hang_up = signal(SignalKind::hangup())?;
+    let listener = bind(listen)?;
     let (changelog, changelog_out) = watch::channel(plan.changelog);
+    let had = Had::new(border.last());
     let (news_in, mut news) = mpsc::channel(16);
-    tokio::task::spawn_local(watch_log::follow(changelog_out, plan.last(), plan.seed, news_in));
-    let listener = bind(listen)?;
-    let accepting = tokio::task::spawn_local(accept(listener, arrivals_in));
+    tokio::task::spawn_local(watch_log::follow(changelog_out, had.clone(), plan.seed, news_in));
+    let mut served = Served { border, wires: Wires::new(arrivals_in), peers, clock };
     tracing::info!(name = plan.name, %listen, sockets = plan.limits.sockets, "proxy.ready");
 
-    let mut stop_at = None;
+    let mut stop_at: Option<f64> = None;
+    let (mut accept_at, mut reload_at) = (0.0, f64::INFINITY);
     let mut beliefs_at = 0.0;
     loop {
-        while let Some(order) = border.order() {
-            if let Some(conn) = wires.carry_out(order) {
-                border.broke(clock.now(), conn, Broke::Closed);
-                border.settle();
-            }
-        }
-        let wait = Duration::from_secs_f64((border.due() - clock.now()).clamp(0.0, 1000.0) / 1000.0);
-        let mut first = None;
-        let mut change = None;
+        served.carry_out();
+        served.wires.closed().await;
+        let now = served.clock.now();
+        let accepts = now >= accept_at;
+        let due = served.border.due().min(reload_at).min(if accepts { f64::INFINITY } else { accept_at });
+        let due = stop_at.filter(|at| *at > now).map_or(due, |at| due.min(at));
+        let wait = Duration::from_secs_f64((due - now).clamp(0.0, 1000.0) / 1000.0);
+        let (mut first, mut caller, mut change) = (None, None, None);
         tokio::select! {
             arrival = arrivals.recv() => first = arrival,
+            taken = listener.accept(), if accepts => caller = Some(taken),
             Some(found) = news.recv() => change = Some(found),
-            _ = terminate.recv() => stop_at = stop_at.or(Some(clock.now() + STOPPING)),
-            _ = interrupt.recv() => stop_at = stop_at.or(Some(clock.now() + STOPPING)),
-            _ = hang_up.recv() => match read_plan(&path) {
-                Ok(plan) => drop(changelog.send_replace(plan.changelog)),
-                Err(error) => tracing::warn!("configuration.kept: {error:#}"),
-            },
+            _ = terminate.recv() => stop_at = stop_at.or(Some(served.clock.now() + STOPPING)),
+            _ = interrupt.recv() => stop_at = stop_at.or(Some(served.clock.now() + STOPPING)),
+            _ = hang_up.recv() => reload_at = 0.0,
             () = tokio::time::sleep(wait) => {}
         }
-        let now = clock.now();
+        let now = served.clock.now();
+        if now >= reload_at {
+            // It may be in the middle of being written.
+            reload_at = match read_plan(&path) {
+                Ok(plan) => {
+                    changelog.send_replace(plan.changelog);
+                    f64::INFINITY
+                }
+                Err(error) => {
+                    tracing::warn!("configuration.kept: {error:#}");
+                    now + RELOAD_PAUSE
+                }
+            };
+        }
         if let Some(change) = change {
             tracing::debug!(version = change.version, whole = change.whole, "changelog.news");
-            if let Err(error) = border.listed(now, unix(), &change) {
+            if let Err(error) = served.border.listed(now, unix(), &change) {
                 tracing::warn!("changelog.unfit: {error}");
+                had.ask_again();
+            }
+            had.set(served.border.last());
+        }
+        let taken_on = match caller {
+            Some(Ok((stream, from))) => {
+                served.accepted(stream, from);
+                served.accept(&listener).map(drop)
             }
+            Some(Err(error)) => Err(error),
+            None => Ok(()),
+        };
+        if let Err(error) = taken_on {
+            tracing::warn!("accept.failed: {error}");
+            accept_at = now + ACCEPT_PAUSE;
         }
         let more = std::iter::from_fn(|| arrivals.try_recv().ok()).take(BATCH);
         for arrival in first.into_iter().chain(more) {
-            match arrival {
-                Arrival::Caller(stream, from) => {
-                    let conn = border.accepted(now, from.ip());
-                    wires.add(conn, stream);
-                }
-                Arrival::Up(conn, stream) => {
-                    if wires.dials.remove(&conn).is_some() {
-                        wires.add(conn, stream);
-                        border.connected(now, conn);
-                    }
-                }
-                Arrival::Bytes(conn, bytes) => border.received(now, conn, &bytes),
-                Arrival::Broke(conn, how) => {
-                    wires.wires.remove(&conn);
-                    wires.dials.remove(&conn);
-                    border.broke(now, conn, how);
-                }
-            }
+            served.arrived(arrival);
         }
-        border.turn(now);
-        border.settle();
+        served.border.turn(served.clock.now());
+        served.border.settle();
         if now >= beliefs_at && tracing::enabled!(tracing::Level::DEBUG) {
             beliefs_at = now + BELIEFS;
-            border.beliefs().iter().for_each(|line| tracing::debug!("beliefs {line}"));
+            served.border.beliefs().iter().for_each(|line| tracing::debug!("beliefs {line}"));
         }
         if let Some(at) = stop_at {
-            border.stop();
+            served.border.stop();
             if now >= at {
-                accepting.abort();
-                if border.open() == 0 {
+                served.carry_out();
+                if served.is_done(&listener, now >= at + OWED) {
                     break;
                 }
             }
         }
     }
-    // What was said last leaves before the connections close.
-    while let Some(order) = border.order() {
-        wires.carry_out(order);
-    }
-    let tally = border.tally();
+    drop(listener);
+    served.wires.end(LAST_READ).await;
+    let tally = served.border.tally();
     tracing::info!(?tally, "proxy.stopped");
     Ok(())
 }
--- a/daemon/src/watch_log.rs
+++ b/daemon/src/watch_log.rs
@@ -1,11 +1,14 @@
 //! Follows the change log over HTTP for as long as the proxy lives: asked again whenever it breaks or says
-//! nothing.
+//! nothing. [`Had`] says what has been taken in, from which on each call asks: what a call has read and nobody has
+//! taken in is told again by the next.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use anyhow::{Context, Result, bail, ensure};
+use anyhow::{Context, Result, anyhow, bail, ensure};
 use border::pool::News;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
@@ -16,7 +19,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use tokio::net::TcpStream;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
 use crate::again::Again;
 
@@ -28,21 +31,43 @@
 const FIRST_GAP: f64 = 50.0;
 const LONGEST_GAP: f64 = 500.0;
 
+/// The number of the last event that was taken in.
+#[derive(Clone)]
+pub struct Had(Rc<(Cell<u64>, Notify)>);
+
+impl Had {
+    pub fn new(last: u64) -> Self {
+        Self(Rc::new((Cell::new(last), Notify::new())))
+    }
+
+    pub fn set(&self, last: u64) {
+        self.0.0.set(last);
+    }
+
+    /// What came can't be taken in: the present call is of no more use.
+    pub fn ask_again(&self) {
+        self.0.1.notify_one();
+    }
+
+    fn last(&self) -> u64 {
+        self.0.0.get()
+    }
+
+    async fn refused(&self) {
+        self.0.1.notified().await;
+    }
+}
+
 /// `address` may change while the proxy runs; the events' numbers go on.
-pub async fn follow(
-    mut address: watch::Receiver<SocketAddr>,
-    last: u64,
-    seed: u64,
-    news: mpsc::Sender<News>,
-) {
+pub async fn follow(mut address: watch::Receiver<SocketAddr>, had: Had, seed: u64, news: mpsc::Sender<News>) {
     let mut chance = Pcg64Mcg::seed_from_u64(seed);
-    let mut follower = Follower::new(last);
     let mut again = Again::new(FIRST_GAP, LONGEST_GAP);
     loop {
         let since = Instant::now();
         let at = *address.borrow_and_update();
         let broke = tokio::select! {
-            broke = answer(at, &mut follower, &news) => broke,
+            broke = answer(at, &had, &news) => broke,
+            () = had.refused() => Err(anyhow!("what it told can't be taken in")),
             changed = address.changed() => {
                 if changed.is_err() {
                     return;
@@ -66,17 +91,14 @@
 }
 
 /// One call, read until it ends.
-async fn answer(
-    address: SocketAddr,
-    follower: &mut Follower,
-    news: &mpsc::Sender<News>,
-) -> Result<Infallible> {
+async fn answer(address: SocketAddr, had: &Had, news: &mpsc::Sender<News>) -> Result<Infallible> {
     let stream =
         tokio::time::timeout(ANSWER_WAIT, TcpStream::connect(address)).await.context("connecting")??;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
     let connection = tokio::spawn(connection);
     // Whatever ends this call ends the connection with it.
     let _ended = AbortOnDrop(connection.abort_handle());
+    let mut follower = Follower::new(had.last());
     let request = Request::get("/changes")
         .header(header::HOST, address.to_string())
         .header(header::ACCEPT, "text/event-stream")
@@ -86,7 +108,6 @@
         tokio::time::timeout(ANSWER_WAIT, sender.send_request(request)).await.context("asking")??;
     ensure!(answer.status() == StatusCode::OK, "it answered {}", answer.status());
     let mut body = answer.into_body();
-    follower.begin();
     loop {
         let frame = tokio::time::timeout(SILENCE, body.frame()).await.context("silent")?;
         let Some(frame) = frame else { bail!("the answer ended") };
--- /dev/null
+++ b/daemon/tests/town/mod.rs
@@ -0,0 +1,403 @@
+//! `frostthread serve` as a process among callers, central servers and a change log of the test's own, each of which
+//! does on its sockets just what the story says. Every wait is for a condition, and bounded.
+
+#![allow(dead_code)] // each story uses some of it
+
+use std::collections::VecDeque;
+use std::fs;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use sip::{Answer, Message, Reader, Request, Start};
+use socket2::{Domain, SockRef, Socket, Type};
+
+pub const DESC: &str = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n";
+/// No wait of a story is longer.
+const LONGEST: Duration = Duration::from_secs(20);
+/// Past the time that the settings have a release awaited, with the protocol's slack.
+pub const RELEASED: Duration = Duration::from_millis(350);
+
+pub fn until<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + LONGEST;
+    while Instant::now() < end {
+        if let Some(found) = look() {
+            return found;
+        }
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    panic!("{what} did not come");
+}
+
+pub fn id(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+/// A central server's ear. What comes is accepted only when the story says so.
+pub struct Server {
+    pub name: String,
+    pub listener: TcpListener,
+}
+
+impl Server {
+    pub fn new(name: &str) -> Self {
+        Self { name: name.to_owned(), listener: TcpListener::bind("127.0.0.1:0").expect("a port") }
+    }
+
+    /// One whose connections take little that is not read, and that keeps one connection waiting at most.
+    pub fn narrow(name: &str) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("set");
+        socket.set_tcp_mss(536).expect("set");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("a port");
+        socket.listen(0).expect("an ear");
+        Self { name: name.to_owned(), listener: socket.into() }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("bound")
+    }
+
+    /// Connections of the story's own, until no further one comes up before some are accepted.
+    pub fn fill(&self) -> Vec<TcpStream> {
+        let dial = || TcpStream::connect_timeout(&self.address(), Duration::from_millis(100)).ok();
+        std::iter::from_fn(dial).collect()
+    }
+
+    pub fn accept(&self) -> Peer {
+        self.listener.set_nonblocking(true).expect("set");
+        let (stream, _) = until("a connection", || self.listener.accept().ok());
+        stream.set_nonblocking(false).expect("set");
+        stream.set_nodelay(true).expect("set");
+        Peer { stream, reader: Reader::default(), came: VecDeque::new() }
+    }
+
+    /// Its line of the list.
+    pub fn entry(&self, status: &str) -> Value {
+        json!({"name": self.name, "address": self.address().to_string(), "zone": "east", "type": "std",
+            "group": 0, "status": status, "weight": 1, "since_ms": 0})
+    }
+}
+
+/// A central server's end of a connection.
+pub struct Peer {
+    pub stream: TcpStream,
+    reader: Reader,
+    came: VecDeque<Message>,
+}
+
+impl Peer {
+    /// The next message, or none where the connection has ended.
+    pub fn next(&mut self) -> Option<Message> {
+        self.stream.set_read_timeout(Some(LONGEST)).expect("set");
+        loop {
+            if let Some(message) = self.came.pop_front() {
+                return Some(message);
+            }
+            let mut buffer = [0; 65536];
+            let read = match self.stream.read(&mut buffer) {
+                Ok(read) => read,
+                Err(error) if error.kind() == ErrorKind::ConnectionReset => 0,
+                Err(error) => panic!("no message came: {error}"),
+            };
+            if read == 0 {
+                return None;
+            }
+            self.reader.feed(&buffer[..read]);
+            while let Some(message) = self.reader.message().expect("sound") {
+                self.came.push_back(message);
+            }
+        }
+    }
+
+    /// The next message of a method, whatever else comes before it.
+    pub fn next_of(&mut self, method: &str) -> Message {
+        loop {
+            let message = self.next().expect("a message");
+            if matches!(&message.start, Start::Request { method: found, .. } if found == method) {
+                return message;
+            }
+        }
+    }
+
+    pub fn set_up(&mut self) -> Message {
+        self.next_of("INVITE")
+    }
+
+    pub fn say(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("written");
+    }
+
+    pub fn answer(&mut self, set_up: &Message, code: u16) {
+        let bytes = answer(set_up, code);
+        self.say(&bytes);
+    }
+
+    pub fn release(&mut self, call: &str, cause: u8) {
+        let reason = format!("Q.850;cause={cause}");
+        let headers = &[("Reason", reason.as_str())];
+        let bye = Request { method: "BYE", uri: "sip:x@net", call_id: call, number: 9, headers, body: b"" };
+        self.say(&bye.write());
+    }
+}
+
+/// The bytes of an answer to a set-up.
+pub fn answer(set_up: &Message, code: u16) -> Vec<u8> {
+    let body: &[u8] = if code == 200 { b"v=0\r\n" } else { b"" };
+    let (call_id, number) = (set_up.call_id.as_str(), set_up.number);
+    Answer { code, phrase: "x", call_id, number, method: "INVITE", headers: &[], body }.write()
+}
+
+/// A caller's connection.
+pub struct Caller {
+    pub stream: TcpStream,
+    lines: BufReader<TcpStream>,
+}
+
+impl Caller {
+    pub fn new(proxy: SocketAddr) -> Self {
+        let stream = until("its ear", || TcpStream::connect(proxy).ok());
+        stream.set_nodelay(true).expect("set");
+        stream.set_read_timeout(Some(LONGEST)).expect("set");
+        let lines = BufReader::new(stream.try_clone().expect("one more"));
+        Self { stream, lines }
+    }
+
+    pub fn say(&mut self, line: &Value) {
+        self.stream.write_all(format!("{line}\n").as_bytes()).expect("written");
+    }
+
+    pub fn offer(&mut self, call: &str) {
+        self.say(&offer(call, DESC));
+    }
+
+    /// A set-up that fills most of a message.
+    pub fn offer_much(&mut self, call: &str) {
+        self.say(&offer(call, &"x".repeat(15_000)));
+    }
+
+    pub fn end(&mut self, call: &str) {
+        self.say(&json!({"op": "end", "call": call, "with": {}, "why": 16}));
+    }
+
+    pub fn stands_at(&mut self, call: &str, server: &str) {
+        let with = json!({"class": "voice", "extras": format!("at:{server}")});
+        self.say(&json!({"op": "offer", "call": call, "with": with}));
+    }
+
+    /// Whether a test passes.
+    pub fn test(&mut self) -> bool {
+        self.say(&json!({"op": "test", "call": id(0xfe), "with": {}, "why": 0}));
+        self.line().expect("an answer")["why"] == 1
+    }
+
+    /// The next line, or none where the connection has ended.
+    pub fn line(&mut self) -> Option<Value> {
+        let mut line = String::new();
+        match self.lines.read_line(&mut line) {
+            Ok(0) => None,
+            Ok(_) => Some(serde_json::from_str(&line).expect("JSON")),
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => None,
+            Err(error) => panic!("no line came: {error}"),
+        }
+    }
+
+    /// The next line's operation and call.
+    pub fn told(&mut self) -> (String, String) {
+        let line = self.line().expect("a line");
+        let text = |field: &str| line[field].as_str().expect("text").to_owned();
+        (text("op"), text("call"))
+    }
+}
+
+fn offer(call: &str, desc: &str) -> Value {
+    json!({"op": "offer", "call": call, "with": {"class": "voice", "left": "8000", "key": "1"}, "desc": desc})
+}
+
+/// A change log's ear.
+pub struct Log {
+    listener: TcpListener,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self { listener: TcpListener::bind("127.0.0.1:0").expect("a port") }
+    }
+}
+
+impl Log {
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("bound")
+    }
+
+    /// Is asked; gives the connection, answered so far that events can follow, and what was asked for.
+    pub fn asked(&self) -> (TcpStream, u64) {
+        self.listener.set_nonblocking(true).expect("set");
+        let (mut stream, _) = until("a call for the list", || self.listener.accept().ok());
+        stream.set_nonblocking(false).expect("set");
+        stream.set_read_timeout(Some(LONGEST)).expect("set");
+        let mut lines = BufReader::new(stream.try_clone().expect("one more")).lines();
+        let head: Vec<String> =
+            lines.by_ref().map(|line| line.expect("text")).take_while(|line| !line.is_empty()).collect();
+        let last =
+            head.iter().find_map(|line| line.to_lowercase().strip_prefix("last-event-id: ")?.parse().ok());
+        let answer =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n: here\n\n";
+        stream.write_all(answer.as_bytes()).expect("written");
+        (stream, last.expect("a number"))
+    }
+}
+
+/// An event of the change log.
+pub fn event(seq: u64, entries: &[Value]) -> String {
+    let fleet = json!({"index": seq, "snapshot": false, "endpoints": entries});
+    format!("id: {seq}\ndata: {}\n\n", json!({"seq": seq, "fleet": fleet}))
+}
+
+/// One border proxy as a process, and what it was told at its start.
+pub struct Town {
+    folder: tempfile::TempDir,
+    pub proxy: SocketAddr,
+    pub log: Log,
+    configuration: Value,
+    /// How many descriptors the process may hold, where that is not what its configuration says.
+    pub descriptors_allowed: Option<u64>,
+    running: Option<Child>,
+}
+
+impl Drop for Town {
+    fn drop(&mut self) {
+        if let Some(mut running) = self.running.take() {
+            let _ = running.kill();
+            let _ = running.wait();
+        }
+    }
+}
+
+impl Town {
+    /// Started, with these central servers known and running.
+    pub fn new(servers: &[&Server]) -> Self {
+        let mut town = Self::idle(servers);
+        town.start();
+        town
+    }
+
+    /// Not started yet.
+    pub fn idle(servers: &[&Server]) -> Self {
+        let proxy = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+        let log = Log::default();
+        let entries: Vec<Value> = servers.iter().map(|server| server.entry("in_service")).collect();
+        let profile = json!({"name": "voice", "objective": 2.0, "deadline": 9.0, "worth": 1.0,
+            "late_worth": 0.1, "effect": "repeatable", "streamed": true});
+        let configuration = json!({
+            "name": "n0", "listen": proxy.to_string(), "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 48, "sockets": 1024},
+            "changelog": log.address().to_string(),
+            "known": {"seq": 1, "results": [
+                {"seq": 1, "fleet": {"index": 1, "snapshot": true, "endpoints": entries}}]},
+            "settings": {
+                "balancers": 1, "over_share_worth": 0.2, "profiles": [profile], "tenants": [],
+                "bounds": {"cancel": true, "connect_timeout": 3.0, "max_attempts": 4, "max_retry_after": 2.0,
+                    "may_probe": true, "open_cap": 1000, "peers": true, "retry_after": false},
+                "domain": {"clear_wait": 0.3, "gives_wait": false, "mean_hold": [8.0],
+                    "network_form": "skills", "pools_by_class": [[0]], "repeat": 0.5},
+                "feedback": {"how": "piggyback", "names": []},
+                "rules": {"cold": 14.0, "cold_from": 0.28, "fall": 1.0, "overload_factor": 2.5},
+            },
+        });
+        let folder = tempfile::tempdir().expect("a folder");
+        Self { folder, proxy, log, configuration, descriptors_allowed: None, running: None }
+    }
+
+    /// Changes a field of the configuration before it is written next.
+    pub fn set(&mut self, pointer: &str, value: Value) {
+        *self.configuration.pointer_mut(pointer).expect("a field") = value;
+    }
+
+    fn file(&self) -> PathBuf {
+        self.folder.path().join("config.json")
+    }
+
+    /// Writes the configuration as it is now, or the first part of it.
+    pub fn write(&self, part: f64) {
+        let text = self.configuration.to_string();
+        let length = (text.len() as f64 * part) as usize;
+        fs::write(self.file(), &text[..length]).expect("written");
+    }
+
+    pub fn text(&self) -> String {
+        self.configuration.to_string()
+    }
+
+    pub fn start(&mut self) {
+        self.write(1.0);
+        self.spawn();
+        assert!(Caller::new(self.proxy).test(), "ready");
+    }
+
+    /// Started, and in the middle of reading its configuration, from what is given; later it finds a file.
+    pub fn start_reading_a_pipe(&mut self) -> fs::File {
+        assert!(Command::new("mkfifo").arg(self.file()).status().expect("ran").success());
+        self.spawn();
+        // Comes back when the other end is open.
+        let pipe = fs::OpenOptions::new().write(true).open(self.file()).expect("opened");
+        fs::remove_file(self.file()).expect("removed");
+        self.write(1.0);
+        pipe
+    }
+
+    fn spawn(&mut self) {
+        let told = self.configuration["limits"]["sockets"].as_u64().expect("a number");
+        let sockets = self.descriptors_allowed.unwrap_or(told);
+        let run = format!("ulimit -n {sockets}; exec {} serve", env!("CARGO_BIN_EXE_frostthread"));
+        let mut command = Command::new("/bin/sh");
+        command.args(["-c", &run]).env("LB_CONFIG", self.file()).env_remove("LB_LISTEN");
+        let said = fs::File::create(self.folder.path().join("log")).expect("made");
+        command.env("RUST_LOG", "debug").stdout(said.try_clone().expect("one more")).stderr(said);
+        self.running = Some(command.stdin(Stdio::null()).spawn().expect("started"));
+    }
+
+    pub fn said(&self) -> String {
+        fs::read_to_string(self.folder.path().join("log")).expect("read")
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.running.as_ref().expect("running").id()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.pid().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("ran").success());
+    }
+
+    /// The process has no turn until [`Town::go_on`]: all that comes meanwhile crosses.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+        let stat = format!("/proc/{}/stat", self.pid());
+        until("its halt", || fs::read_to_string(&stat).ok().filter(|stat| stat.contains(") T ")));
+    }
+
+    pub fn go_on(&self) {
+        self.signal("-CONT");
+    }
+
+    /// How many descriptors the process holds.
+    pub fn descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.pid())).expect("listed").count()
+    }
+
+    /// Waits for the end of the process, which must be in order.
+    pub fn ended(&mut self) {
+        let mut running = self.running.take().expect("running");
+        let status = until("its end", || running.try_wait().expect("asked"));
+        assert!(status.success(), "{status:?}: {}", self.said());
+    }
+}
+
+/// Sends all at once at close, and what was not sent never: the other end is reset.
+pub fn reset(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
+}
