--- a/daemon/src/feed.rs
+++ b/daemon/src/feed.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 
-use crate::again::Again;
+use crate::backoff::Backoff;
 
 /// A feed that does not answer the call for a connection.
 const CONNECT_WAIT: Duration = Duration::from_secs(3);
@@ -25,15 +25,15 @@
     mut have: watch::Receiver<Option<u64>>,
 ) {
     let mut chance = Pcg64Mcg::seed_from_u64(seed);
-    let mut again = Again::default();
+    let mut backoff = Backoff::default();
     loop {
         let since = Instant::now();
         let broke = subscription(feed, &news, &mut have).await;
         if news.is_closed() {
             return;
         }
-        again.lived(since.elapsed().as_secs_f64() * 1000.0);
-        let gap = again.gap(&mut chance);
+        backoff.lived(since.elapsed().as_secs_f64() * 1000.0);
+        let gap = backoff.gap(&mut chance);
         if let Err(error) = broke {
             tracing::warn!(%feed, gap_ms = gap as u64, "pool.feed_broke: {error:#}");
         }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -4,8 +4,9 @@
 
 #![forbid(unsafe_code)]
 
-pub mod again;
 pub mod backlog;
+pub mod backoff;
+
 mod clock;
 pub mod control;
 pub mod council;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -28,8 +28,8 @@
 const RELOAD_PAUSE: f64 = 100.0;
 /// After SIGTERM set-ups still come for so long.
 const STOPPING: f64 = 750.0;
-/// What is owed when that is over, but for answers to set-ups, waits no longer than this: a release is due within a
-/// second, and connections that take nothing are given up.
+/// What is owed when that is over, but for answers to set-ups, waits no longer than this: a release is due
+/// within a second, and connections that take nothing are given up.
 const OWED: f64 = 1000.0;
 /// When all is said, connections are read for so long at most before they are closed.
 const LAST_READ: Duration = Duration::from_millis(100);
@@ -199,7 +199,8 @@
         Ok(ACCEPTED)
     }
 
-    /// Whether nothing is left to be done: asks each connection itself, since what has come may not have been told.
+    /// Whether nothing is left to be done: asks each connection itself, since what has come may not have been
+    /// told.
     fn is_done(&mut self, listener: &TcpListener, late: bool) -> bool {
         let mut told = self.accept(listener).is_ok_and(|accepted| accepted > 0);
         for conn in self.border.callers() {
--- a/daemon/src/watch_log.rs
+++ b/daemon/src/watch_log.rs
@@ -1,6 +1,6 @@
 //! Follows the change log over HTTP for as long as the proxy lives: asked again whenever it breaks or says
-//! nothing. [`Had`] says what has been taken in, from which on each call asks: what a call has read and nobody has
-//! taken in is told again by the next.
+//! nothing. [`Had`] says what has been taken in, from which on each call asks: what a call has read and
+//! nobody has taken in is told again by the next.
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -21,7 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc, watch};
 
-use crate::again::Again;
+use crate::backoff::Backoff;
 
 /// For the connection and for the head of the answer.
 const ANSWER_WAIT: Duration = Duration::from_millis(1500);
@@ -61,7 +61,7 @@
 /// `address` may change while the proxy runs; the events' numbers go on.
 pub async fn follow(mut address: watch::Receiver<SocketAddr>, had: Had, seed: u64, news: mpsc::Sender<News>) {
     let mut chance = Pcg64Mcg::seed_from_u64(seed);
-    let mut again = Again::new(FIRST_GAP, LONGEST_GAP);
+    let mut backoff = Backoff::new(FIRST_GAP, LONGEST_GAP);
     loop {
         let since = Instant::now();
         let at = *address.borrow_and_update();
@@ -79,8 +79,8 @@
         if news.is_closed() {
             return;
         }
-        again.lived(since.elapsed().as_secs_f64() * 1000.0);
-        let gap = again.gap(&mut chance);
+        backoff.lived(since.elapsed().as_secs_f64() * 1000.0);
+        let gap = backoff.gap(&mut chance);
         let Err(error) = broke;
         tracing::info!(gap_ms = gap as u64, "changelog.broke: {error:#}");
         tokio::select! {
--- a/daemon/src/wires.rs
+++ b/daemon/src/wires.rs
@@ -1,9 +1,9 @@
-//! Connections of a running border proxy: what is read of them and when, what is still to be written, dials. Nothing
-//! is decided here.
+//! Connections of a running border proxy: what is read of them and when, what is still to be written, dials.
+//! Nothing is decided here.
 //!
-//! [`Wires::add`] takes a connection up. An [`Arrival`] says that one has something to be read; [`Wires::read`] then
-//! gives it, in the order in which it came, and [`Wires::look`] gives at any time what has come by now, whether its
-//! arrival was told or not.
+//! [`Wires::add`] takes a connection up. An [`Arrival`] says that one has something to be read;
+//! [`Wires::read`] then gives it, in the order in which it came, and [`Wires::look`] gives at any time what
+//! has come by now, whether its arrival was told or not.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
@@ -246,8 +246,9 @@
         wire.read_on.notify_one();
     }
 
-    /// Says on all connections that nothing more will be sent, and gives up what is on its way; what still comes is
-    /// read and let fall, since a connection that is closed with bytes unread takes back what was just sent.
+    /// Says on all connections that nothing more will be sent, and gives up what is on its way; what still
+    /// comes is read and let fall, since a connection that is closed with bytes unread takes back what was
+    /// just sent.
     pub async fn end(&mut self, within: Duration) {
         self.dials.drain().for_each(|(_, dial)| dial.abort());
         for wire in self.wires.values() {
--- a/daemon/tests/crossings.rs
+++ b/daemon/tests/crossings.rs
@@ -1,5 +1,6 @@
-//! What crosses on the sockets of a running proxy: closes, signals, answers and events between two steps of it. Each
-//! crossing is forced, by peers that read or answer only when the story says so, or while the process has no turn.
+//! What crosses on the sockets of a running proxy: closes, signals, answers and events between two steps of
+//! it. Each crossing is forced, by peers that read or answer only when the story says so, or while the
+//! process has no turn.
 
 mod town;
 
--- a/daemon/tests/town/mod.rs
+++ b/daemon/tests/town/mod.rs
@@ -1,5 +1,5 @@
-//! `frostthread serve` as a process among callers, central servers and a change log of the test's own, each of which
-//! does on its sockets just what the story says. Every wait is for a condition, and bounded.
+//! `frostthread serve` as a process among callers, central servers and a change log of the test's own, each
+//! of which does on its sockets just what the story says. Every wait is for a condition, and bounded.
 
 #![allow(dead_code)] // each story uses some of it
 
--- a/proxy/src/border/hands.rs
+++ b/proxy/src/border/hands.rs
@@ -14,12 +14,12 @@
 use crate::causes;
 use crate::decided::Decided;
 use crate::earned::Earned;
-use crate::errands::Errands;
 use crate::hints::Hints;
 use crate::limits::FleetLimits;
 use crate::pool::PoolList;
 use crate::scribe::Scribe;
 use crate::status::Tally;
+use crate::timers::Timers;
 
 pub(super) struct Shot {
     pub(super) leg: Leg,
@@ -49,7 +49,7 @@
     pub(super) conversations: Vec<Option<Conversation>>,
     pub(super) by_caller: SecondaryMap<Leg, Handle>,
     pub(super) by_server: SecondaryMap<Leg, Handle>,
-    pub(super) errands: Errands<Leg>,
+    pub(super) timers: Timers<Leg>,
     pub(super) notes: VecDeque<String>,
     pub(super) tally: Tally,
     pub(super) now: f64,
@@ -128,7 +128,7 @@
         let Some(conversation) = self.conversation(handle) else { return };
         let carried = conversation.carried.clone();
         let Some(leg) = self.servers.call(now, peer, &carried) else {
-            return self.errands.unheard(handle, Ending::Moot);
+            return self.timers.unheard(handle, Ending::Moot);
         };
         self.tally.shots += 1;
         if let Some(limits) = &mut self.limits {
@@ -141,7 +141,7 @@
         self.witness(server, |evidence, life| evidence.shot(now, life));
         self.by_server.insert(leg, handle);
         self.conversation(handle).expect("just there").shot = Some(Shot { leg, server });
-        self.errands.time_out(now + time_out, leg);
+        self.timers.time_out(now + time_out, leg);
     }
 
     fn refuse(&mut self, handle: Handle, come_back: Option<f64>) {
@@ -160,12 +160,12 @@
 
     fn cancel(&mut self, handle: Handle, _shot: u16) {
         if self.hang_up_shot(handle, cause::NORMAL_CLEARING) {
-            self.errands.unheard(handle, Ending::Cancelled);
+            self.timers.unheard(handle, Ending::Cancelled);
         }
     }
 
     fn wake(&mut self, at: f64) {
-        self.errands.wake(at);
+        self.timers.wake(at);
     }
 
     fn probe(&mut self, server: Server) {
--- a/proxy/src/border/mod.rs
+++ b/proxy/src/border/mod.rs
@@ -24,11 +24,11 @@
 use crate::decided::Decided;
 use crate::decisions::Decisions;
 use crate::earned::Earned;
-use crate::errands::Errands;
 use crate::pool::{News, PoolList, Unfit};
 use crate::routes::Routes;
 use crate::scribe::Scribe;
 use crate::status::{Present, ServerStatus, Status, Tally};
+use crate::timers::Timers;
 use hands::Hands;
 
 /// Elements of a caller's NEW that its shots carry on.
@@ -109,7 +109,7 @@
                 conversations: Vec::new(),
                 by_caller: SecondaryMap::new(),
                 by_server: SecondaryMap::new(),
-                errands: Errands::default(),
+                timers: Timers::default(),
                 notes: VecDeque::new(),
                 tally: Tally::default(),
                 now,
@@ -222,7 +222,7 @@
         self.drain();
         self.hear_callers(0.0);
         self.hear_servers();
-        while let Some(leg) = self.hands.errands.timed_out(now) {
+        while let Some(leg) = self.hands.timers.timed_out(now) {
             let Some(&handle) = self.hands.by_server.get(leg) else { continue };
             let stands = self.hands.conversation(handle).is_none_or(|c| c.stands);
             if !stands && self.hands.hang_up_shot(handle, cause::RECOVERY_ON_TIMER) {
@@ -240,7 +240,7 @@
             self.allot();
             self.module.settle(&mut self.hands);
             // Each of these uses up a shot of its conversation, so there is an end to it.
-            let unheard = self.hands.errands.take_unheard();
+            let unheard = self.hands.timers.take_unheard();
             if unheard.is_empty() {
                 break;
             }
@@ -257,7 +257,7 @@
         let limits = hands.limits.as_ref().map(|limits| limits.due(hands.now));
         let decided = hands.decided.as_ref().map(Decided::due);
         let legs = [hands.callers.due(), hands.servers.due(), node, limits, decided];
-        legs.into_iter().flatten().fold(hands.errands.due(), f64::min)
+        legs.into_iter().flatten().fold(hands.timers.due(), f64::min)
     }
 
     /// The next datagram to send.
@@ -342,7 +342,7 @@
 
     fn at(&mut self, now: f64) {
         self.hands.now = now;
-        self.hands.errands.woken(now);
+        self.hands.timers.woken(now);
         self.module.at(now);
     }
 }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -11,16 +11,16 @@
 pub mod decided;
 mod decisions;
 mod earned;
-mod errands;
 pub mod hints;
 pub mod limits;
 pub mod pool;
 pub mod routes;
 pub mod scribe;
 pub mod status;
+mod timers;
 pub mod watch;
 
 pub use border::{BorderProxy, Outbound, ProxyTerms, Side};
 pub use decisions::Decisions;
-pub use errands::Errands;
+pub use timers::Timers;
 pub use watch::Watched;
--- a/proxy/src/errands.rs
+++ b/proxy/src/timers.rs
@@ -8,19 +8,19 @@
 use ordered_float::OrderedFloat;
 
 /// `K` names a shot on its wire.
-pub struct Errands<K> {
+pub struct Timers<K> {
     time_outs: BinaryHeap<Reverse<(OrderedFloat<f64>, K)>>,
     wake: f64,
     unheard: VecDeque<(Handle, Ending)>,
 }
 
-impl<K: Ord> Default for Errands<K> {
+impl<K: Ord> Default for Timers<K> {
     fn default() -> Self {
         Self { time_outs: BinaryHeap::new(), wake: f64::INFINITY, unheard: VecDeque::new() }
     }
 }
 
-impl<K: Ord + Clone> Errands<K> {
+impl<K: Ord + Clone> Timers<K> {
     /// The shot is to be given up then, if it is still out.
     pub fn time_out(&mut self, at: f64, shot: K) {
         self.time_outs.push(Reverse((OrderedFloat(at), shot)));
--- a/src/choice/central.rs
+++ b/src/choice/central.rs
@@ -92,8 +92,8 @@
         }
     }
 
-    /// All proxies are to have entered within this span, if that is shorter: each draw is drawn closer alike, since
-    /// the sooner of two draws would let in as many as both spans together.
+    /// All proxies are to have entered within this span, if that is shorter: each draw is drawn closer alike,
+    /// since the sooner of two draws would let in as many as both spans together.
     pub(super) fn enter_within(&mut self, now: f64, span: f64) {
         let span = span.min(self.entry.1);
         self.entry = (now + (self.entry.0 - now).max(0.0) * span / self.entry.1, span);
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -1,6 +1,6 @@
-//! The sum of all border proxies at a central server that has just started: modules beside each other under one clock,
-//! with uneven traffic and restarts. In no span of a fall may it get more than what the settings allow it then, and
-//! the chance of that number beside it.
+//! The sum of all border proxies at a central server that has just started: modules beside each other under
+//! one clock, with uneven traffic and restarts. In no span of a fall may it get more than what the settings
+//! allow it then, and the chance of that number beside it.
 
 mod fake;
 
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -1,5 +1,7 @@
 //! The one fake host of all stories: it writes down what the decisions ask for.
 
+#![allow(dead_code)] // each file of stories uses some of it
+
 use std::collections::HashMap;
 
 use frostthread::host::{Call, Ending, GradeTerms, Host, Listed, Server, State, TenantTerms, Terms};
