--- a/daemon/tests/crossings.rs
+++ b/daemon/tests/crossings.rs
@@ -9,7 +9,7 @@
 
 use rstest::rstest;
 use serde_json::json;
-use town::{Caller, DESC, Log, RELEASED, Server, Town, answer, event, id, until};
+use town::{Caller, DESC, Log, RELEASED, Server, Town, answer, answer_noted, event, id, until};
 
 /// How a caller goes.
 #[derive(Clone, Copy)]
@@ -255,6 +255,47 @@
     assert_eq!(caller.told(), ("accept".to_owned(), id(1)), "and only this one");
 }
 
+#[test]
+fn a_set_up_that_crosses_the_close_of_an_idle_connection_is_answered() {
+    let server = Server::new("s-0");
+    let town = Town::new(&[&server]);
+    let mut caller = Caller::new(town.proxy);
+    caller.offer(&id(1));
+    let mut peer = server.accept();
+    let set_up = peer.set_up();
+    peer.answer(&set_up, 200);
+    assert_eq!(caller.told(), ("accept".to_owned(), id(1)));
+    town.pause();
+    // The set-up comes first, so that it is decided on before the close is read.
+    caller.offer(&id(2));
+    drop(peer);
+    town.go_on();
+    let mut peer = server.accept();
+    let set_up = peer.set_up();
+    assert_eq!(set_up.call_id, id(2));
+    peer.answer(&set_up, 200);
+    assert_eq!(caller.told(), ("accept".to_owned(), id(2)));
+    peer.release(&id(1), 16);
+    assert_eq!(caller.told(), ("end".to_owned(), id(1)), "what stood still stands");
+}
+
+#[test]
+fn who_comes_again_the_moment_it_is_refused_is_answered_each_time_and_once() {
+    let server = Server::new("s-0");
+    let town = Town::new(&[&server]);
+    let mut caller = Caller::new(town.proxy);
+    caller.offer(&id(1));
+    let mut peer = server.accept();
+    for call in 1..20 {
+        let set_up = peer.set_up();
+        assert_eq!(set_up.call_id, id(call));
+        peer.say(&answer_noted(&set_up, 486, "engaged"));
+        assert_eq!(caller.told(), ("end".to_owned(), id(call)));
+        caller.offer_to(&id(call + 1), call + 1);
+    }
+    is_next(&mut peer, &id(20));
+}
+
 #[test]
 fn a_second_answer_some_milliseconds_later_is_no_second_answer_to_the_caller() {
     let server = Server::new("s-0");
--- a/daemon/tests/town/mod.rs
+++ b/daemon/tests/town/mod.rs
@@ -13,7 +13,7 @@
 
 use serde_json::{Value, json};
 use sip::{Answer, Message, Reader, Request, Start};
-use socket2::{Domain, SockRef, Socket, Type};
+use socket2::{Domain, Socket, Type};
 
 pub const DESC: &str = "9d41c07a5be2f318\r\nc=IN IP4 10.4.7.9\r\n";
 /// No wait of a story is longer.
@@ -146,9 +146,15 @@
 
 /// The bytes of an answer to a set-up.
 pub fn answer(set_up: &Message, code: u16) -> Vec<u8> {
+    answer_noted(set_up, code, "ok")
+}
+
+/// The same, with a note.
+pub fn answer_noted(set_up: &Message, code: u16, note: &str) -> Vec<u8> {
     let body: &[u8] = if code == 200 { b"v=0\r\n" } else { b"" };
     let (call_id, number) = (set_up.call_id.as_str(), set_up.number);
-    Answer { code, phrase: "x", call_id, number, method: "INVITE", headers: &[], body }.write()
+    let headers = &[("X-Outcome", note)];
+    Answer { code, phrase: "x", call_id, number, method: "INVITE", headers, body }.write()
 }
 
 /// A caller's connection.
@@ -171,12 +177,17 @@
     }
 
     pub fn offer(&mut self, call: &str) {
-        self.say(&offer(call, DESC));
+        self.say(&offer(call, 1, DESC));
+    }
+
+    /// To a called number of its own.
+    pub fn offer_to(&mut self, call: &str, called: u64) {
+        self.say(&offer(call, called, DESC));
     }
 
     /// A set-up that fills most of a message.
     pub fn offer_much(&mut self, call: &str) {
-        self.say(&offer(call, &"x".repeat(15_000)));
+        self.say(&offer(call, 1, &"x".repeat(15_000)));
     }
 
     pub fn end(&mut self, call: &str) {
@@ -213,8 +224,9 @@
     }
 }
 
-fn offer(call: &str, desc: &str) -> Value {
-    json!({"op": "offer", "call": call, "with": {"class": "voice", "left": "8000", "key": "1"}, "desc": desc})
+fn offer(call: &str, called: u64, desc: &str) -> Value {
+    let with = json!({"class": "voice", "left": "8000", "key": format!("{called:x}")});
+    json!({"op": "offer", "call": call, "with": with, "desc": desc})
 }
 
 /// A change log's ear.
@@ -396,8 +408,3 @@
         assert!(status.success(), "{status:?}: {}", self.said());
     }
 }
-
-/// Sends all at once at close, and what was not sent never: the other end is reset.
-pub fn reset(stream: TcpStream) {
-    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("set");
-}
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -123,8 +123,7 @@
     /// How long a caller waits for a try, as a share of the time limit: what most ask for, and how firmly.
     patience: (f64, u32),
     numbers: HashMap<u64, Number>,
-    /// When conversations were last taken, by tenant, and whether the next is in its share, if the fleet
-    /// knows.
+    /// When conversations were last taken, by tenant, and whether the next is in its share, if known.
     tenants: Vec<VecDeque<f64>>,
     shares: Vec<Option<bool>>,
 }
