--- a/daemon/tests/crossings.rs
+++ b/daemon/tests/crossings.rs
@@ -161,25 +161,27 @@
 
 #[test]
 fn events_read_from_a_log_that_moves_before_they_are_taken_in_are_told_again() {
-    const LAST: u64 = 2000;
+    const LAST: u64 = 8000;
     let server = Server::new("s-0");
     let mut town = Town::new(&[&server]);
     let (mut open, _) = town.log.asked();
     let next = Log::default();
     let events: Vec<String> = (2..=LAST).map(|seq| event(seq, &[server.entry("in_service")])).collect();
     town.set("/changelog", json!(next.address().to_string()));
-    town.pause();
-    open.write_all(events.concat().as_bytes()).expect("written");
     town.write(1.0);
+    let all = events.concat();
+    let told = std::thread::spawn(move || open.write_all(all.as_bytes()));
+    // More has been read by now than is taken in.
+    until("some events", || (town.taken_in().len() > 200).then_some(()));
     town.signal("-HUP");
-    town.go_on();
     let (mut stream, last) = next.asked();
+    assert!(last < LAST, "it moved in the midst of them");
     stream.write_all(events[last as usize - 1..].concat().as_bytes()).expect("written");
-    let taken_in = |seq: u64| format!("changelog.news version={seq} ");
-    until("the last event", || town.said().contains(&taken_in(LAST)).then_some(()));
-    let said = town.said();
-    let lost: Vec<u64> = (2..=LAST).filter(|&seq| !said.contains(&taken_in(seq))).collect();
+    until("the last event", || town.taken_in().contains(&LAST).then_some(()));
+    let taken_in = town.taken_in();
+    let lost: Vec<u64> = (2..=LAST).filter(|seq| !taken_in.contains(seq)).collect();
     assert!(lost.is_empty(), "of {last} that it says it had: {lost:?}");
+    let _ = told.join();
 }
 
 #[rstest]
--- a/daemon/tests/town/mod.rs
+++ b/daemon/tests/town/mod.rs
@@ -3,7 +3,7 @@
 
 #![allow(dead_code)] // each story uses some of it
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::fs;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -376,6 +376,13 @@
         fs::read_to_string(self.folder.path().join("log")).expect("read")
     }
 
+    /// The change log's events that it has looked at, by its log.
+    pub fn taken_in(&self) -> BTreeSet<u64> {
+        let said = self.said();
+        let numbers = said.lines().filter_map(|line| line.split_once("changelog.news version="));
+        numbers.filter_map(|(_, rest)| rest.split(' ').next()?.parse().ok()).collect()
+    }
+
     pub fn pid(&self) -> u32 {
         self.running.as_ref().expect("running").id()
     }
