A stop waits for slow readers, a start for its address; both forced on sockets

A process started while the former one of its name still listens ended with address in use (bind); it tries again each 20 ms for as long as a start may take, and ends on SIGTERM meanwhile. Its test is red without.

--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -24,6 +24,10 @@
 const ACCEPTED: usize = 16;
 /// Between two looks after accepting failed, as it does without descriptors.
 const ACCEPT_PAUSE: f64 = 50.0;
+/// A former process of this proxy may not have let go of the address yet: it is tried again so often, for as long as a
+/// start may take.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+const BIND_WITHIN: Duration = Duration::from_secs(30);
 /// Between two tries to read a new configuration that can't be read yet.
 const RELOAD_PAUSE: f64 = 100.0;
 /// After SIGTERM set-ups still come for so long.
@@ -239,17 +243,27 @@
     Ok(Some((UdpSocket::from_std(socket)?, all)))
 }
 
-fn bind(listen: SocketAddr) -> Result<TcpListener> {
+fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
     use socket2::{Domain, Protocol, Socket, Type};
-    let bound = || -> io::Result<TcpListener> {
-        let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&listen.into())?;
-        socket.listen(1024)?;
-        TcpListener::from_std(socket.into())
-    };
-    bound().with_context(|| format!("listening on {listen}"))
+    let socket = Socket::new(Domain::for_address(listen), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&listen.into())?;
+    socket.listen(1024)?;
+    TcpListener::from_std(socket.into())
+}
+
+async fn bind_when_free(listen: SocketAddr) -> Result<TcpListener> {
+    let began = Instant::now();
+    loop {
+        match bind(listen) {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && began.elapsed() < BIND_WITHIN => {
+                tracing::info!(%listen, "address.in_use");
+                tokio::time::sleep(BIND_PAUSE).await;
+            }
+            bound => return bound.with_context(|| format!("listening on {listen}")),
+        }
+    }
 }
 
 async fn run(signals: Signals, path: String, plan: Plan, listen: SocketAddr) -> Result<()> {
@@ -257,8 +271,12 @@
     let clock = Clock(Instant::now());
     let border = Border::new(&plan, clock.now(), unix())?;
     let (arrivals_in, mut arrivals) = mpsc::unbounded_channel();
+    let listener = tokio::select! {
+        listener = bind_when_free(listen) => listener?,
+        _ = terminate.recv() => return Ok(()),
+        _ = interrupt.recv() => return Ok(()),
+    };
     let peers = bind_peers(&plan)?;
-    let listener = bind(listen)?;
     let (changelog, changelog_out) = watch::channel(plan.changelog);
     let had = Had::new(border.last());
     let (news_in, mut news) = mpsc::channel(16);
--- a/daemon/tests/crossings.rs
+++ b/daemon/tests/crossings.rs
@@ -9,7 +9,7 @@
 
 use rstest::rstest;
 use serde_json::json;
-use town::{Caller, DESC, Log, RELEASED, Server, Town, answer, answer_noted, event, id, until};
+use town::{Caller, DESC, Log, RELEASED, Server, Town, answer, answer_long, answer_noted, event, id, until};
 
 /// How a caller goes.
 #[derive(Clone, Copy)]
@@ -462,6 +462,44 @@
     assert_eq!(caller.told(), ("accept".to_owned(), id(2)), "and no second release");
 }
 
+#[test]
+fn the_next_process_waits_until_the_former_has_let_go_of_the_address() {
+    let server = Server::new("s-0");
+    let mut town = Town::new(&[&server]);
+    let mut next = town.beside();
+    until("its wait", || next.said().contains("address.in_use").then_some(()));
+    town.signal("-TERM");
+    town.ended();
+    until("its turn", || next.said().contains("proxy.ready").then_some(()));
+    assert!(Caller::new(next.proxy).test());
+    next.signal("-TERM");
+    next.ended();
+}
+
+#[test]
+fn answers_that_a_slow_reader_has_not_taken_by_the_end_of_the_stop_are_waited_for() {
+    const CALLS: u64 = 12;
+    let server = Server::new("s-0");
+    let mut town = Town::new(&[&server]);
+    let mut caller = Caller::narrow(town.proxy);
+    for call in 1..=CALLS {
+        caller.offer_to(&id(call), call);
+    }
+    let mut peers = vec![server.accept()];
+    for _ in 0..CALLS {
+        let (which, set_up) = town::next_set_up(&server, &mut peers);
+        peers[which].say(&answer_long(&set_up, &"x".repeat(15_000)));
+    }
+    until("all answers", || (town.said().matches("call.stands").count() as u64 == CALLS).then_some(()));
+    town.signal("-TERM");
+    town.pause();
+    std::thread::sleep(std::time::Duration::from_millis(800));
+    town.go_on();
+    let told: Vec<_> = (0..CALLS).map(|_| caller.told().0).collect();
+    assert!(told.iter().all(|op| op == "accept"), "{told:?}");
+    town.ended();
+}
+
 #[test]
 fn a_call_named_while_its_server_is_replaced_is_over_as_soon_as_the_list_says_so() {
     let (server, late) = (Server::new("s-0"), Server::new("s-1"));
--- a/daemon/tests/town/mod.rs
+++ b/daemon/tests/town/mod.rs
@@ -70,9 +70,7 @@
     pub fn accept(&self) -> Peer {
         self.listener.set_nonblocking(true).expect("set");
         let (stream, _) = until("a connection", || self.listener.accept().ok());
-        stream.set_nonblocking(false).expect("set");
-        stream.set_nodelay(true).expect("set");
-        Peer { stream, reader: Reader::default(), came: VecDeque::new() }
+        Peer::of(stream)
     }
 
     /// Its line of the list.
@@ -90,6 +88,27 @@
 }
 
 impl Peer {
+    fn of(stream: TcpStream) -> Self {
+        stream.set_nonblocking(false).expect("set");
+        stream.set_nodelay(true).expect("set");
+        Self { stream, reader: Reader::default(), came: VecDeque::new() }
+    }
+
+    /// The next message of a method, if one is there by now.
+    fn ready(&mut self, method: &str) -> Option<Message> {
+        self.stream.set_nonblocking(true).expect("set");
+        let mut buffer = [0; 65536];
+        while let Ok(read @ 1..) = self.stream.read(&mut buffer) {
+            self.reader.feed(&buffer[..read]);
+            while let Some(message) = self.reader.message().expect("sound") {
+                self.came.push_back(message);
+            }
+        }
+        self.stream.set_nonblocking(false).expect("set");
+        let at = self.came.iter().position(|message| message.method == method)?;
+        self.came.remove(at)
+    }
+
     /// The next message, or none where the connection has ended.
     pub fn next(&mut self) -> Option<Message> {
         self.stream.set_read_timeout(Some(LONGEST)).expect("set");
@@ -152,11 +171,31 @@
 /// The same, with a note.
 pub fn answer_noted(set_up: &Message, code: u16, note: &str) -> Vec<u8> {
     let body: &[u8] = if code == 200 { b"v=0\r\n" } else { b"" };
+    answer_with(set_up, code, note, body)
+}
+
+/// A good answer with a long description.
+pub fn answer_long(set_up: &Message, desc: &str) -> Vec<u8> {
+    answer_with(set_up, 200, "ok", desc.as_bytes())
+}
+
+fn answer_with(set_up: &Message, code: u16, note: &str, body: &[u8]) -> Vec<u8> {
     let (call_id, number) = (set_up.call_id.as_str(), set_up.number);
     let headers = &[("X-Outcome", note)];
     Answer { code, phrase: "x", call_id, number, method: "INVITE", headers, body }.write()
 }
 
+/// The next set-up on any connection of a server, those that come up meanwhile among them; with its connection.
+pub fn next_set_up(server: &Server, peers: &mut Vec<Peer>) -> (usize, Message) {
+    server.listener.set_nonblocking(true).expect("set");
+    until("a set-up", || {
+        if let Ok((stream, _)) = server.listener.accept() {
+            peers.push(Peer::of(stream));
+        }
+        peers.iter_mut().enumerate().find_map(|(which, peer)| Some((which, peer.ready("INVITE")?)))
+    })
+}
+
 /// A caller's connection.
 pub struct Caller {
     pub stream: TcpStream,
@@ -165,7 +204,19 @@
 
 impl Caller {
     pub fn new(proxy: SocketAddr) -> Self {
-        let stream = until("its ear", || TcpStream::connect(proxy).ok());
+        Self::on(until("its ear", || TcpStream::connect(proxy).ok()))
+    }
+
+    /// One whose connection takes little that is not read.
+    pub fn narrow(proxy: SocketAddr) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+        socket.set_recv_buffer_size(4096).expect("set");
+        socket.set_tcp_mss(536).expect("set");
+        socket.connect(&proxy.into()).expect("its ear");
+        Self::on(socket.into())
+    }
+
+    fn on(stream: TcpStream) -> Self {
         stream.set_nodelay(true).expect("set");
         stream.set_read_timeout(Some(LONGEST)).expect("set");
         let lines = BufReader::new(stream.try_clone().expect("one more"));
@@ -350,6 +401,17 @@
         assert!(Caller::new(self.proxy).test(), "ready");
     }
 
+    /// A second process of the same proxy, started while this one is there.
+    pub fn beside(&self) -> Self {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (configuration, log) = (self.configuration.clone(), Log::default());
+        let (proxy, descriptors_allowed) = (self.proxy, self.descriptors_allowed);
+        let mut town = Self { folder, proxy, log, configuration, descriptors_allowed, running: None };
+        town.write(1.0);
+        town.spawn();
+        town
+    }
+
     /// Started, and in the middle of reading its configuration, from what is given; later it finds a file.
     pub fn start_reading_a_pipe(&mut self) -> fs::File {
         assert!(Command::new("mkfifo").arg(self.file()).status().expect("ran").success());
