--- a/terms/src/lib.rs
+++ b/terms/src/lib.rs
@@ -42,14 +42,23 @@
         self.0.get(key).map(String::as_str).with_context(|| format!("setting {key} is missing"))
     }
 
-    fn value<T: FromStr>(&self, key: &str) -> Result<T> {
+    fn value<T: FromStr>(&self, key: &str, wanted: &str) -> Result<T> {
         let text = self.text(key)?;
-        text.parse().ok().with_context(|| format!("setting {key} has no use for {text:?}"))
+        text.parse().ok().with_context(|| format!("setting {key} is {text:?}, wanted is {wanted}"))
+    }
+
+    fn flag(&self, key: &str) -> Result<bool> {
+        self.value(key, "true or false")
+    }
+
+    fn whole<T: FromStr>(&self, key: &str) -> Result<T> {
+        self.value(key, "a whole number")
     }
 
     fn number(&self, key: &str) -> Result<f64> {
-        let number: f64 = self.value(key)?;
-        ensure!(number.is_finite() && number >= 0.0, "setting {key} is {number}");
+        const WANTED: &str = "a number of 0 or more";
+        let number: f64 = self.value(key, WANTED)?;
+        ensure!(number.is_finite() && number >= 0.0, "setting {key} is {number}, wanted is {WANTED}");
         Ok(number)
     }
 
@@ -58,14 +67,30 @@
         Ok(self.number(key)? * 1000.0)
     }
 
+    /// A time without which nothing can be reckoned.
+    fn span(&self, key: &str) -> Result<f64> {
+        let span = self.millis(key)?;
+        ensure!(span > 0.0, "setting {key} is {span}, wanted is a time over 0");
+        Ok(span)
+    }
+
+    /// How many there are of something that there must be one of.
+    fn some(&self, key: &str) -> Result<u32> {
+        let some = self.whole(key)?;
+        ensure!(some > 0, "setting {key} is 0, wanted is 1 or more");
+        Ok(some)
+    }
+
     fn list<T: FromStr>(&self, key: &str) -> Result<Vec<T>> {
         let parts = self.text(key)?.split(',').filter(|part| !part.is_empty());
-        let parse = |part: &str| part.parse().ok().with_context(|| format!("setting {key}: {part:?}"));
+        let parse = |part: &str| {
+            part.parse().ok().with_context(|| format!("setting {key} holds {part:?}, wanted are numbers"))
+        };
         parts.map(parse).collect()
     }
 
     fn count(&self, key: &str) -> Result<usize> {
-        let count = self.value(key)?;
+        let count = self.whole(key)?;
         ensure!(count <= LONGEST_LIST, "setting {key} is {count}, over {LONGEST_LIST}");
         Ok(count)
     }
@@ -141,10 +166,8 @@
     }
 
     pub fn terms(&self) -> Result<Terms> {
-        ensure!(
-            self.text("domain.network_form")? == "skills",
-            "setting domain.network_form: only 'skills' is served"
-        );
+        let form = self.text("domain.network_form")?;
+        ensure!(form == "skills", "setting domain.network_form is {form:?}, wanted is 'skills'");
         let holds: Vec<f64> = self.list("domain.mean_hold")?;
         let grades: Vec<GradeTerms> =
             (0..self.count("profiles.count")?).map(|i| grade(self, i, &holds)).collect::<Result<_>>()?;
@@ -152,36 +175,36 @@
         let tenants = if self.0.contains_key("tenants.count") { self.count("tenants.count")? } else { 0 };
         let tenant = |i| Ok(TenantTerms { quota: self.number(&format!("tenants.{i}.quota_rps"))? });
         Ok(Terms {
-            proxies: self.value("balancers")?,
+            proxies: self.some("balancers")?,
             grades,
             tenants: (0..tenants).map(tenant).collect::<Result<_>>()?,
             over_share: if tenants > 0 { self.number("over_share_worth")? } else { 1.0 },
-            max_shots: self.value("bounds.max_attempts")?,
-            longest_advice: if self.value("bounds.retry_after")? {
+            max_shots: self.some("bounds.max_attempts")?,
+            longest_advice: if self.flag("bounds.retry_after")? {
                 Some(self.millis("bounds.max_retry_after")?)
             } else {
                 None
             },
-            may_cancel: self.value("bounds.cancel")?,
-            may_probe: self.value("bounds.may_probe")?,
+            may_cancel: self.flag("bounds.cancel")?,
+            may_probe: self.flag("bounds.may_probe")?,
             release: self.millis("domain.clear_wait")?,
             repeat: self.millis("domain.repeat")?,
-            nacks_name_wait: self.value("domain.gives_wait")?,
+            nacks_name_wait: self.flag("domain.gives_wait")?,
             cold: self.millis("rules.cold")?,
             cold_from: self.number("rules.cold_from")?,
             fall_multiple: self.number("rules.overload_factor")?,
-            fall_span: self.millis("rules.fall")?,
+            fall_span: self.span("rules.fall")?,
         })
     }
 
     /// How long a connection to a central server may take to come up.
     pub fn connect_time_out(&self) -> Result<f64> {
-        self.millis("bounds.connect_timeout")
+        self.span("bounds.connect_timeout")
     }
 
     /// How many conversations a proxy may have open.
     pub fn most_open(&self) -> Result<usize> {
-        self.value("bounds.open_cap")
+        self.whole("bounds.open_cap")
     }
 }
 
@@ -234,12 +257,12 @@
     let repeatable = match pairs.text(&effect)? {
         "repeatable" => true,
         "once" | "by_key" => false,
-        other => bail!("setting {effect} has no use for {other:?}"),
+        other => bail!("setting {effect} is {other:?}, wanted is 'repeatable', 'by_key' or 'once'"),
     };
     let hold = holds.get(i).copied().filter(|hold| hold.is_finite() && *hold > 0.0);
     Ok(GradeTerms {
-        quoted: pairs.millis(&key("objective"))?,
-        limit: pairs.millis(&key("deadline"))?,
+        quoted: pairs.span(&key("objective"))?,
+        limit: pairs.span(&key("deadline"))?,
         hold: hold.with_context(|| format!("setting domain.mean_hold: none for grade {i}"))? * 1000.0,
         earnings: pairs.number(&key("worth"))?,
         late: pairs.number(&key("late_worth"))?,
