--- a/daemon/tests/crossings.rs
+++ b/daemon/tests/crossings.rs
@@ -28,6 +28,18 @@
     Some(caller)
 }
 
+/// A call whose first attempt is out.
+fn one_out() -> (Server, Town, Caller, town::Peer, sip::Message) {
+    let server = Server::new("s-0");
+    let town = Town::new(&[&server]);
+    let mut caller = Caller::new(town.proxy);
+    caller.offer(&id(1));
+    let mut peer = server.accept();
+    let set_up = peer.set_up();
+    assert_eq!(set_up.call_id, id(1));
+    (server, town, caller, peer, set_up)
+}
+
 /// The next set-up is of this call: none came of another before.
 fn is_next(peer: &mut town::Peer, call: &str) {
     assert_eq!(peer.set_up().call_id, call);
@@ -60,12 +72,7 @@
 fn no_repeat_is_sent_in_the_turn_in_which_the_callers_end_is_yet_to_be_read(
     #[values(Goes::Closes, Goes::Halfway, Goes::Cancels)] how: Goes,
 ) {
-    let server = Server::new("s-0");
-    let town = Town::new(&[&server]);
-    let mut caller = Caller::new(town.proxy);
-    caller.offer(&id(1));
-    let mut peer = server.accept();
-    let set_up = peer.set_up();
+    let (_server, town, caller, mut peer, set_up) = one_out();
     let mut crowd: Vec<Caller> = (0..200).map(|_| Caller::new(town.proxy)).collect();
     assert!(crowd.iter_mut().all(Caller::test), "all are taken on");
     town.pause();
@@ -128,12 +135,7 @@
 
 #[test]
 fn signals_that_come_twice_and_together_end_it_once_and_in_order() {
-    let server = Server::new("s-0");
-    let mut town = Town::new(&[&server]);
-    let mut caller = Caller::new(town.proxy);
-    caller.offer(&id(1));
-    let mut peer = server.accept();
-    let set_up = peer.set_up();
+    let (_server, mut town, mut caller, mut peer, set_up) = one_out();
     town.pause();
     for name in ["-HUP", "-TERM", "-HUP", "-TERM"] {
         town.signal(name);
@@ -239,12 +241,7 @@
 #[case::in_the_head(0.3)]
 #[case::in_the_body(0.98)]
 fn an_answer_that_is_cut_off_is_none_and_the_release_is_awaited(#[case] part: f64) {
-    let server = Server::new("s-0");
-    let town = Town::new(&[&server]);
-    let mut caller = Caller::new(town.proxy);
-    caller.offer(&id(1));
-    let mut peer = server.accept();
-    let set_up = peer.set_up();
+    let (server, _town, mut caller, mut peer, set_up) = one_out();
     let whole = answer(&set_up, 200);
     peer.say(&whole[..(whole.len() as f64 * part) as usize]);
     let ended = std::time::Instant::now();
@@ -259,12 +256,7 @@
 
 #[test]
 fn a_set_up_that_crosses_the_close_of_an_idle_connection_is_answered() {
-    let server = Server::new("s-0");
-    let town = Town::new(&[&server]);
-    let mut caller = Caller::new(town.proxy);
-    caller.offer(&id(1));
-    let mut peer = server.accept();
-    let set_up = peer.set_up();
+    let (server, town, mut caller, mut peer, set_up) = one_out();
     peer.answer(&set_up, 200);
     assert_eq!(caller.told(), ("accept".to_owned(), id(1)));
     town.pause();
@@ -300,12 +292,7 @@
 
 #[test]
 fn a_second_answer_some_milliseconds_later_is_no_second_answer_to_the_caller() {
-    let server = Server::new("s-0");
-    let town = Town::new(&[&server]);
-    let mut caller = Caller::new(town.proxy);
-    caller.offer(&id(1));
-    let mut peer = server.accept();
-    let set_up = peer.set_up();
+    let (_server, _town, mut caller, mut peer, set_up) = one_out();
     peer.answer(&set_up, 200);
     assert_eq!(caller.told(), ("accept".to_owned(), id(1)));
     peer.answer(&set_up, 200);
@@ -316,12 +303,7 @@
 
 #[rstest]
 fn an_answer_to_a_caller_who_went_is_let_go(#[values(Goes::Closes, Goes::Cancels)] how: Goes) {
-    let server = Server::new("s-0");
-    let town = Town::new(&[&server]);
-    let mut caller = Caller::new(town.proxy);
-    caller.offer(&id(1));
-    let mut peer = server.accept();
-    let set_up = peer.set_up();
+    let (_server, town, caller, mut peer, set_up) = one_out();
     // The answer is held until it is seen that the caller went.
     let kept = goes(caller, how, &id(1));
     peer.next_of("CANCEL");
@@ -438,12 +420,7 @@
 
 #[test]
 fn a_call_that_stands_is_released_once_by_the_next_process() {
-    let server = Server::new("s-0");
-    let mut town = Town::new(&[&server]);
-    let mut caller = Caller::new(town.proxy);
-    caller.offer(&id(1));
-    let mut peer = server.accept();
-    let set_up = peer.set_up();
+    let (server, mut town, mut caller, mut peer, set_up) = one_out();
     peer.answer(&set_up, 200);
     assert_eq!(caller.told().0, "accept");
     town.signal("-TERM");
