A start waits for its peers' address too, not for its listener alone

By rereading: a former process lets go of its listener before its other sockets, so the next one could bind that and then end on the peers' address in use (bind_peers). Both are tried again alike; the stories' processes have a peers' address now. Not forced: the span between the two is the former's last 100 ms.

--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -236,11 +236,10 @@
     LocalSet::new().run_until(run(signals, path, plan, listen)).await
 }
 
-fn bind_peers(plan: &Plan) -> Result<Option<(UdpSocket, SocketAddr)>> {
-    let Some((own, all)) = plan.peer_listen.zip(plan.peers_all) else { return Ok(None) };
-    let socket = std::net::UdpSocket::bind(own).with_context(|| format!("peer_listen {own}"))?;
+fn bind_peers(own: SocketAddr) -> io::Result<UdpSocket> {
+    let socket = std::net::UdpSocket::bind(own)?;
     socket.set_nonblocking(true)?;
-    Ok(Some((UdpSocket::from_std(socket)?, all)))
+    UdpSocket::from_std(socket)
 }
 
 fn bind(listen: SocketAddr) -> io::Result<TcpListener> {
@@ -253,30 +252,38 @@
     TcpListener::from_std(socket.into())
 }
 
-async fn bind_when_free(listen: SocketAddr) -> Result<TcpListener> {
+async fn when_free<T>(address: SocketAddr, bind: fn(SocketAddr) -> io::Result<T>) -> Result<T> {
     let began = Instant::now();
     loop {
-        match bind(listen) {
+        match bind(address) {
             Err(error) if error.kind() == ErrorKind::AddrInUse && began.elapsed() < BIND_WITHIN => {
-                tracing::info!(%listen, "address.in_use");
+                tracing::info!(%address, "address.in_use");
                 tokio::time::sleep(BIND_PAUSE).await;
             }
-            bound => return bound.with_context(|| format!("listening on {listen}")),
+            bound => return bound.with_context(|| format!("listening on {address}")),
         }
     }
 }
 
+/// The listener, and where there are peers the socket for them and the address of all.
+type Ears = (TcpListener, Option<(UdpSocket, SocketAddr)>);
+
+async fn bind_all(listen: SocketAddr, plan: &Plan) -> Result<Ears> {
+    let listener = when_free(listen, bind).await?;
+    let Some((own, all)) = plan.peer_listen.zip(plan.peers_all) else { return Ok((listener, None)) };
+    Ok((listener, Some((when_free(own, bind_peers).await?, all))))
+}
+
 async fn run(signals: Signals, path: String, plan: Plan, listen: SocketAddr) -> Result<()> {
     let Signals { mut terminate, mut interrupt, mut hang_up } = signals;
     let clock = Clock(Instant::now());
     let border = Border::new(&plan, clock.now(), unix())?;
     let (arrivals_in, mut arrivals) = mpsc::unbounded_channel();
-    let listener = tokio::select! {
-        listener = bind_when_free(listen) => listener?,
+    let (listener, peers) = tokio::select! {
+        ears = bind_all(listen, &plan) => ears?,
         _ = terminate.recv() => return Ok(()),
         _ = interrupt.recv() => return Ok(()),
     };
-    let peers = bind_peers(&plan)?;
     let (changelog, changelog_out) = watch::channel(plan.changelog);
     let had = Had::new(border.last());
     let (news_in, mut news) = mpsc::channel(16);
--- a/daemon/tests/town/mod.rs
+++ b/daemon/tests/town/mod.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::fs;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -351,6 +351,7 @@
     /// Not started yet.
     pub fn idle(servers: &[&Server]) -> Self {
         let proxy = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+        let peers = UdpSocket::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
         let log = Log::default();
         let entries: Vec<Value> = servers.iter().map(|server| server.entry("in_service")).collect();
         let profile = json!({"name": "voice", "objective": 2.0, "deadline": 9.0, "worth": 1.0,
@@ -359,6 +360,7 @@
             "name": "n0", "listen": proxy.to_string(), "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 48, "sockets": 1024},
             "changelog": log.address().to_string(),
+            "peer_listen": peers.to_string(), "peers_all": peers.to_string(),
             "known": {"seq": 1, "results": [
                 {"seq": 1, "fleet": {"index": 1, "snapshot": true, "endpoints": entries}}]},
             "settings": {
