--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod backlog;
 pub mod backoff;
-
 mod clock;
 pub mod control;
 pub mod council;
--- a/daemon/src/wires.rs
+++ b/daemon/src/wires.rs
@@ -28,7 +28,8 @@
 const DISMISSED: Duration = Duration::from_millis(2000);
 const DISCARDED: usize = 128 << 20;
 
-/// What the tasks of connections tell; each has one untold arrival at most, so that they need no bound.
+/// What the tasks of connections tell; each has one untold arrival of a kind at most, so that they need no
+/// bound.
 pub enum Arrival {
     Up(Conn, TcpStream),
     /// It has something to be read, or has ended.
