Distribution: the state of all scopes, with proofs and reading on from any place

Change: new crate distribution/. Removals are remembered up to a bound; whoever is below it is told to start over.

Ruled out: a sorted Merkle tree (absence needs two paths, which do not fit a datagram beside the seal); pages by key with an as-of version and separate deltas after them (two cursors and two kinds of message for one order).

--- /dev/null
+++ b/distribution/src/content.rs
@@ -0,0 +1,93 @@
+//! The live entries of one scope and their digest: what a subscriber puts in force.
+
+use std::collections::BTreeMap;
+
+use agree::Hash;
+
+use crate::Version;
+use crate::entry::{Entry, Key};
+
+/// The digest of a scope that holds nothing, also of one that never did.
+pub const EMPTY: Hash = [0; 32];
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Stored {
+    version: Version,
+    value: Vec<u8>,
+    hash: Hash,
+}
+
+/// The live entries of a scope, by key.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Content {
+    entries: BTreeMap<Key, Stored>,
+}
+
+impl Content {
+    /// Puts an entry in the place of the former one of its key.
+    pub fn insert(&mut self, entry: Entry) {
+        let hash = hash_of(&entry);
+        let Entry { key, version, value } = entry;
+        self.entries.insert(key, Stored { version, value, hash });
+    }
+
+    /// Takes an entry away.
+    pub fn remove(&mut self, key: &Key) {
+        self.entries.remove(key);
+    }
+
+    /// The value of a key, and the decision that gave it.
+    pub fn get(&self, key: &Key) -> Option<(Version, &[u8])> {
+        self.entries.get(key).map(|stored| (stored.version, &stored.value[..]))
+    }
+
+    /// All entries in the order of their keys: key, version, value.
+    pub fn iter(&self) -> impl Iterator<Item = (&Key, Version, &[u8])> {
+        self.entries.iter().map(|(key, stored)| (key, stored.version, &stored.value[..]))
+    }
+
+    /// All entries in the order of their keys.
+    pub fn entries(&self) -> Vec<Entry> {
+        let entry = |(key, version, value): (&Key, Version, &[u8])| {
+            let (key, value) = (key.clone(), value.to_vec());
+            Entry { key, version, value }
+        };
+        self.iter().map(entry).collect()
+    }
+
+    /// How many entries there are.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there is no entry.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// BLAKE3 over the entries in key order (key, version, value); [`EMPTY`] without any.
+    pub fn digest(&self) -> Hash {
+        if self.is_empty() {
+            return EMPTY;
+        }
+        let mut hasher = blake3::Hasher::new_derive_key("frostthread distribution 1 scope");
+        for stored in self.entries.values() {
+            hasher.update(&stored.hash);
+        }
+        *hasher.finalize().as_bytes()
+    }
+}
+
+impl FromIterator<Entry> for Content {
+    fn from_iter<I: IntoIterator<Item = Entry>>(entries: I) -> Self {
+        let mut content = Self::default();
+        entries.into_iter().for_each(|entry| content.insert(entry));
+        content
+    }
+}
+
+fn hash_of(entry: &Entry) -> Hash {
+    let mut hasher = blake3::Hasher::new_derive_key("frostthread distribution 1 entry");
+    hasher.update(&postcard::to_stdvec(entry).expect("plain data"));
+    *hasher.finalize().as_bytes()
+}
--- /dev/null
+++ b/distribution/src/cursor.rs
@@ -0,0 +1,58 @@
+//! A place in the changes of a scope, ordered by version and, within a version, by key.
+
+use std::ops::Bound;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Version;
+use crate::entry::Key;
+
+/// Up to where the changes of a scope are known. A key that is changed again moves to its newer place, so
+/// that reading on from a cursor never misses a change, whatever was changed since.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Cursor {
+    /// All changes of earlier versions are known.
+    pub version: Version,
+    /// Of this version, those up to this key; all of them where there is none.
+    pub key: Option<Key>,
+}
+
+impl Cursor {
+    /// All changes up to a version, that one included.
+    pub fn all_of(version: Version) -> Self {
+        Self { version, key: None }
+    }
+
+    /// All changes up to one of them, that one included.
+    pub fn at(version: Version, key: Key) -> Self {
+        Self { version, key: Some(key) }
+    }
+
+    /// Where reading goes on.
+    pub(crate) fn bound(&self) -> Bound<(Version, Option<Key>)> {
+        match &self.key {
+            Some(key) => Bound::Excluded((self.version, Some(key.clone()))),
+            // No key sorts before every key.
+            None => Bound::Included((self.version.saturating_add(1), None)),
+        }
+    }
+
+    /// Whether the change of a key at a version is known up to here.
+    pub fn covers(&self, version: Version, key: &Key) -> bool {
+        version < self.version
+            || version == self.version && self.key.as_ref().is_none_or(|of_version| key <= of_version)
+    }
+}
+
+impl PartialOrd for Cursor {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Cursor {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        let place = |cursor: &Self| (cursor.version, cursor.key.is_none());
+        place(self).cmp(&place(other)).then_with(|| self.key.cmp(&other.key))
+    }
+}
--- /dev/null
+++ b/distribution/src/entry.rs
@@ -0,0 +1,110 @@
+//! Entries of a scope, and changes to them.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::Version;
+use crate::scope::Scope;
+
+/// Bytes of the longest key.
+pub const LONGEST_KEY: usize = 128;
+/// Bytes of the longest value: as long as a command of the log can be.
+pub const LONGEST_VALUE: usize = agree::log::MOST_COMMAND;
+
+/// A key or a value that no state takes.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Unfit {
+    /// The key is empty.
+    #[error("the key is empty")]
+    EmptyKey,
+    /// The key has more than [`LONGEST_KEY`] bytes.
+    #[error("the key has {0} bytes, {LONGEST_KEY} at most are allowed")]
+    LongKey(usize),
+    /// The value has more than [`LONGEST_VALUE`] bytes.
+    #[error("the value has {0} bytes, {LONGEST_VALUE} at most are allowed")]
+    LongValue(usize),
+}
+
+/// The name of an entry within its scope: 1 to [`LONGEST_KEY`] bytes.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct Key(String);
+
+impl Key {
+    /// A key of these characters.
+    ///
+    /// # Errors
+    ///
+    /// [`Unfit`] where it is empty or too long.
+    pub fn new(key: impl Into<String>) -> Result<Self, Unfit> {
+        let key = key.into();
+        match key.len() {
+            0 => Err(Unfit::EmptyKey),
+            1..=LONGEST_KEY => Ok(Self(key)),
+            bytes => Err(Unfit::LongKey(bytes)),
+        }
+    }
+
+    /// Its characters.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl TryFrom<String> for Key {
+    type Error = Unfit;
+
+    fn try_from(key: String) -> Result<Self, Unfit> {
+        Self::new(key)
+    }
+}
+
+impl From<Key> for String {
+    fn from(key: Key) -> Self {
+        key.0
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        to.write_str(&self.0)
+    }
+}
+
+/// What a scope holds under a key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its name within the scope.
+    pub key: Key,
+    /// The decision that gave it its value.
+    pub version: Version,
+    /// The value, whose meaning is up to whoever decides.
+    pub value: Vec<u8>,
+}
+
+/// What a decision does to one key of one scope.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Change {
+    /// Where the key belongs.
+    pub scope: Scope,
+    /// Which entry.
+    pub key: Key,
+    /// The decision that changes it.
+    pub version: Version,
+    /// The new value; none where the entry is removed.
+    pub value: Option<Vec<u8>>,
+}
+
+impl Change {
+    /// Whether a state can take it.
+    ///
+    /// # Errors
+    ///
+    /// [`Unfit::LongValue`] where the value is longer than [`LONGEST_VALUE`].
+    pub fn check(&self) -> Result<(), Unfit> {
+        let bytes = self.value.as_ref().map_or(0, Vec::len);
+        if bytes > LONGEST_VALUE { Err(Unfit::LongValue(bytes)) } else { Ok(()) }
+    }
+}
--- /dev/null
+++ b/distribution/src/merkle.rs
@@ -0,0 +1,215 @@
+//! A Merkle trie over the scopes: a leaf a scope, at a place given by the hash of its name. The trie is as
+//! deep as the places of two leaves agree, so that a path has about log2 of the number of scopes hashes. A
+//! path proves what a scope holds, and also that a scope was never written to.
+
+use agree::Hash;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::Version;
+use crate::content;
+use crate::scope::Scope;
+
+/// The hash of a subtree without any leaf; also the root without any scope.
+pub const EMPTY: Hash = [0; 32];
+/// Hashes of the longest path: places of as many scopes as there are pool numbers agree on fewer bits, but
+/// for a chance of one in 2^30.
+pub const LONGEST_PATH: usize = 64;
+
+/// What the root says of a scope.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Summary {
+    /// The digest of its live entries ([`crate::content::Content::digest`]).
+    pub digest: Hash,
+    /// The decision that changed it last; 0 where none ever did.
+    pub version: Version,
+}
+
+impl Default for Summary {
+    fn default() -> Self {
+        Self { digest: content::EMPTY, version: 0 }
+    }
+}
+
+/// The way from a scope's leaf to the root.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Path {
+    /// The hashes of the subtrees beside the way, from the root down; none for an empty one.
+    siblings: Vec<Option<Hash>>,
+    /// The leaf that stands where the scope's would, where the scope was never written to: its place and its
+    /// hash.
+    other: Option<(Hash, Hash)>,
+}
+
+/// A path that proves nothing.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Unproved {
+    /// It is longer than any.
+    #[error("the path is longer than any")]
+    TooLong,
+    /// The leaf that it names instead of the scope's does not stand in the scope's way.
+    #[error("the leaf named in place of the scope's is elsewhere")]
+    Elsewhere,
+    /// It leads to another root.
+    #[error("the path leads to another root")]
+    OtherRoot,
+}
+
+impl Path {
+    /// Hashes beside the way, empty ones too.
+    pub fn len(&self) -> usize {
+        self.siblings.len()
+    }
+
+    /// Whether the scope's leaf is the root itself.
+    pub fn is_empty(&self) -> bool {
+        self.siblings.is_empty()
+    }
+
+    /// Whether the root says this of the scope.
+    ///
+    /// # Errors
+    ///
+    /// [`Unproved`] tells why not.
+    pub fn check(&self, root: &Hash, scope: Scope, summary: &Summary) -> Result<(), Unproved> {
+        if self.siblings.len() > LONGEST_PATH {
+            return Err(Unproved::TooLong);
+        }
+        let place = place(scope);
+        let absent = *summary == Summary::default();
+        let lowest = match &self.other {
+            None if absent => EMPTY,
+            None => leaf(&place, summary),
+            Some((other, hash)) => {
+                let in_the_way =
+                    (0..self.siblings.len()).all(|depth| bit(other, depth) == bit(&place, depth));
+                if !absent || *other == place || !in_the_way {
+                    return Err(Unproved::Elsewhere);
+                }
+                placed(other, hash)
+            }
+        };
+        let (mut hash, mut depth) = (lowest, self.siblings.len());
+        for sibling in self.siblings.iter().rev() {
+            depth -= 1;
+            let sibling = sibling.unwrap_or(EMPTY);
+            hash = if bit(&place, depth) { branch(&sibling, &hash) } else { branch(&hash, &sibling) };
+        }
+        if hash == *root { Ok(()) } else { Err(Unproved::OtherRoot) }
+    }
+}
+
+/// The trie of all scopes. Setting one touches only the hashes between its leaf and the root.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Trie {
+    root: Node,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+enum Node {
+    #[default]
+    Empty,
+    Leaf {
+        place: Hash,
+        summary: Hash,
+        hash: Hash,
+    },
+    Branch {
+        hash: Hash,
+        children: Box<[Node; 2]>,
+    },
+}
+
+impl Node {
+    fn hash(&self) -> Hash {
+        match self {
+            Self::Empty => EMPTY,
+            Self::Leaf { hash, .. } | Self::Branch { hash, .. } => *hash,
+        }
+    }
+
+    fn of(children: Box<[Self; 2]>) -> Self {
+        Self::Branch { hash: branch(&children[0].hash(), &children[1].hash()), children }
+    }
+
+    fn with(self, depth: usize, new: (Hash, Hash)) -> Self {
+        let (place, summary) = new;
+        match self {
+            Self::Leaf { place: old, .. } if old != place => {
+                let mut children = Box::new([Self::Empty, Self::Empty]);
+                children[usize::from(bit(&old, depth))] = self;
+                Self::Branch { hash: EMPTY, children }.with(depth, new)
+            }
+            Self::Empty | Self::Leaf { .. } => Self::Leaf { place, summary, hash: placed(&place, &summary) },
+            Self::Branch { mut children, .. } => {
+                let child = &mut children[usize::from(bit(&place, depth))];
+                *child = std::mem::take(child).with(depth + 1, new);
+                Self::of(children)
+            }
+        }
+    }
+}
+
+impl Trie {
+    /// Sets what a scope comes to.
+    pub fn set(&mut self, scope: Scope, summary: &Summary) {
+        let new = (place(scope), summary_hash(summary));
+        self.root = std::mem::take(&mut self.root).with(0, new);
+    }
+
+    /// The hash over all of it.
+    pub fn root(&self) -> Hash {
+        self.root.hash()
+    }
+
+    /// The way from the scope's leaf, or from where it would be, to the root.
+    pub fn path(&self, scope: Scope) -> Path {
+        let wanted = place(scope);
+        let (mut node, mut siblings) = (&self.root, Vec::new());
+        while let Node::Branch { children, .. } = node {
+            let side = usize::from(bit(&wanted, siblings.len()));
+            let sibling = &children[1 - side];
+            siblings.push(Some(sibling.hash()).filter(|_| *sibling != Node::Empty));
+            node = &children[side];
+        }
+        let other = match node {
+            Node::Leaf { place, summary, .. } if *place != wanted => Some((*place, *summary)),
+            _ => None,
+        };
+        Path { siblings, other }
+    }
+}
+
+fn hashed(context: &str, parts: &[&[u8]]) -> Hash {
+    let mut hasher = blake3::Hasher::new_derive_key(context);
+    for part in parts {
+        hasher.update(part);
+    }
+    *hasher.finalize().as_bytes()
+}
+
+fn place(scope: Scope) -> Hash {
+    let name = postcard::to_stdvec(&scope).expect("plain data");
+    hashed("frostthread distribution 1 place", &[&name])
+}
+
+fn summary_hash(summary: &Summary) -> Hash {
+    hashed("frostthread distribution 1 summary", &[&summary.digest, &summary.version.to_le_bytes()])
+}
+
+fn placed(place: &Hash, summary: &Hash) -> Hash {
+    hashed("frostthread distribution 1 leaf", &[place, summary])
+}
+
+fn leaf(place: &Hash, summary: &Summary) -> Hash {
+    placed(place, &summary_hash(summary))
+}
+
+fn branch(left: &Hash, right: &Hash) -> Hash {
+    hashed("frostthread distribution 1 branch", &[left, right])
+}
+
+/// The bit of a place that says on which side of the branch at this depth it is.
+fn bit(place: &Hash, depth: usize) -> bool {
+    place[depth / 8] >> (7 - depth % 8) & 1 == 1
+}
--- /dev/null
+++ b/distribution/src/scope.rs
@@ -0,0 +1,29 @@
+//! The part of the fleet that a change belongs to.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// What a change belongs to. A border proxy subscribes to the scopes that it uses, and holds no others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Scope {
+    /// Every border proxy.
+    All,
+    /// A region, by its number in the settings.
+    Region(u16),
+    /// A zone, by its number in the settings.
+    Zone(u16),
+    /// A service, by the number of its pool.
+    Service(u32),
+}
+
+impl fmt::Display for Scope {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::All => write!(to, "all"),
+            Self::Region(number) => write!(to, "region {number}"),
+            Self::Zone(number) => write!(to, "zone {number}"),
+            Self::Service(number) => write!(to, "service {number}"),
+        }
+    }
+}
--- /dev/null
+++ b/distribution/src/state.rs
@@ -0,0 +1,307 @@
+//! The state of all scopes, as the log decided it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Bound;
+
+use agree::Hash;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::Version;
+use crate::content::Content;
+use crate::cursor::Cursor;
+use crate::entry::{Change, Entry, Key, Unfit};
+use crate::merkle::{Path, Summary, Trie, Unproved};
+use crate::scope::Scope;
+
+/// Removals that a scope remembers at least. Above that it remembers as many as it has live entries: a reader
+/// that missed more of them has less to fetch by reading the scope anew. What is forgotten makes readers that
+/// are so far behind start over; what is remembered costs memory on control machines.
+pub const LEAST_REMOVALS: usize = 64;
+
+/// Why a change was not applied.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Refused {
+    /// The scope has been changed by a later decision already.
+    #[error("version {given} comes after {newest} in this scope")]
+    Older {
+        /// The version of the change.
+        given: Version,
+        /// The scope's newest.
+        newest: Version,
+    },
+    /// Its key or its value is of a size that no state takes.
+    #[error(transparent)]
+    Unfit(#[from] Unfit),
+}
+
+/// A reader is so far behind that removals it needs are forgotten: it is to read the scope anew.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("removals up to version {floor} are forgotten")]
+pub struct SnapshotNeeded {
+    /// Removals up to this version may be forgotten.
+    pub floor: Version,
+}
+
+/// What the root says of a scope, with the way to the root.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ScopeProof {
+    /// The scope's digest and the version of its last change.
+    pub summary: Summary,
+    /// The way to the root.
+    pub path: Path,
+}
+
+impl ScopeProof {
+    /// Whether the root says this of the scope.
+    ///
+    /// # Errors
+    ///
+    /// [`Unproved`] tells why not.
+    pub fn check(&self, root: &Hash, scope: Scope) -> Result<(), Unproved> {
+        self.path.check(root, scope, &self.summary)
+    }
+}
+
+/// A run of changes of a scope, in the order of their versions and keys.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Each key's newest change: version, key, and its value unless it was removed.
+    pub changes: Vec<(Version, Key, Option<Vec<u8>>)>,
+    /// Whether nothing follows.
+    pub complete: bool,
+}
+
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct ScopeState {
+    content: Content,
+    /// The newest change of each key that is known, live or removed. The key is always there.
+    order: BTreeSet<(Version, Option<Key>)>,
+    removed: BTreeMap<Key, Version>,
+    /// Removals up to this version may be forgotten.
+    floor: Version,
+    summary: Summary,
+}
+
+/// The entries of all scopes, with a root over them. The same changes in the same order give the same state,
+/// byte by byte. An empty scope keeps the version of its last change.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "Plain", into = "Plain")]
+pub struct ScopedState {
+    scopes: BTreeMap<Scope, ScopeState>,
+    trie: Trie,
+}
+
+impl ScopedState {
+    /// Applies what a decision changed. Several changes may have the same version.
+    ///
+    /// # Errors
+    ///
+    /// [`Refused`] where the scope is at a later version already, or the change is of no fit size; nothing is
+    /// changed then.
+    pub fn apply(&mut self, change: Change) -> Result<(), Refused> {
+        change.check()?;
+        let scope = self.scopes.entry(change.scope).or_default();
+        let (given, newest) = (change.version, scope.summary.version);
+        if given < newest {
+            return Err(Refused::Older { given, newest });
+        }
+        scope.apply(change.key, given, change.value);
+        self.trie.set(change.scope, &scope.summary);
+        Ok(())
+    }
+
+    /// The Merkle root over every scope's digest and version.
+    pub fn root(&self) -> Hash {
+        self.trie.root()
+    }
+
+    /// What the root says of a scope, also of one that was never written to.
+    pub fn proof(&self, scope: Scope) -> ScopeProof {
+        ScopeProof { summary: self.summary(scope), path: self.trie.path(scope) }
+    }
+
+    /// The scope's digest and the version of its last change.
+    pub fn summary(&self, scope: Scope) -> Summary {
+        self.scopes.get(&scope).map(|state| state.summary).unwrap_or_default()
+    }
+
+    /// The live entries of a scope; none where it was never written to.
+    pub fn content(&self, scope: Scope) -> Option<&Content> {
+        self.scopes.get(&scope).map(|state| &state.content)
+    }
+
+    /// The value of a key, and the decision that gave it.
+    pub fn get(&self, scope: Scope, key: &Key) -> Option<(Version, &[u8])> {
+        self.content(scope)?.get(key)
+    }
+
+    /// All scopes that were ever written to.
+    pub fn scopes(&self) -> impl Iterator<Item = Scope> {
+        self.scopes.keys().copied()
+    }
+
+    /// The newest version of any scope.
+    pub fn version(&self) -> Version {
+        self.scopes.values().map(|state| state.summary.version).max().unwrap_or(0)
+    }
+
+    /// What follows a cursor, as many changes as fit into so many bytes, one at least. Removals up to `base` are
+    /// left out: the reader never held what they removed, as it began to read the scope at `base`, or held all
+    /// of `base`.
+    ///
+    /// # Errors
+    ///
+    /// [`SnapshotNeeded`] where removals after `base` may be forgotten.
+    pub fn changes(
+        &self,
+        scope: Scope,
+        base: Version,
+        after: &Cursor,
+        most_bytes: usize,
+    ) -> Result<Run, SnapshotNeeded> {
+        let none = Run { changes: Vec::new(), complete: true };
+        self.scopes.get(&scope).map_or(Ok(none), |state| state.changes(base, after, most_bytes))
+    }
+}
+
+impl ScopeState {
+    fn apply(&mut self, key: Key, version: Version, value: Option<Vec<u8>>) {
+        let former = self.content.get(&key).map(|(version, _)| version);
+        let former = former.or_else(|| self.removed.remove(&key));
+        if let Some(former) = former {
+            self.order.remove(&(former, Some(key.clone())));
+        }
+        self.order.insert((version, Some(key.clone())));
+        match value {
+            Some(value) => self.content.insert(Entry { key, version, value }),
+            None => {
+                self.content.remove(&key);
+                self.removed.insert(key, version);
+            }
+        }
+        self.forget();
+        self.summary = Summary { digest: self.content.digest(), version };
+    }
+
+    /// Forgets the oldest removals past the bound.
+    fn forget(&mut self) {
+        while self.removed.len() > LEAST_REMOVALS.max(self.content.len()) {
+            let oldest = self.removed.iter().min_by_key(|(key, version)| (**version, *key));
+            let (key, version) =
+                oldest.map(|(key, version)| (key.clone(), *version)).expect("over the bound");
+            self.removed.remove(&key);
+            self.order.remove(&(version, Some(key)));
+            self.floor = self.floor.max(version);
+        }
+    }
+
+    fn changes(&self, base: Version, after: &Cursor, most_bytes: usize) -> Result<Run, SnapshotNeeded> {
+        if base < self.floor {
+            return Err(SnapshotNeeded { floor: self.floor });
+        }
+        let (mut changes, mut room) = (Vec::new(), most_bytes);
+        for (version, key) in self.order.range((after.bound(), Bound::Unbounded)) {
+            let key = key.as_ref().expect("always there");
+            let value = self.content.get(key).map(|(_, value)| value);
+            if value.is_none() && *version <= base {
+                continue;
+            }
+            let size = change_size(key, value);
+            if !changes.is_empty() && size > room {
+                return Ok(Run { changes, complete: false });
+            }
+            room = room.saturating_sub(size);
+            changes.push((*version, key.clone(), value.map(<[u8]>::to_vec)));
+        }
+        Ok(Run { changes, complete: true })
+    }
+}
+
+/// Bytes that a change takes in a message at most.
+pub fn change_size(key: &Key, value: Option<&[u8]>) -> usize {
+    /// A version, two lengths and whether there is a value.
+    const AROUND: usize = 10 + 2 + 2 + 1;
+    AROUND + key.as_str().len() + value.map_or(0, <[u8]>::len)
+}
+
+/// A state as it is kept: what follows from the rest is left out.
+#[derive(Serialize, Deserialize)]
+struct Plain {
+    scopes: Vec<PlainScope>,
+}
+
+#[derive(Serialize, Deserialize)]
+struct PlainScope {
+    scope: Scope,
+    version: Version,
+    floor: Version,
+    entries: Vec<Entry>,
+    removed: Vec<(Key, Version)>,
+}
+
+/// A kept state that no changes come to.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Damaged {
+    /// A value is longer than any.
+    #[error(transparent)]
+    Unfit(#[from] Unfit),
+    /// A scope, a key or a version stands where it cannot.
+    #[error("scopes, keys or versions do not fit together")]
+    Order,
+}
+
+impl From<ScopedState> for Plain {
+    fn from(state: ScopedState) -> Self {
+        let plain = |(scope, state): (Scope, ScopeState)| PlainScope {
+            scope,
+            version: state.summary.version,
+            floor: state.floor,
+            entries: state.content.entries(),
+            removed: state.removed.into_iter().collect(),
+        };
+        Self { scopes: state.scopes.into_iter().map(plain).collect() }
+    }
+}
+
+impl TryFrom<Plain> for ScopedState {
+    type Error = Damaged;
+
+    fn try_from(plain: Plain) -> Result<Self, Damaged> {
+        let mut state = Self::default();
+        for scope in plain.scopes {
+            let name = scope.scope;
+            let restored = ScopeState::try_from(scope)?;
+            state.trie.set(name, &restored.summary);
+            if state.scopes.insert(name, restored).is_some() {
+                return Err(Damaged::Order);
+            }
+        }
+        Ok(state)
+    }
+}
+
+impl TryFrom<PlainScope> for ScopeState {
+    type Error = Damaged;
+
+    fn try_from(plain: PlainScope) -> Result<Self, Damaged> {
+        let mut order = BTreeSet::new();
+        let live = plain.entries.iter().map(|entry| (&entry.key, entry.version));
+        let all: Vec<_> = live.chain(plain.removed.iter().map(|(key, version)| (key, *version))).collect();
+        let in_range = all.iter().all(|(_, version)| *version <= plain.version);
+        let sizes = plain.entries.iter().map(|entry| entry.value.len());
+        if let Some(bytes) = sizes.max().filter(|&bytes| bytes > crate::entry::LONGEST_VALUE) {
+            return Err(Unfit::LongValue(bytes).into());
+        }
+        for (key, version) in &all {
+            order.insert((*version, Some((*key).clone())));
+        }
+        let keys: BTreeSet<_> = all.iter().map(|(key, _)| *key).collect();
+        if keys.len() != all.len() || !in_range || plain.floor > plain.version {
+            return Err(Damaged::Order);
+        }
+        let content: Content = plain.entries.into_iter().collect();
+        let summary = Summary { digest: content.digest(), version: plain.version };
+        Ok(Self { content, order, removed: plain.removed.into_iter().collect(), floor: plain.floor, summary })
+    }
+}
--- /dev/null
+++ b/distribution/tests/state.rs
@@ -0,0 +1,206 @@
+//! The state of all scopes: versions, digests, proofs, and reading on from any place while it changes.
+
+use distribution::content::{Content, EMPTY};
+use distribution::cursor::Cursor;
+use distribution::entry::{Change, Entry, Key, LONGEST_KEY, LONGEST_VALUE, Unfit};
+use distribution::merkle::{Summary, Unproved};
+use distribution::scope::Scope;
+use distribution::state::{LEAST_REMOVALS, Refused, ScopedState, SnapshotNeeded};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+
+const SERVICE: Scope = Scope::Service(7);
+
+fn key(name: &str) -> Key {
+    Key::new(name).expect("a fit key")
+}
+
+fn set(scope: Scope, name: &str, version: u64, value: &[u8]) -> Change {
+    Change { scope, key: key(name), version, value: Some(value.to_vec()) }
+}
+
+fn remove(scope: Scope, name: &str, version: u64) -> Change {
+    Change { scope, key: key(name), version, value: None }
+}
+
+fn state(changes: impl IntoIterator<Item = Change>) -> ScopedState {
+    let mut state = ScopedState::default();
+    changes.into_iter().for_each(|change| state.apply(change).expect("in order"));
+    state
+}
+
+#[rstest]
+#[case::empty("".to_owned(), Err(Unfit::EmptyKey))]
+#[case::longest("k".repeat(LONGEST_KEY), Ok(()))]
+#[case::too_long("k".repeat(LONGEST_KEY + 1), Err(Unfit::LongKey(LONGEST_KEY + 1)))]
+fn keys_are_bounded(#[case] name: String, #[case] expected: Result<(), Unfit>) {
+    assert_eq!(Key::new(name.clone()).map(drop), expected);
+    let decoded: Result<Key, _> = postcard::from_bytes(&postcard::to_stdvec(&name).unwrap());
+    assert_eq!(decoded.is_ok(), expected.is_ok());
+}
+
+#[test]
+fn an_older_version_or_a_long_value_changes_nothing() {
+    let mut state = state([set(SERVICE, "a", 5, b"1")]);
+    let before = state.clone();
+    let older = state.apply(set(SERVICE, "b", 4, b"2"));
+    assert_eq!(older, Err(Refused::Older { given: 4, newest: 5 }));
+    let long = state.apply(set(SERVICE, "b", 6, &[0; LONGEST_VALUE + 1]));
+    assert_eq!(long, Err(Refused::Unfit(Unfit::LongValue(LONGEST_VALUE + 1))));
+    assert_eq!(state, before);
+    state.apply(set(SERVICE, "b", 5, b"2")).expect("the same decision may change several keys");
+    state.apply(set(Scope::All, "b", 1, b"2")).expect("scopes have versions of their own");
+}
+
+#[test]
+fn the_root_depends_on_every_key_version_value_and_scope() {
+    let base = [set(SERVICE, "a", 1, b"1"), set(Scope::All, "b", 2, b"2")];
+    let others = [
+        [set(SERVICE, "c", 1, b"1"), base[1].clone()],
+        [set(SERVICE, "a", 2, b"1"), base[1].clone()],
+        [set(SERVICE, "a", 1, b"3"), base[1].clone()],
+        [set(Scope::Zone(7), "a", 1, b"1"), base[1].clone()],
+    ];
+    let root = state(base.clone()).root();
+    assert_eq!(state(base.iter().rev().cloned()).root(), root, "the order of scopes is of no account");
+    for other in others {
+        assert_ne!(state(other.clone()).root(), root, "{other:?}");
+    }
+    assert_ne!(root, ScopedState::default().root());
+}
+
+#[test]
+fn a_proof_holds_for_its_scope_its_summary_and_its_root_alone() {
+    let scopes: Vec<Scope> = (0..300).map(Scope::Service).chain((0..16).map(Scope::Zone)).collect();
+    let state = state(scopes.iter().map(|&scope| set(scope, "a", 3, b"1")));
+    let root = state.root();
+    for &scope in &scopes {
+        let proof = state.proof(scope);
+        assert_eq!(proof.check(&root, scope), Ok(()));
+        assert_eq!(proof.check(&[1; 32], scope), Err(Unproved::OtherRoot));
+        assert!(proof.check(&root, Scope::Service(1000)).is_err(), "of another scope");
+        let mut forged = proof.clone();
+        forged.summary.version = 4;
+        assert_eq!(forged.check(&root, scope), Err(Unproved::OtherRoot));
+        forged.summary = Summary::default();
+        assert!(forged.check(&root, scope).is_err(), "a scope that is there was denied");
+    }
+}
+
+#[test]
+fn absence_is_proved_and_cannot_be_made_up() {
+    let state = state((0..50).map(|number| set(Scope::Service(number), "a", 3, b"1")));
+    let root = state.root();
+    for scope in (50..2000).map(Scope::Service) {
+        let proof = state.proof(scope);
+        assert_eq!(proof.summary, Summary { digest: EMPTY, version: 0 });
+        assert_eq!(proof.check(&root, scope), Ok(()), "{scope}");
+        let denied = (0..50).map(Scope::Service).find(|&there| proof.check(&root, there).is_ok());
+        assert_eq!(denied, None, "the proof that {scope} is not there denies another");
+    }
+    assert_eq!(ScopedState::default().proof(SERVICE).check(&ScopedState::default().root(), SERVICE), Ok(()));
+}
+
+#[test]
+fn a_path_has_about_as_many_hashes_as_the_logarithm_of_the_scopes() {
+    let state = state((0..1300).map(|number| set(Scope::Service(number), "a", 3, b"1")));
+    let sizes =
+        (0..1300).map(|number| postcard::to_stdvec(&state.proof(Scope::Service(number))).unwrap().len());
+    let (sum, most) = sizes.fold((0, 0), |(sum, most), size| (sum + size, most.max(size)));
+    println!("1,300 scopes: proofs of {} bytes at the mean, {most} at the most", sum / 1300);
+    assert!(sum / 1300 <= 500 && most <= 800, "{} {most}", sum / 1300);
+}
+
+#[test]
+fn an_emptied_scope_keeps_its_version_and_the_digest_of_nothing() {
+    let state = state([set(SERVICE, "a", 1, b"1"), remove(SERVICE, "a", 2)]);
+    assert_eq!(state.summary(SERVICE), Summary { digest: EMPTY, version: 2 });
+    assert_eq!(state.proof(SERVICE).check(&state.root(), SERVICE), Ok(()));
+}
+
+#[test]
+fn a_state_comes_back_the_same_from_its_bytes_and_a_damaged_one_is_refused() {
+    let removals = (0..100).map(|n| remove(SERVICE, &format!("r{n}"), 2));
+    let changes = [set(SERVICE, "a", 1, b"1"), set(Scope::All, "b", 1, b"2")];
+    let state = state(changes.into_iter().chain(removals));
+    let bytes = postcard::to_stdvec(&state).unwrap();
+    let back: ScopedState = postcard::from_bytes(&bytes).expect("its own bytes");
+    assert_eq!((back.root(), &back), (state.root(), &state));
+    let twice = vec![(SERVICE, 1u64, 0u64, vec![("a", 1u64, b"1".to_vec()); 2], Vec::<(Key, u64)>::new())];
+    let damaged: Result<ScopedState, _> = postcard::from_bytes(&postcard::to_stdvec(&twice).unwrap());
+    assert!(damaged.is_err(), "a key twice");
+}
+
+#[test]
+fn removals_are_bounded_and_whoever_missed_a_forgotten_one_is_told() {
+    let mut state = ScopedState::default();
+    for version in 1..=1000 {
+        state.apply(remove(SERVICE, &format!("r{version}"), version)).unwrap();
+    }
+    let floor = 1000 - LEAST_REMOVALS as u64;
+    let read = |base| state.changes(SERVICE, base, &Cursor::all_of(base), usize::MAX);
+    assert_eq!(read(floor - 1), Err(SnapshotNeeded { floor }));
+    assert_eq!(read(floor).expect("not forgotten").changes.len(), LEAST_REMOVALS);
+}
+
+/// Reads a scope in small pieces from a base on, after a cursor, while the state goes on changing in between.
+fn read_on(
+    mut held: Content,
+    base: u64,
+    mut cursor: Cursor,
+    state: &mut ScopedState,
+    meanwhile: &mut dyn FnMut(&mut ScopedState),
+) {
+    loop {
+        let Ok(run) = state.changes(SERVICE, base, &cursor, 60) else {
+            let (base, cursor) = (state.version(), Cursor::all_of(0));
+            return read_on(Content::default(), base, cursor, state, &mut |_| ());
+        };
+        for (version, key, value) in run.changes {
+            cursor = Cursor::at(version, key.clone());
+            match value {
+                Some(value) => held.insert(Entry { key, version, value }),
+                None => held.remove(&key),
+            }
+        }
+        if run.complete {
+            return assert_eq!(held.digest(), state.summary(SERVICE).digest);
+        }
+        meanwhile(state);
+    }
+}
+
+fn change(chance: &mut Pcg64Mcg, version: u64) -> Change {
+    let name = format!("k{}", chance.random_range(0..30));
+    let removed = chance.random_bool(0.3);
+    if removed { remove(SERVICE, &name, version) } else { set(SERVICE, &name, version, &[9]) }
+}
+
+#[rstest]
+#[case::of_a_reader_that_holds_nothing(None)]
+#[case::of_one_that_holds_an_early_version(Some(40))]
+#[case::of_one_that_holds_the_newest(Some(150))]
+fn reading_on_in_pieces_comes_to_the_same_whatever_is_changed_meanwhile(
+    #[values(1, 2, 3, 4, 5, 6, 7, 8)] seed: u64,
+    #[case] base: Option<u64>,
+) {
+    let mut chance = Pcg64Mcg::seed_from_u64(seed);
+    let (mut state, mut held) = (ScopedState::default(), Content::default());
+    for step in 1..=300 {
+        let version = step / 2;
+        state.apply(change(&mut chance, version)).expect("in order");
+        if base.is_some_and(|base| version <= base) {
+            held = state.content(SERVICE).cloned().unwrap_or_default();
+        }
+    }
+    let cursor = Cursor::all_of(base.unwrap_or(0));
+    let base = base.unwrap_or(state.version());
+    for _ in 0..20 {
+        let mut version = state.version();
+        read_on(held.clone(), base, cursor.clone(), &mut state.clone(), &mut |state| {
+            version += 1;
+            (0..2).for_each(|_| state.apply(change(&mut chance, version)).expect("in order"));
+        });
+    }
+}
