Agreement: the machine's root is signed, and how far decisions are is signed for others

Cause: a proxy that does not follow the log can be told of a part of the state by anybody. With the machine's root in what a majority signs (Statement.state, Machine::root), a Merkle path proves a part to it; with a voter's signature on how far decisions are (FreshnessProof over nonce and index) it also knows how old that may be.

Nonces have 16 bytes, so that the root of a Merkle tree over many polls fits. Agreement::ask_freshness asks by a nonce of the caller's, Agreement::freshness gives the signed answer; one that no voter signed is counted as unproved and not passed on. seal(), links(), applied() and council_since() are for whoever passes proofs on.

Forms: messages are version 2, statements are signed under another domain, and a file with proofs of councils in the former form is told as damaged, as any unknown form is. Ruled out: reading former proofs and dropping them; a council that was changed before would be unproved to those who follow until it changes again.

--- a/agree/src/agreement.rs
+++ b/agree/src/agreement.rs
@@ -13,7 +13,8 @@
 use crate::follow::Following;
 use crate::founding::Founding;
 use crate::fresh::Freshness;
-use crate::log::{Entry, Index, Log, Mark, What};
+use crate::freshness::FreshnessProof;
+use crate::log::{Entry, Hash, Index, Log, Mark, What};
 use crate::machine::{Machine, Unknown};
 use crate::requests::Requests;
 use crate::seal::Signs;
@@ -29,6 +30,9 @@
 const SNAPSHOTS: usize = 2;
 /// Requests that are remembered as done, so that one asked for again is not done again.
 const RECENT: usize = 512;
+/// The machine's roots that are kept, for statements on decisions that are not the newest: as far back as the
+/// log reaches.
+const ROOTS: usize = SNAPSHOTS * SNAPSHOT_EVERY as usize;
 
 /// What is agreed for the agreement itself.
 #[derive(Clone, Debug, PartialEq)]
@@ -77,6 +81,8 @@
     pub(crate) trust: (Index, Council),
     pub(crate) former: Option<Council>,
     recent: VecDeque<u64>,
+    /// The machine's roots after the latest decisions.
+    roots: VecDeque<(Index, Hash)>,
     /// Snapshots that are still of use, the newest last, with their digests.
     pub(crate) snapshots: VecDeque<(Snapshot, [u8; 32])>,
     pub(crate) following: Following,
@@ -128,6 +134,7 @@
             trust: (0, founders),
             former: None,
             recent: VecDeque::new(),
+            roots: VecDeque::new(),
             snapshots: VecDeque::new(),
             following: Following::default(),
             fresh: Freshness::default(),
@@ -156,6 +163,16 @@
         self.id
     }
 
+    /// Up to where decisions are carried out.
+    pub fn applied(&self) -> Index {
+        self.applied
+    }
+
+    /// The decision since which the council votes that is believed here.
+    pub fn council_since(&self) -> Index {
+        self.trust.0
+    }
+
     pub fn machine(&self) -> &M {
         &self.machine
     }
@@ -246,7 +263,9 @@
             Message::Propose { request, what } => self.proposed(now, from, request, what),
             Message::Refused { request, refusal } => self.refused(from, request, refusal),
             Message::Fresh { nonce } => self.fresh_wanted(from, nonce),
-            Message::FreshIs { nonce, index } => self.fresh_told(from, nonce, index),
+            Message::FreshIs { nonce, index, signature } => {
+                self.fresh_told(FreshnessProof { nonce, index, signer: from, signature });
+            }
         }
     }
 
@@ -332,6 +351,7 @@
                 What::Decide { .. } => {}
             }
             self.applied = index;
+            self.note_root();
             if request != 0 && !done {
                 self.recent.push_back(request);
                 if self.recent.len() > RECENT {
@@ -346,6 +366,19 @@
         self.arrive();
     }
 
+    fn note_root(&mut self) {
+        self.roots.push_back((self.applied, self.machine.root()));
+        if self.roots.len() > ROOTS {
+            self.roots.pop_front();
+        }
+    }
+
+    /// The machine's root after a decision; none where that is too long ago.
+    pub(crate) fn root_at(&self, index: Index) -> Option<Hash> {
+        let found = self.roots.iter().rev().find(|(at, _)| *at == index);
+        found.map(|(_, root)| *root)
+    }
+
     /// What the decisions so far came to.
     fn snap(&mut self) {
         let mark = self.kept.log.mark(self.applied).expect("just carried out");
@@ -384,6 +417,8 @@
         }
         (self.trust, self.former, self.recent) = (trust, former, recent);
         (self.decided, self.applied) = (self.decided.max(mark.index), mark.index);
+        self.roots.clear();
+        self.note_root();
         self.requests.passed_over(&self.recent, mark.index);
         self.snapshots.clear();
         self.hold(snapshot.clone());
--- a/agree/src/follow.rs
+++ b/agree/src/follow.rs
@@ -63,7 +63,8 @@
         let digest = if snapshot == 0 { Hash::default() } else { held?.1 };
         let (version, council) = self.kept.log.council_at(index);
         let (version, council) = (*version, council.digest());
-        Some(Statement { index, hash: mark.hash, snapshot, digest, version, council })
+        let state = self.root_at(index)?;
+        Some(Statement { index, hash: mark.hash, snapshot, digest, version, council, state })
     }
 
     /// Its signature on the newest that it knows to be decided.
@@ -144,6 +145,16 @@
         self.following.passes = (self.peers().len() as f64 + 2.0).log2().ceil() as u32;
     }
 
+    /// The newest proof, to be passed on.
+    pub fn seal(&self) -> Option<&Seal> {
+        self.following.seal.as_ref()
+    }
+
+    /// The proofs of the councils since the founding, as far as they are kept, the oldest first.
+    pub fn links(&self) -> &[Link] {
+        &self.kept.links
+    }
+
     /// Up to where a proof is known.
     pub(crate) fn sealed(&self) -> Index {
         self.following.seal.as_ref().map_or(0, |seal| seal.statement.index)
--- a/agree/src/fresh.rs
+++ b/agree/src/fresh.rs
@@ -10,6 +10,7 @@
 use crate::Id;
 use crate::agreement::Agreement;
 use crate::election::Post;
+use crate::freshness::{FreshnessProof, Nonce};
 use crate::log::Index;
 use crate::machine::Machine;
 use crate::seal::Signs;
@@ -19,19 +20,24 @@
 const ASKS: f64 = 3.0;
 /// Asks that wait at a member; more are dropped, and asked again.
 const MOST_WAITS: usize = 1024;
+/// Asks on others' behalf that are open at once, and their answers; the oldest are forgotten.
+const MOST_PROOFS: usize = 16;
 
 #[derive(Clone, Debug, Default)]
 pub struct Freshness {
     /// Its own ask: nonce, and when it was made.
-    asked: Option<(u64, f64)>,
+    asked: Option<(Nonce, f64)>,
     /// What it will know to be decided as of when, once it has carried out so much.
     told: Option<(f64, Index)>,
     /// All that was decided before then is carried out here.
     at: Option<f64>,
     /// Asks of others that wait: at a leader with the round that answers them, elsewhere for the next ask.
-    waits: VecDeque<(Id, u64, u64)>,
+    waits: VecDeque<(Id, Nonce, u64)>,
     /// Those that the ask on its way answers.
-    relayed: Vec<(Id, u64)>,
+    relayed: Vec<(Id, Nonce)>,
+    /// Nonces of the caller's own that are asked about, and what came of them.
+    wanted: VecDeque<Nonce>,
+    proofs: VecDeque<FreshnessProof>,
 }
 
 impl Freshness {
@@ -54,6 +60,26 @@
         self.ask_fresh(now);
     }
 
+    /// Asks the council how far decisions are, by a nonce of the caller's own. The answer can be passed on to
+    /// others: [`Agreement::freshness`] gives it. Without one after a while it is to be asked again, by
+    /// another nonce.
+    pub fn ask_freshness(&mut self, nonce: Nonce) {
+        self.fresh.wanted.push_back(nonce);
+        if self.fresh.wanted.len() > MOST_PROOFS {
+            self.fresh.wanted.pop_front();
+        }
+        if let Post::Leading(lead) = &self.post {
+            self.fresh.waits.push_back((self.id, nonce, lead.round + 1));
+        } else if let Some(to) = if self.is_seated() { self.leader() } else { self.any_voter() } {
+            self.send(to, &Message::Fresh { nonce });
+        }
+    }
+
+    /// The next answer to [`Agreement::ask_freshness`].
+    pub fn freshness(&mut self) -> Option<FreshnessProof> {
+        self.fresh.proofs.pop_front()
+    }
+
     pub(crate) fn keep_fresh(&mut self, now: f64) {
         self.arrive();
         let lapse = self.terms.lease / ASKS;
@@ -68,7 +94,7 @@
     }
 
     fn ask_fresh(&mut self, now: f64) {
-        let nonce = self.chance.random();
+        let nonce: Nonce = self.chance.random();
         if let Post::Leading(lead) = &self.post {
             let round = lead.round + 1;
             self.fresh.asked = Some((nonce, now));
@@ -82,7 +108,7 @@
         self.send(to, &Message::Fresh { nonce });
     }
 
-    pub(crate) fn fresh_wanted(&mut self, from: Id, nonce: u64) {
+    pub(crate) fn fresh_wanted(&mut self, from: Id, nonce: Nonce) {
         if !self.is_seated() || self.fresh.waits.len() >= MOST_WAITS {
             return;
         }
@@ -94,7 +120,7 @@
         #[cfg(test)]
         if self.planted(crate::tests::Fault::StaleRead) {
             self.fresh.waits.pop_back();
-            self.send(from, &Message::FreshIs { nonce, index: self.decided });
+            self.answer_fresh(from, nonce, self.decided);
         }
     }
 
@@ -110,22 +136,42 @@
         let index = self.decided;
         for (from, nonce, _) in self.fresh.waits.drain(..answered).collect::<Vec<_>>() {
             if from == self.id {
-                self.fresh_told(from, nonce, index);
+                self.fresh_told(FreshnessProof::sign(self.id, nonce, index, &self.keys));
             } else {
-                self.send(from, &Message::FreshIs { nonce, index });
+                self.answer_fresh(from, nonce, index);
             }
         }
     }
 
-    pub(crate) fn fresh_told(&mut self, from: Id, nonce: u64, index: Index) {
-        let Some((_, at)) = self.fresh.asked.filter(|(asked, _)| *asked == nonce) else { return };
-        if from != self.id && !self.trust.1.contains(from) && !self.kept.log.council().contains(from) {
+    fn answer_fresh(&mut self, to: Id, nonce: Nonce, index: Index) {
+        let signature = FreshnessProof::sign(self.id, nonce, index, &self.keys).signature;
+        self.send(to, &Message::FreshIs { nonce, index, signature });
+    }
+
+    pub(crate) fn fresh_told(&mut self, proof: FreshnessProof) {
+        let wanted = self.fresh.wanted.iter().position(|wanted| *wanted == proof.nonce);
+        let asked = self.fresh.asked.filter(|(asked, _)| *asked == proof.nonce);
+        if wanted.is_none() && asked.is_none() {
+            return;
+        }
+        let signed = |council| proof.proved(council, &self.keys);
+        if proof.signer != self.id && !signed(&self.trust.1) && !signed(self.kept.log.council()) {
+            self.counts.unproved += 1;
+            return;
+        }
+        if let Some(at) = wanted {
+            self.fresh.wanted.remove(at);
+            self.fresh.proofs.push_back(proof);
+            if self.fresh.proofs.len() > MOST_PROOFS {
+                self.fresh.proofs.pop_front();
+            }
             return;
         }
+        let Some((_, at)) = asked else { return };
         self.fresh.asked = None;
-        self.fresh.told = Some((at, index));
+        self.fresh.told = Some((at, proof.index));
         for (to, nonce) in std::mem::take(&mut self.fresh.relayed) {
-            self.send(to, &Message::FreshIs { nonce, index });
+            self.answer_fresh(to, nonce, proof.index);
         }
         self.arrive();
     }
--- /dev/null
+++ b/agree/src/freshness.rs
@@ -0,0 +1,44 @@
+//! A voter's signed word on how far decisions were. Whoever asked for it can pass it on to others that have
+//! no vote: they need believe nobody but the voter.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Id;
+use crate::council::Council;
+use crate::log::Index;
+use crate::seal::{SIGNATURE, Signs};
+
+/// Drawn by whoever asks: an answer that holds it was given after it was drawn.
+pub type Nonce = [u8; 16];
+
+/// What such a signature is for: nothing else that the key signs begins so.
+const DOMAIN: &[u8] = b"frostthread fresh 1";
+
+/// All decisions up to `index` were made by the time when `signer` answered; none of those that were made
+/// before it was asked is after `index`.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct FreshnessProof {
+    pub nonce: Nonce,
+    pub index: Index,
+    pub signer: Id,
+    pub signature: Vec<u8>,
+}
+
+impl FreshnessProof {
+    /// The signed answer to a nonce.
+    pub fn sign(signer: Id, nonce: Nonce, index: Index, keys: &impl Signs) -> Self {
+        let signature = keys.sign(&Self::bytes(&nonce, index)).to_vec();
+        Self { nonce, index, signer, signature }
+    }
+
+    /// Whether a voter of the council signed it.
+    pub fn proved(&self, council: &Council, keys: &impl Signs) -> bool {
+        let signature: Option<&[u8; SIGNATURE]> = self.signature.as_slice().try_into().ok();
+        let signed = |of| keys.said(self.signer, &Self::bytes(&self.nonce, self.index), of);
+        council.contains(self.signer) && signature.is_some_and(signed)
+    }
+
+    fn bytes(nonce: &Nonce, index: Index) -> Vec<u8> {
+        postcard::to_extend(&(nonce, index), DOMAIN.to_vec()).expect("plain data")
+    }
+}
--- a/agree/src/lib.rs
+++ b/agree/src/lib.rs
@@ -17,6 +17,7 @@
 mod follow;
 mod founding;
 mod fresh;
+pub mod freshness;
 pub mod log;
 mod machine;
 mod replicate;
@@ -29,6 +30,7 @@
 
 pub use agreement::{AgreeTerms, Agreement, Outgoing};
 pub use council::{Council, Seat};
+pub use freshness::{FreshnessProof, Nonce};
 pub use log::{Entry, Hash, Index, Mark, Term, What};
 pub use machine::{Machine, Unknown};
 pub use requests::{Outcome, Refusal};
--- a/agree/src/machine.rs
+++ b/agree/src/machine.rs
@@ -2,7 +2,7 @@
 
 use thiserror::Error;
 
-use crate::log::Index;
+use crate::log::{Hash, Index};
 
 /// A decision or a state that this program does not know: made by a newer one, or for another machine.
 /// Whoever meets it stops there, rather than guess.
@@ -21,6 +21,13 @@
     /// too.
     fn decide(&mut self, index: Index, part: u8, command: &[u8]) -> Result<Vec<u8>, Unknown>;
 
+    /// A digest of what the decisions so far came to, the same wherever they are the same. It is signed with
+    /// them, so that a part of the state can be proved to whoever does not follow the log. All zero for a
+    /// machine of which nothing is proved so.
+    fn root(&self) -> Hash {
+        Hash::default()
+    }
+
     /// All that is to be known of it, to begin anew from.
     fn state(&self) -> Vec<u8>;
 
--- a/agree/src/seal.rs
+++ b/agree/src/seal.rs
@@ -13,7 +13,7 @@
 /// Bytes of a signature.
 pub const SIGNATURE: usize = gossip::keys::SIGNATURE;
 /// What a signature is for: nothing else that the key signs begins so.
-const DOMAIN: &[u8] = b"frostthread agree 1";
+const DOMAIN: &[u8] = b"frostthread agree 2";
 
 /// How members sign, and who said what.
 pub trait Signs {
@@ -32,6 +32,8 @@
     /// Since when its council votes, and the digest of that.
     pub version: Index,
     pub council: Hash,
+    /// The machine's root once all up to `index` is carried out.
+    pub state: Hash,
 }
 
 impl Statement {
--- a/agree/src/tests/mod.rs
+++ b/agree/src/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod exhaustive;
 mod parts;
+mod proofs;
 mod random;
 mod stories;
 mod world;
--- a/agree/src/tests/parts.rs
+++ b/agree/src/tests/parts.rs
@@ -1,7 +1,7 @@
 //! What stands in for keys, disks and machines.
 
 use crate::disk::Write;
-use crate::{Id, Index, Machine, Signs, Unknown};
+use crate::{Hash, Id, Index, Machine, Signs, Unknown};
 
 /// Signatures that cost little: nobody here forges any.
 #[derive(Clone, Debug)]
@@ -46,6 +46,10 @@
         Ok(self.lines.len().to_le_bytes().to_vec())
     }
 
+    fn root(&self) -> Hash {
+        *blake3::hash(&self.state()).as_bytes()
+    }
+
     fn state(&self) -> Vec<u8> {
         postcard::to_stdvec(&self.lines).expect("plain data")
     }
--- a/agree/src/tests/stories.rs
+++ b/agree/src/tests/stories.rs
@@ -286,6 +286,7 @@
             digest: [0; 32],
             version: 0,
             council: log.council().digest(),
+            state: [0; 32],
         },
         signatures: (0..3).map(|id| (id, vec![3; 64])).collect(),
     };
@@ -301,7 +302,7 @@
         },
         crate::wire::Message::Tell { seal },
         crate::wire::Message::Vote { term, trial: false, granted: true, life: 0 },
-        crate::wire::Message::FreshIs { nonce: 4, index: 0 },
+        crate::wire::Message::FreshIs { nonce: [4; 16], index: 0, signature: vec![4; 64] },
     ];
     forged.iter().for_each(|message| world.proxy(0).receive(now, 4, &crate::wire::write(message)));
     let after = world.standing(0);
--- a/agree/src/wire.rs
+++ b/agree/src/wire.rs
@@ -6,10 +6,11 @@
 use thiserror::Error;
 
 use crate::council::MOST_SEATS;
+use crate::freshness::Nonce;
 use crate::log::{Entry, Hash, Index, MOST_COMMAND, Term, What};
-use crate::seal::{Link, Seal};
+use crate::seal::{Link, SIGNATURE, Seal};
 
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Bytes of the longest message: with all that a packet of gossip's takes along it stays a datagram.
 pub const LARGEST: usize = 780;
 /// Bytes of entries in a message, of which a command of full length must find room.
@@ -124,11 +125,13 @@
     },
     /// How far were decisions, at any time after you heard this?
     Fresh {
-        nonce: u64,
+        nonce: Nonce,
     },
+    /// The answer, signed as in [`crate::FreshnessProof`].
     FreshIs {
-        nonce: u64,
+        nonce: Nonce,
         index: Index,
+        signature: Vec<u8>,
     },
 }
 
@@ -178,6 +181,7 @@
         Message::Council { link } => {
             link.seal.signatures.len() <= MOST_SEATS && link.council.seats().len() <= MOST_SEATS
         }
+        Message::FreshIs { signature, .. } => signature.len() <= SIGNATURE,
         _ => true,
     };
     if fits { Ok(message) } else { Err(Unfit::Bounds) }
