--- a/gossip/src/node/mod.rs
+++ b/gossip/src/node/mod.rs
@@ -19,7 +19,7 @@
 use crate::members::Members;
 use crate::statements::{Accused, Statements};
 use crate::wire::{self, Life, Message, Part, Statement};
-use window::Window;
+pub(crate) use window::Window;
 
 /// Helpers asked to reach one that does not answer.
 const HELPERS: usize = 3;
--- a/gossip/src/node/window.rs
+++ b/gossip/src/node/window.rs
@@ -2,14 +2,14 @@
 
 /// Which of a peer's packets have been seen: the highest counter, and the 64 before it.
 #[derive(Clone, Copy, Debug, Default)]
-pub(super) struct Window {
+pub(crate) struct Window {
     incarnation: u64,
     highest: u64,
     seen: u64,
 }
 
 impl Window {
-    pub(super) fn admit(&mut self, incarnation: u64, counter: u64) -> bool {
+    pub(crate) fn admit(&mut self, incarnation: u64, counter: u64) -> bool {
         if incarnation < self.incarnation {
             return false;
         }
--- a/gossip/src/wire.rs
+++ b/gossip/src/wire.rs
@@ -139,6 +139,8 @@
     Agreement,
     /// What became of conversations, for the council to compare.
     Evidence,
+    /// Decided state by scope, between a control machine and its subscribers.
+    State,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -218,6 +220,12 @@
     postcard::take_from_bytes(bytes).ok()
 }
 
+/// Who a datagram names as its sender, by its first bytes; nothing of it is proved.
+pub fn sender(datagram: &[u8]) -> Option<Id> {
+    let (&VERSION, rest) = datagram.split_first()? else { return None };
+    postcard::take_from_bytes::<Id>(rest).ok().map(|(id, _)| id)
+}
+
 /// Takes a datagram apart, cheapest check first.
 pub fn open(datagram: &[u8], secrets: &Secrets, roster: &Roster) -> Result<Packet, Dropped> {
     if datagram.len() > LARGEST {
--- a/gossip/tests/fleet/mod.rs
+++ b/gossip/tests/fleet/mod.rs
@@ -1,5 +1,7 @@
 //! A fleet of members and some servers on a virtual clock: datagrams are lost by chance, servers answer or don't.
 
+#![allow(dead_code)] // each file of tests uses some of it
+
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
