--- /dev/null
+++ b/distribution/src/batch.rs
@@ -0,0 +1,87 @@
+//! Many nonces behind one: a control machine asks the council once for the polls of many subscribers. Each
+//! gets the path from its own nonce to the one that the council signed, so that it need not believe the
+//! control machine.
+
+use agree::freshness::Nonce;
+use serde::{Deserialize, Serialize};
+
+/// Hashes of the longest path: a batch of 65,536 polls.
+pub const LONGEST_PATH: usize = 16;
+
+/// The way from one nonce to the batch's.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct BatchPath {
+    /// Where it stands in the batch.
+    place: u32,
+    /// The hashes beside the way, from the nonce up; none where the way has no other side.
+    siblings: Vec<Option<Nonce>>,
+}
+
+impl BatchPath {
+    /// Whether it is no longer than any.
+    pub fn is_bounded(&self) -> bool {
+        self.siblings.len() <= LONGEST_PATH
+    }
+
+    /// Whether it leads from one to the other.
+    pub fn leads(&self, nonce: u64, to: &Nonce) -> bool {
+        let (mut hash, mut place) = (leaf(nonce), self.place);
+        for sibling in &self.siblings {
+            hash = match sibling {
+                None => branch(&hash, None),
+                Some(sibling) if place & 1 == 1 => branch(sibling, Some(&hash)),
+                Some(sibling) => branch(&hash, Some(sibling)),
+            };
+            place >>= 1;
+        }
+        self.is_bounded() && hash == *to
+    }
+}
+
+/// Nonces that are asked for together, as a Merkle tree.
+#[derive(Clone, Debug)]
+pub struct Batch {
+    levels: Vec<Vec<Nonce>>,
+}
+
+impl Batch {
+    /// Most nonces of a batch.
+    pub const MOST: usize = 1 << LONGEST_PATH;
+
+    /// The tree over some nonces, of which there must be one at least; those past [`Batch::MOST`] are left out.
+    pub fn new(nonces: &[u64]) -> Self {
+        let mut levels = vec![nonces.iter().take(Self::MOST).map(|&nonce| leaf(nonce)).collect::<Vec<_>>()];
+        while levels.last().is_some_and(|level| level.len() > 1) {
+            let level = levels.last().expect("just looked at");
+            levels.push(level.chunks(2).map(|pair| branch(&pair[0], pair.get(1))).collect());
+        }
+        Self { levels }
+    }
+
+    /// What the council is asked with; zeros for no nonces.
+    pub fn nonce(&self) -> Nonce {
+        self.levels.last().and_then(|level| level.first()).copied().unwrap_or_default()
+    }
+
+    /// The way from the nonce at a place.
+    pub fn path(&self, place: usize) -> BatchPath {
+        let below_the_top = &self.levels[..self.levels.len() - 1];
+        let sibling = |(depth, level): (usize, &Vec<Nonce>)| level.get(place >> depth ^ 1).copied();
+        BatchPath { place: place as u32, siblings: below_the_top.iter().enumerate().map(sibling).collect() }
+    }
+}
+
+fn shortened(hasher: &blake3::Hasher) -> Nonce {
+    hasher.finalize().as_bytes()[..16].try_into().expect("as many bytes")
+}
+
+fn leaf(nonce: u64) -> Nonce {
+    let mut hasher = blake3::Hasher::new_derive_key("frostthread distribution 1 poll");
+    shortened(hasher.update(&nonce.to_le_bytes()))
+}
+
+fn branch(left: &Nonce, right: Option<&Nonce>) -> Nonce {
+    let mut hasher = blake3::Hasher::new_derive_key("frostthread distribution 1 polls");
+    hasher.update(left);
+    shortened(hasher.update(right.map_or(&[], |right| &right[..])))
+}
--- a/distribution/src/content.rs
+++ b/distribution/src/content.rs
@@ -1,6 +1,7 @@
 //! The live entries of one scope and their digest: what a subscriber puts in force.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use agree::Hash;
 
@@ -17,8 +18,8 @@
     hash: Hash,
 }
 
-/// The live entries of a scope, by key.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+/// The live entries of a scope, by key. Printed short: by their number and what begins the digest.
+#[derive(Clone, Default, PartialEq, Eq)]
 pub struct Content {
     entries: BTreeMap<Key, Stored>,
 }
@@ -78,6 +79,12 @@
     }
 }
 
+impl fmt::Debug for Content {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(to, "Content({} entries, digest {:02x?})", self.len(), &self.digest()[..8])
+    }
+}
+
 impl FromIterator<Entry> for Content {
     fn from_iter<I: IntoIterator<Item = Entry>>(entries: I) -> Self {
         let mut content = Self::default();
--- /dev/null
+++ b/distribution/src/control.rs
@@ -0,0 +1,630 @@
+//! A control machine's part: it follows the log whole and serves the scopes of its subscribers, by seals that
+//! they can verify.
+//!
+//! What a subscriber is to be sent follows from what it says that it has, so that there is no queue for it:
+//! its newest acknowledged place in the changes is the queue, and a key that is changed twice is sent once.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use agree::Id;
+use agree::freshness::{FreshnessProof, Nonce};
+use agree::seal::{Link, Seal};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::batch::Batch;
+use crate::budget::Budget;
+use crate::cursor::Cursor;
+use crate::entry::Change;
+use crate::faults::{Fault, planted};
+use crate::progress::{ChangeProgress, Progress};
+use crate::replica::Replica;
+use crate::scope::Scope;
+use crate::sessions::{MOST_SESSION_SCOPES, Sent, Sessions, Subscribed};
+use crate::state::ScopedState;
+use crate::wire::{self, Changes, KeyChange, MOST_CHANGES_BYTES, Message, Poll, Transfer};
+use crate::{Outgoing, Version};
+
+/// What is not acknowledged is sent again so many times a heartbeat. At 30% loss each way all but one in a
+/// million have it after some 12 times, within the 4 s in which a change must be in force. It costs bytes where
+/// packets take longer than this both ways.
+const REPEATS: f64 = 4.0;
+/// One subscriber is sent changes so many times a heartbeat at the most: what is decided in between goes along
+/// with the next, under one seal. More costs bytes in a burst, for a seal and a proof each time; less delays
+/// the later changes of a burst.
+const PUSHES: f64 = 4.0;
+/// A newer seal is proved to a subscriber of an unchanged scope once in this part of a heartbeat: that keeps
+/// the scope's age low. Less costs bytes while other scopes change.
+const REFRESH: f64 = 0.75;
+/// What was sent is not sent again within this part of a heartbeat, though a poll that was on its way before
+/// still asks for it.
+const IN_FLIGHT: f64 = 1.0 / 8.0;
+/// A subscriber that has not polled for so many heartbeats is forgotten. Less forgets those with bad links;
+/// more keeps sending to those who are gone.
+const GONE_HEARTBEATS: f64 = 10.0;
+/// To one that has not polled for so many heartbeats nothing is sent again, until it polls. At 30% loss one in
+/// some 10,000 is silent for as long that is there; more would send to those who are gone.
+const SILENT_HEARTBEATS: f64 = 2.5;
+/// The right to read a snapshot lapses when its holder has got no further for so many heartbeats.
+const SNAPSHOT_HEARTBEATS: f64 = 2.0;
+/// Polls are gathered for this part of a heartbeat before the council is asked how far decisions are. Less
+/// asks it more often; more adds to every subscriber's age.
+const GATHER: f64 = 1.0 / 8.0;
+/// Batches of polls that wait for the council's answer.
+const MOST_BATCHES: usize = 16;
+/// Whoever is told to come later is told so many heartbeats at most.
+const LATEST_HEARTBEATS: f64 = 8.0;
+/// Proofs of councils that are kept, as many as [`agree`] keeps.
+const MOST_LINKS: usize = 64;
+/// The part of a second's bytes that may be sent at once after a pause. The rest comes evenly, so that no
+/// second has more than the setting.
+const BURST: f64 = 0.25;
+/// Bytes run short where less than this part of what may be sent at once is left.
+const BUSY: f64 = 0.5;
+/// Bytes of the packet around a datagram, as they count against the bounds.
+const PACKET: usize = 120;
+/// Councils that are proved to a subscriber at once: each fills most of a datagram.
+const LINKS_AT_ONCE: usize = 2;
+/// Datagrams that wait to be sent for each subscriber that may be there; past that the oldest are lost, as on
+/// the network.
+const MOST_OUT_EACH: usize = 8;
+
+/// What is agreed for a control machine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ControlTerms {
+    /// How often subscribers poll: milliseconds.
+    pub heartbeat: f64,
+    /// Subscribers at most.
+    pub most_subscribers: usize,
+    /// Bytes that all of them are sent in a second.
+    pub bytes_per_second: f64,
+    /// Bytes that one of them is sent in a second.
+    pub subscriber_bytes_per_second: f64,
+    /// Subscribers that read a scope from its beginning at once.
+    pub snapshots_at_once: usize,
+}
+
+/// What has happened so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ControlCounts {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Their bytes, without what carries them.
+    pub sent_bytes: u64,
+    /// Datagrams received.
+    pub received: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+    /// Datagrams of no form, or of a version that is not known.
+    pub malformed: u64,
+    /// Messages that only control machines send.
+    pub stray: u64,
+    /// Polls left unread as their sender sends too many.
+    pub crowded: u64,
+    /// Subscribers that were told to come later.
+    pub deferred: u64,
+    /// Subscribers that were forgotten as they polled no more.
+    pub expired: u64,
+    /// Datagrams dropped as too many waited.
+    pub dropped: u64,
+    /// Positions of what no council has signed yet, as far as is known here: their sender is ahead, or lies.
+    pub ahead: u64,
+    /// States that came to another root than the one that a majority signed.
+    pub diverged: u64,
+}
+
+/// How a control machine stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ControlStanding {
+    /// The sealed index that is served; 0 before the first.
+    pub index: Version,
+    /// Subscribers.
+    pub subscribers: usize,
+    /// Of these, how many read a scope from its beginning.
+    pub snapshots: usize,
+    /// What has happened so far.
+    pub counts: ControlCounts,
+}
+
+#[derive(Clone, Debug)]
+struct Asked {
+    batch: Batch,
+    polls: Vec<(Id, u64)>,
+    at: f64,
+}
+
+/// What a subscriber is to be sent of a scope.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Plan {
+    Nothing,
+    /// What it lacks was sent just now.
+    InFlight,
+    /// That its newest content is the newest.
+    Proof,
+    /// That what is in force has not changed.
+    Refresh,
+    /// What follows, from there on.
+    Transfer(Transfer),
+    /// All of it, from the beginning.
+    Snapshot(Transfer),
+}
+
+/// What was put together for a subscriber.
+#[derive(Debug, Default)]
+struct Served {
+    messages: Vec<Message>,
+    /// A proof is among them: the seal goes along.
+    proves: bool,
+    /// It is to be sent again until it is acknowledged.
+    repeats: bool,
+    /// Some scope is read from its beginning.
+    reads: bool,
+    /// It is to come later for that.
+    deferred: bool,
+}
+
+/// A control machine.
+#[derive(Clone, Debug)]
+pub struct Control {
+    terms: ControlTerms,
+    chance: Pcg64Mcg,
+    replica: Replica,
+    links: Vec<Link>,
+    sessions: Sessions,
+    /// Who reads a snapshot, and when each got further last.
+    snapshots: BTreeMap<Id, f64>,
+    /// Who was told to come later in this heartbeat, and in the one before.
+    deferred: (usize, usize),
+    progress: Progress,
+    bytes: Budget,
+    /// Polls whose senders are to be told how far decisions are.
+    polls: Vec<(Id, u64)>,
+    gather_until: f64,
+    wanted: VecDeque<Nonce>,
+    asked: VecDeque<Asked>,
+    sweep_at: f64,
+    out: VecDeque<Outgoing>,
+    counts: ControlCounts,
+}
+
+impl Control {
+    /// One that serves nothing yet: [`Control::restore`] and [`Control::sealed`] give it what to serve.
+    pub fn new(terms: ControlTerms, seed: u64, now: f64) -> Self {
+        let bytes = even(terms.bytes_per_second, now);
+        Self {
+            sweep_at: now + terms.heartbeat,
+            terms,
+            chance: Pcg64Mcg::seed_from_u64(seed),
+            replica: Replica::default(),
+            links: Vec::new(),
+            sessions: Sessions::default(),
+            snapshots: BTreeMap::new(),
+            deferred: (0, 0),
+            progress: Progress::default(),
+            bytes,
+            polls: Vec::new(),
+            gather_until: f64::INFINITY,
+            wanted: VecDeque::new(),
+            asked: VecDeque::new(),
+            out: VecDeque::new(),
+            counts: ControlCounts::default(),
+        }
+    }
+
+    /// Whether [`Control::restore`] is to be called: at the start, or as the state here is not the signed one.
+    pub fn wants_state(&self) -> bool {
+        self.replica.wants_state()
+    }
+
+    /// Takes the state that all decisions up to an index came to. Decisions after it are given by
+    /// [`Control::decided`].
+    pub fn restore(&mut self, index: Version, state: ScopedState) {
+        self.replica.restore(index, state);
+    }
+
+    /// The decisions up to an index are carried out, and changed this. To be called also where they changed
+    /// nothing.
+    pub fn decided(&mut self, index: Version, changes: impl IntoIterator<Item = Change>) {
+        self.replica.decided(index, changes);
+    }
+
+    /// The newest seal that is known, and the proofs of the councils since the founding, as far as they are
+    /// kept, the oldest first. To be called also where they are the same again.
+    pub fn sealed(&mut self, seal: &Seal, links: &[Link]) {
+        self.replica.sealed(seal);
+        if self.links.len() != links.len() || self.links.last() != links.last() {
+            self.links = links[links.len().saturating_sub(MOST_LINKS)..].to_vec();
+        }
+    }
+
+    fn advance(&mut self, now: f64) {
+        let Some(changes) = self.replica.advance() else { return };
+        let mut changed: BTreeMap<Scope, Version> = BTreeMap::new();
+        for change in changes {
+            self.progress.note(&change, now);
+            changed.insert(change.scope, change.version);
+        }
+        for (scope, version) in changed {
+            for id in self.sessions.lacking(scope, version) {
+                let pushed = self.sessions.get(id).map_or(f64::NEG_INFINITY, |session| session.pushed);
+                self.sessions.serve_by(id, now.max(pushed + self.terms.heartbeat / PUSHES));
+            }
+        }
+    }
+
+    /// What the council is to be asked with, for the polls of many: [`agree::Agreement::ask_freshness`].
+    pub fn ask(&mut self) -> Option<Nonce> {
+        self.wanted.pop_front()
+    }
+
+    /// A voter's answer to what [`Control::ask`] gave.
+    pub fn fresh(&mut self, now: f64, proof: FreshnessProof) {
+        let found = self.asked.iter().position(|asked| asked.batch.nonce() == proof.nonce);
+        let Some(asked) = found.and_then(|found| self.asked.remove(found)) else { return };
+        for (place, &(id, nonce)) in asked.polls.iter().enumerate() {
+            let path = asked.batch.path(place);
+            self.send(now, id, &[Message::Fresh { nonce, path, proof: proof.clone() }]);
+        }
+    }
+
+    /// One is no longer a member of the fleet.
+    pub fn forget(&mut self, id: Id) {
+        self.close(id);
+    }
+
+    /// A datagram came from a member, as its packet proves.
+    pub fn receive(&mut self, now: f64, from: Id, bytes: &[u8]) {
+        self.counts.received += 1;
+        self.counts.received_bytes += bytes.len() as u64;
+        let Ok(messages) = wire::read(bytes) else {
+            self.counts.malformed += 1;
+            return;
+        };
+        for message in messages {
+            match message {
+                Message::Poll(poll) => self.polled(now, from, poll),
+                Message::Unsubscribe { scopes } => self.unsubscribed(from, &scopes),
+                _ => self.counts.stray += 1,
+            }
+        }
+    }
+
+    fn unsubscribed(&mut self, from: Id, scopes: &[Scope]) {
+        let Some(session) = self.sessions.get_mut(from) else { return };
+        session.scopes.retain(|scope, _| !scopes.contains(scope));
+        if session.scopes.is_empty() {
+            self.close(from);
+        }
+    }
+
+    fn close(&mut self, id: Id) {
+        self.sessions.close(id);
+        self.snapshots.remove(&id);
+    }
+
+    fn polled(&mut self, now: f64, from: Id, poll: Poll) {
+        let (known, full) =
+            (self.sessions.get(from).is_some(), self.sessions.len() >= self.terms.most_subscribers);
+        let index = self.replica.index();
+        let alive = Message::Alive { nonce: poll.nonce, index };
+        if !known && poll.scopes.is_empty() {
+            // It only wants to know whether this one is there.
+            return if full { self.defer(now, from) } else { self.send(now, from, &[alive]) };
+        }
+        if !known && full {
+            return self.defer(now, from);
+        }
+        let bytes = even(self.terms.subscriber_bytes_per_second, now);
+        let session = self.sessions.open(from, bytes, self.terms.heartbeat, now);
+        if !session.polls.take(now, 1.0) {
+            self.counts.crowded += 1;
+            return;
+        }
+        (session.polled, session.council) = (now, poll.council);
+        for (scope, position) in poll.scopes {
+            if !session.scopes.contains_key(&scope) && session.scopes.len() >= MOST_SESSION_SCOPES {
+                continue;
+            }
+            self.counts.ahead += u64::from(position.in_force > index);
+            let before = session.scopes.remove(&scope);
+            if before.as_ref().is_some_and(|before| before.position != position)
+                && let Some(at) = self.snapshots.get_mut(&from)
+            {
+                *at = now;
+            }
+            let (sent, proved) = before.map_or((None, f64::NEG_INFINITY), |of| (of.sent, of.proved));
+            let acknowledged = position.in_force.min(index);
+            let of = Subscribed { position, acknowledged, polled: now, wants_proof: true, proved, sent };
+            session.scopes.insert(scope, of);
+        }
+        self.send(now, from, &[alive]);
+        self.sessions.serve_by(from, now);
+        self.gather(now, from, poll.nonce);
+    }
+
+    fn gather(&mut self, now: f64, from: Id, nonce: u64) {
+        if self.polls.len() >= Batch::MOST {
+            return;
+        }
+        self.polls.push((from, nonce));
+        self.gather_until = self.gather_until.min(now + GATHER * self.terms.heartbeat);
+    }
+
+    /// Tells one to come later, in more time the more are told so.
+    fn defer(&mut self, now: f64, id: Id) {
+        self.counts.deferred += 1;
+        self.deferred.0 += 1;
+        let waiting = self.deferred.0.max(self.deferred.1) as f64;
+        let rounds = (waiting / self.terms.snapshots_at_once.max(1) as f64).ceil();
+        let heartbeats = 0.5 + self.chance.random::<f64>() * rounds;
+        let after = heartbeats.min(LATEST_HEARTBEATS) * self.terms.heartbeat;
+        self.send(now, id, &[Message::Later { after_ms: after as u32 }]);
+    }
+
+    /// Time has passed, or something was decided or sealed.
+    pub fn turn(&mut self, now: f64) {
+        self.advance(now);
+        if now >= self.sweep_at {
+            self.sweep(now);
+        }
+        if now >= self.gather_until {
+            self.ask_council(now);
+        }
+        while self.bytes.left(now) > 0.0
+            && let Some(id) = self.sessions.next(now)
+        {
+            self.serve(now, id);
+        }
+    }
+
+    /// Forgets who is gone.
+    fn sweep(&mut self, now: f64) {
+        let heartbeat = self.terms.heartbeat;
+        self.sweep_at = now + heartbeat;
+        self.deferred = (0, self.deferred.0);
+        let ended = self.sessions.expire(now - GONE_HEARTBEATS * heartbeat);
+        self.counts.expired += ended.len() as u64;
+        let lapsed = now - SNAPSHOT_HEARTBEATS * heartbeat;
+        self.snapshots.retain(|_, at| *at >= lapsed);
+        self.asked.retain(|asked| asked.at >= lapsed);
+    }
+
+    /// Asks the council for all polls that were gathered.
+    fn ask_council(&mut self, now: f64) {
+        self.gather_until = f64::INFINITY;
+        let polls = std::mem::take(&mut self.polls);
+        let nonces: Vec<u64> = polls.iter().map(|(_, nonce)| *nonce).collect();
+        let batch = Batch::new(&nonces);
+        self.wanted.push_back(batch.nonce());
+        self.asked.push_back(Asked { batch, polls, at: now });
+        while self.asked.len() > MOST_BATCHES {
+            self.asked.pop_front();
+        }
+        while self.wanted.len() > MOST_BATCHES {
+            self.wanted.pop_front();
+        }
+    }
+
+    /// Sends a subscriber what it lacks, as far as its share of bytes goes.
+    fn serve(&mut self, now: f64, id: Id) {
+        let Some(session) = self.sessions.get_mut(id) else { return };
+        if session.bytes.left(now) <= 0.0 {
+            let at = session.bytes.when(1.0);
+            return self.sessions.serve_by(id, at);
+        }
+        let listens = now - session.polled <= SILENT_HEARTBEATS * self.terms.heartbeat;
+        let scopes: Vec<Scope> = session.scopes.keys().copied().collect();
+        let council = session.council;
+        let mut served = Served::default();
+        self.link(council, &mut served);
+        // It verifies seals of the newest council that it knows alone.
+        let verifies = self.replica.served().is_some_and(|(seal, _)| seal.statement.version == council);
+        for scope in scopes.into_iter().filter(|_| verifies) {
+            let plan = self.plan(now, id, scope);
+            if matches!(plan, Plan::Snapshot(_)) && !self.may_read(now, id) {
+                served.deferred = true;
+            } else {
+                served.reads |= matches!(plan, Plan::Snapshot(_));
+                self.carry_out(now, id, scope, plan, &mut served);
+            }
+        }
+        if !served.reads && !self.reads(id) {
+            self.snapshots.remove(&id);
+        }
+        if let Some((seal, _)) = self.replica.served().filter(|_| served.proves) {
+            served.messages.push(Message::Seal(Seal::clone(seal)));
+        }
+        self.send(now, id, &served.messages);
+        if let Some(session) = self.sessions.get_mut(id).filter(|_| served.repeats) {
+            session.pushed = now;
+        }
+        if served.deferred {
+            self.defer(now, id);
+        }
+        if served.repeats && listens {
+            self.sessions.serve_by(id, now + self.terms.heartbeat / REPEATS);
+        }
+    }
+
+    /// Proves the councils after one, until a poll names a newer one.
+    fn link(&self, council: Version, served: &mut Served) {
+        let newer = self.links.iter().filter(|link| link.seal.statement.version > council);
+        served.messages.extend(newer.take(LINKS_AT_ONCE).cloned().map(Message::Council));
+        served.repeats |= !served.messages.is_empty();
+    }
+
+    /// Whether one has begun to read a scope that it has not acknowledged as in force.
+    fn reads(&self, id: Id) -> bool {
+        let reading = |of: &Subscribed| {
+            let base = of.position.transfer.as_ref().map(|transfer| transfer.base);
+            of.position.in_force == 0 || base.is_some_and(|base| base != of.position.in_force)
+        };
+        self.sessions.get(id).is_some_and(|session| session.scopes.values().any(reading))
+    }
+
+    /// Whether one may read a scope from its beginning: so many do at once.
+    fn may_read(&mut self, now: f64, id: Id) -> bool {
+        if self.snapshots.len() < self.terms.snapshots_at_once {
+            self.snapshots.entry(id).or_insert(now);
+        }
+        self.snapshots.contains_key(&id)
+    }
+
+    fn plan(&self, now: f64, id: Id, scope: Scope) -> Plan {
+        let of = self.sessions.get(id).and_then(|session| session.scopes.get(&scope));
+        let (Some(of), Some((seal, state))) = (of, self.replica.served()) else { return Plan::Nothing };
+        let index = seal.index();
+        if of.position.in_force >= index {
+            return Plan::Nothing;
+        }
+        let same = of.sent.as_ref().filter(|sent| sent.index == index && sent.position == of.position);
+        match same {
+            Some(sent) if now - sent.at < IN_FLIGHT * self.terms.heartbeat => Plan::InFlight,
+            _ => match plan(of, index, state, scope) {
+                Plan::Refresh if self.is_busy() || now - of.proved < REFRESH * self.terms.heartbeat => {
+                    Plan::Nothing
+                }
+                plan => plan,
+            },
+        }
+    }
+
+    /// Whether bytes run short: what keeps ages low waits then for what has changed.
+    fn is_busy(&self) -> bool {
+        self.bytes.share() < BUSY
+    }
+
+    /// Puts together what a plan comes to.
+    fn carry_out(&mut self, now: f64, id: Id, scope: Scope, plan: Plan, served: &mut Served) {
+        let (Some(session), Some((seal, state))) = (self.sessions.get_mut(id), self.replica.served()) else {
+            return;
+        };
+        let Some(of) = session.scopes.get_mut(&scope) else { return };
+        let index = seal.index();
+        let repeats = matches!(plan, Plan::Transfer(_));
+        let transfer = match plan {
+            Plan::Nothing => return,
+            Plan::InFlight => {
+                served.repeats |= of.sent.as_ref().is_some_and(|sent| sent.repeats);
+                return;
+            }
+            Plan::Proof | Plan::Refresh => None,
+            Plan::Transfer(transfer) | Plan::Snapshot(transfer) => Some(transfer),
+        };
+        of.wants_proof = false;
+        of.sent = Some(Sent { position: of.position.clone(), index, at: now, repeats });
+        served.repeats |= repeats;
+        let mut room = session.bytes.left(now);
+        let complete = transfer.is_none_or(|mut transfer| {
+            while let Some(changes) = read_on(state, scope, index, &transfer) {
+                let complete = changes.complete;
+                transfer.after = changes.until();
+                served.messages.push(Message::Changes(changes));
+                room -= MOST_CHANGES_BYTES as f64;
+                if complete || room <= 0.0 {
+                    return complete;
+                }
+            }
+            false
+        });
+        if complete {
+            of.proved = now;
+            served.messages.push(Message::Proof { scope, index, proof: state.proof(scope) });
+            served.proves = true;
+        }
+    }
+
+    fn send(&mut self, now: f64, to: Id, messages: &[Message]) {
+        for bytes in wire::pack(messages) {
+            let size = (bytes.len() + PACKET) as f64;
+            self.bytes.spend(now, size);
+            if let Some(session) = self.sessions.get_mut(to) {
+                session.bytes.spend(now, size);
+            }
+            self.counts.sent += 1;
+            self.counts.sent_bytes += bytes.len() as u64;
+            self.out.push_back(Outgoing { to, bytes });
+        }
+        while self.out.len() > MOST_OUT_EACH * self.terms.most_subscribers.max(1) {
+            self.out.pop_front();
+            self.counts.dropped += 1;
+        }
+    }
+
+    /// When [`Control::turn`] is to be called at the latest.
+    pub fn due(&self) -> f64 {
+        let serve = self.sessions.due().max(self.bytes.when(1.0));
+        let serve = if self.replica.may_advance() { f64::NEG_INFINITY } else { serve };
+        serve.min(self.gather_until).min(self.sweep_at)
+    }
+
+    /// The next datagram to be sent.
+    pub fn outgoing(&mut self) -> Option<Outgoing> {
+        self.out.pop_front()
+    }
+
+    /// How it stands.
+    pub fn standing(&self) -> ControlStanding {
+        ControlStanding {
+            index: self.replica.index(),
+            subscribers: self.sessions.len(),
+            snapshots: self.snapshots.len(),
+            counts: ControlCounts { diverged: self.replica.diverged(), ..self.counts },
+        }
+    }
+
+    /// How far the newest changes have come, the newest first, as subscribers say.
+    pub fn changes(&self, now: f64) -> Vec<ChangeProgress> {
+        self.progress.changes(&self.sessions, now)
+    }
+}
+
+/// A budget of so many bytes in any second.
+fn even(bytes_per_second: f64, now: f64) -> Budget {
+    Budget::new((1.0 - BURST) * bytes_per_second, BURST * bytes_per_second, now)
+}
+
+/// What follows for a subscriber that has this much of a scope. A snapshot is read at the pace of the reader's
+/// polls; what has changed is sent of its own accord.
+fn plan(of: &Subscribed, index: Version, state: &ScopedState, scope: Scope) -> Plan {
+    let position = &of.position;
+    let in_force = position.in_force;
+    let from_force = Transfer { base: in_force, seen: in_force, after: Cursor::all_of(in_force) };
+    let transfer = position.transfer.clone().unwrap_or(from_force);
+    if transfer.seen > index {
+        return Plan::Nothing;
+    }
+    let snapshot = |transfer| if of.wants_proof { Plan::Snapshot(transfer) } else { Plan::Nothing };
+    let anew = Transfer { base: index, seen: index, after: Cursor::all_of(0) };
+    if in_force == 0 && position.transfer.is_none() {
+        return snapshot(anew);
+    }
+    if transfer.after >= Cursor::all_of(state.summary(scope).version) {
+        // Its content is the newest: what is wanting is the proof.
+        return match position.transfer {
+            _ if !of.wants_proof => Plan::Nothing,
+            Some(_) => Plan::Proof,
+            None => Plan::Refresh,
+        };
+    }
+    match state.changes(scope, transfer.base, &transfer.after, 0) {
+        Err(_) => snapshot(anew),
+        Ok(_) if transfer.base != in_force => snapshot(transfer),
+        Ok(_) => Plan::Transfer(transfer),
+    }
+}
+
+/// The changes of one message.
+fn read_on(state: &ScopedState, scope: Scope, seen: Version, transfer: &Transfer) -> Option<Changes> {
+    let (base, after) = (transfer.base, transfer.after.clone());
+    let run = state.changes(scope, base, &after, MOST_CHANGES_BYTES).ok()?;
+    let change = |(version, key, value)| KeyChange { version, key, value };
+    let mut changes: Vec<KeyChange> = run.changes.into_iter().map(change).collect();
+    let mut complete = run.complete;
+    if planted(Fault::NoDeltas) && base != 0 {
+        let before = changes.len();
+        changes.retain(|change| change.version <= base);
+        complete |= changes.len() < before;
+    }
+    Some(Changes { scope, base, seen, after, changes, complete })
+}
--- a/distribution/src/lib.rs
+++ b/distribution/src/lib.rs
@@ -4,21 +4,57 @@
 //! service. [`state::ScopedState`] holds the entries of all scopes, with a Merkle root over them and a proof
 //! for each scope. docs/distribution.md explains how the parts work together.
 //!
+//! A [`Control`] is driven so: [`Control::restore`] gives it the machine's state while [`Control::wants_state`];
+//! [`Control::decided`] each decision carried out, with what it changed; [`Control::sealed`] the newest seal and
+//! links of the agreement; [`Control::receive`] each datagram. Then [`Control::turn`], also when
+//! [`Control::due`] has come. Then [`Control::outgoing`] is emptied into packets, and [`Control::ask`] into
+//! `Agreement::ask_freshness`, whose answers go to [`Control::fresh`].
+//!
+//! A [`Subscriber`] so: [`Subscriber::subscribe`] for each scope, [`Subscriber::restore`] with the file if there
+//! is one; [`Subscriber::receive`] for each datagram, [`Subscriber::turn`] when [`Subscriber::due`] has come;
+//! after either, [`Subscriber::outgoing`] is emptied into packets, [`Subscriber::changed`] tells which scopes'
+//! [`Subscriber::content`] to carry out, and [`Subscriber::saved`] what to write.
+//!
 //! Times are milliseconds on the clock of whoever is given them; it only goes forward.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod batch;
+pub mod budget;
 pub mod content;
+pub mod control;
 pub mod cursor;
 pub mod entry;
+pub mod faults;
+pub mod holding;
 pub mod merkle;
+pub mod nonces;
+pub mod placement;
+pub mod progress;
+pub mod replica;
+pub mod saved;
 pub mod scope;
+pub mod sessions;
 pub mod state;
+pub mod subscriber;
+pub mod trust;
+pub mod wire;
 
 /// The index of a decision in the log of [`agree`]: what it changed has this version.
 pub type Version = agree::Index;
 
+/// A datagram to a member, to be put into a packet that proves its sender.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Outgoing {
+    /// To whom.
+    pub to: agree::Id,
+    /// At most [`wire::LARGEST`].
+    pub bytes: Vec<u8>,
+}
+
+pub use control::{Control, ControlTerms};
 pub use entry::{Change, Entry, Key};
 pub use scope::Scope;
 pub use state::{Refused, ScopeProof, ScopedState};
+pub use subscriber::{Subscriber, SubscriberTerms};
--- /dev/null
+++ b/distribution/src/nonces.rs
@@ -0,0 +1,24 @@
+//! Nonces that nobody can foretell: a control machine that could would ask the council beforehand, and pass
+//! old answers off as new.
+
+/// Draws nonces from a seed that is kept secret.
+#[derive(Clone, Debug)]
+pub struct Nonces {
+    seed: u64,
+    drawn: u64,
+}
+
+impl Nonces {
+    /// The same seed gives the same nonces.
+    pub fn new(seed: u64) -> Self {
+        Self { seed, drawn: 0 }
+    }
+
+    /// The next one.
+    pub fn draw(&mut self) -> u64 {
+        self.drawn += 1;
+        let mut hasher = blake3::Hasher::new_derive_key("frostthread distribution 1 nonce");
+        hasher.update(&self.seed.to_le_bytes()).update(&self.drawn.to_le_bytes());
+        u64::from_le_bytes(hasher.finalize().as_bytes()[..8].try_into().expect("eight bytes"))
+    }
+}
--- /dev/null
+++ b/distribution/src/subscriber.rs
@@ -0,0 +1,569 @@
+//! A border proxy's part: it holds the scopes that it uses, as one control machine at a time passes them on.
+
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use agree::freshness::FreshnessProof;
+use agree::seal::{Link, Seal, Signs};
+use agree::{Council, Id};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::batch::BatchPath;
+use crate::budget::Budget;
+use crate::content::Content;
+use crate::holding::{Holding, Progress};
+use crate::nonces::Nonces;
+use crate::placement::{ControlMachine, Placement};
+use crate::saved::{Restored, Saved};
+use crate::scope::Scope;
+use crate::state::ScopeProof;
+use crate::trust::{Trust, Unbelieved};
+use crate::wire::{self, Changes, LARGEST, MOST_SCOPES, Message, Poll, Position};
+use crate::{Outgoing, Version};
+
+/// While a poll is unanswered or a transfer is under way, polls go out so many times a heartbeat. More costs
+/// bytes; less makes a lost packet cost more time.
+const HASTE: f64 = 4.0;
+/// What came is acknowledged after up to this part of a heartbeat, so that the subscribers of a scope do not
+/// all do so at once.
+const ACKNOWLEDGE: f64 = 1.0 / 8.0;
+/// The part by which a heartbeat is drawn shorter or longer, so that those of many do not fall together.
+const JITTER: f64 = 0.1;
+/// Polls that are remembered until their answers come. A council that answers later than so many polls gives
+/// no age.
+const MOST_ASKED: usize = 32;
+/// Answers on how far decisions were that wait for the scopes to get there.
+const MOST_FRESH: usize = 16;
+/// Seals, councils and freshness proofs that are verified in a heartbeat: each costs up to four signature
+/// checks, and a control machine that lies must not keep a processor busy. A burst of changes needs one seal
+/// a change.
+const VERIFIED_A_HEARTBEAT: f64 = 64.0;
+/// Datagrams that wait to be sent; past that the oldest are lost, as on the network.
+const MOST_OUT: usize = 64;
+/// Bytes of a poll beside its scopes.
+const POLL_HEAD: usize = 32;
+
+/// What is agreed for a subscriber.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SubscriberTerms {
+    /// Its key's number.
+    pub id: Id,
+    /// The region that it is in.
+    pub region: u16,
+    /// All control machines.
+    pub controls: Vec<ControlMachine>,
+    /// The council's first members, by the settings.
+    pub founders: Vec<Id>,
+    /// How often it polls when nothing happens: milliseconds.
+    pub heartbeat: f64,
+    /// A control machine that brings nothing new for so long while the state is older than this is taken for
+    /// gone: milliseconds.
+    pub lease: f64,
+    /// Bytes of the largest scope that is taken.
+    pub most_scope_bytes: usize,
+}
+
+/// What has happened so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SubscriberCounts {
+    /// Datagrams sent, and their bytes without what carries them.
+    pub sent: u64,
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Datagrams from control machines.
+    pub received: u64,
+    /// Bytes received.
+    pub received_bytes: u64,
+    /// Datagrams of no form, or of a version that is not known; changes that are not in order or too many.
+    pub malformed: u64,
+    /// Datagrams from others than control machines, and messages that only subscribers send.
+    pub stray: u64,
+    /// Seals, councils, proofs and freshness whose signatures or paths do not fit.
+    pub unproved: u64,
+    /// Messages left unread as too many signatures were to be verified.
+    pub crowded: u64,
+    /// Transfers that came to other content than the proved one.
+    pub mismatched: u64,
+    /// Times that another control machine was taken.
+    pub switched: u64,
+    /// Times that a control machine said to come later.
+    pub deferred: u64,
+}
+
+/// How a subscriber stands.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SubscriberStanding {
+    /// The control machine that serves, and since when in milliseconds.
+    pub control: (Id, f64),
+    /// Each scope: the index by which it is in force (0: it is not), and its age in milliseconds.
+    pub scopes: BTreeMap<Scope, (Version, f64)>,
+    /// Since when the newest proved council votes.
+    pub council: Version,
+    /// What has happened so far.
+    pub counts: SubscriberCounts,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Asked {
+    nonce: u64,
+    to: Id,
+    at: f64,
+}
+
+/// A subscriber.
+#[derive(Clone, Debug)]
+pub struct Subscriber<K> {
+    terms: SubscriberTerms,
+    trust: Trust<K>,
+    scopes: BTreeMap<Scope, Holding>,
+    placement: Placement,
+    nonces: Nonces,
+    chance: Pcg64Mcg,
+    asked: VecDeque<Asked>,
+    /// How far decisions were, and when the poll was sent that asked: newer than some scope.
+    fresh: VecDeque<(Version, f64)>,
+    verify: Budget,
+    polled_at: f64,
+    poll_at: f64,
+    /// When what came is to be acknowledged, if that is before the next poll.
+    acknowledge_at: f64,
+    /// It was told to come later: no polls until then.
+    held_off: f64,
+    /// When something was last got from a control machine.
+    progress_at: f64,
+    changed: BTreeSet<Scope>,
+    unsaved: bool,
+    out: VecDeque<Outgoing>,
+    counts: SubscriberCounts,
+}
+
+impl<K: Signs> Subscriber<K> {
+    /// A subscriber without any scope. `seed` must not be known to others: what a control machine can foretell
+    /// it could answer beforehand.
+    pub fn new(terms: SubscriberTerms, keys: K, seed: u64, now: f64) -> Self {
+        let mut chance = Pcg64Mcg::seed_from_u64(seed);
+        let founders = Council::founders(terms.founders.iter().copied());
+        let (region, heartbeat) = (terms.region, terms.heartbeat);
+        let placement = Placement::new(terms.id, region, &terms.controls, heartbeat, now, &mut chance);
+        let verified = VERIFIED_A_HEARTBEAT / heartbeat * 1000.0;
+        // Those that start together do not all come at once.
+        let poll_at = now + 0.5 * heartbeat * chance.random::<f64>();
+        Self {
+            terms,
+            trust: Trust::new(founders, keys),
+            scopes: BTreeMap::new(),
+            placement,
+            nonces: Nonces::new(seed),
+            chance,
+            asked: VecDeque::new(),
+            fresh: VecDeque::new(),
+            verify: Budget::new(verified, VERIFIED_A_HEARTBEAT, now),
+            polled_at: poll_at - heartbeat / HASTE,
+            poll_at,
+            acknowledge_at: f64::INFINITY,
+            held_off: f64::NEG_INFINITY,
+            progress_at: now,
+            changed: BTreeSet::new(),
+            unsaved: false,
+            out: VecDeque::new(),
+            counts: SubscriberCounts::default(),
+        }
+    }
+
+    /// Wants a scope from now on.
+    pub fn subscribe(&mut self, scope: Scope, now: f64) {
+        if let Entry::Vacant(place) = self.scopes.entry(scope) {
+            place.insert(Holding::default());
+            self.hasten(now);
+        }
+    }
+
+    /// Wants a scope no more: nothing of it is held.
+    pub fn unsubscribe(&mut self, scope: Scope) {
+        if self.scopes.remove(&scope).is_some() {
+            self.changed.remove(&scope);
+            self.unsaved = true;
+            self.send(self.placement.current().0, &[Message::Unsubscribe { scopes: vec![scope] }]);
+        }
+    }
+
+    /// Takes other keys: the roster has changed.
+    pub fn rekey(&mut self, keys: K) {
+        self.trust.rekey(keys);
+    }
+
+    /// The scopes that it wants.
+    pub fn scopes(&self) -> impl Iterator<Item = Scope> {
+        self.scopes.keys().copied()
+    }
+
+    /// What is in force of a scope; none before anything was proved.
+    pub fn content(&self, scope: Scope) -> Option<&Content> {
+        self.scopes.get(&scope)?.held().map(|held| &held.content)
+    }
+
+    /// The index of the seal by which a scope is in force; 0 where nothing is. All decisions up to it are
+    /// obeyed here.
+    pub fn index(&self, scope: Scope) -> Version {
+        self.scopes.get(&scope).map_or(0, Holding::index)
+    }
+
+    /// What it has of a scope, as its polls say.
+    pub fn position(&self, scope: Scope) -> Option<Position> {
+        self.scopes.get(&scope).map(Holding::position)
+    }
+
+    /// How old what is in force of a scope can be, in milliseconds; infinity before a voter's word came since
+    /// the start.
+    pub fn age(&self, scope: Scope, now: f64) -> f64 {
+        let since = self.scopes.get(&scope).and_then(Holding::fresh_since);
+        since.map_or(f64::INFINITY, |since| now - since)
+    }
+
+    /// The next scope whose content has changed.
+    pub fn changed(&mut self) -> Option<Scope> {
+        self.changed.pop_first()
+    }
+
+    /// What is to be kept on the disk, where that has changed since it was last asked for.
+    pub fn saved(&mut self) -> Option<Vec<u8>> {
+        std::mem::take(&mut self.unsaved).then(|| {
+            let held = self.scopes.iter().filter_map(|(scope, of)| Some((*scope, of.held()?)));
+            Saved::new(self.trust.links(), held).bytes()
+        })
+    }
+
+    /// Puts in force what was kept of the scopes that it wants, as far as it is proved. Its age is not known.
+    pub fn restore(&mut self, bytes: &[u8]) -> Restored {
+        let mut restored = Restored::default();
+        let Some(saved) = Saved::read(bytes) else { return restored };
+        let links = saved.links.clone();
+        let founders = Council::founders(self.terms.founders.iter().copied());
+        for scope in saved.proved(&founders, self.trust.keys()) {
+            let Some((scope, held)) = scope else {
+                restored.unproved += 1;
+                continue;
+            };
+            let Some(holding) = self.scopes.get_mut(&scope).filter(|of| of.index() < held.index()) else {
+                continue;
+            };
+            if holding.restore(held) {
+                restored.scopes += 1;
+                self.changed.insert(scope);
+            } else {
+                restored.unproved += 1;
+            }
+        }
+        for link in links {
+            if self.trust.follow(link).is_err() {
+                break;
+            }
+        }
+        restored
+    }
+
+    /// A datagram came from a member, as its packet proves.
+    pub fn receive(&mut self, now: f64, from: Id, bytes: &[u8]) {
+        if !self.placement.order().contains(&from) {
+            self.counts.stray += 1;
+            return;
+        }
+        self.counts.received += 1;
+        self.counts.received_bytes += bytes.len() as u64;
+        let Ok(messages) = wire::read(bytes) else {
+            self.counts.malformed += 1;
+            return;
+        };
+        for message in messages {
+            match message {
+                Message::Alive { nonce, index } => self.answered(now, from, nonce, index),
+                Message::Fresh { nonce, path, proof } => self.note_fresh(now, from, nonce, &path, &proof),
+                Message::Changes(changes) => self.stage(now, from, changes),
+                Message::Proof { scope, index, proof } => self.prove(now, scope, index, proof),
+                Message::Seal(seal) => self.seal(now, seal),
+                Message::Council(link) => self.follow(now, link),
+                Message::Later { after_ms } => self.hold_off(now, from, f64::from(after_ms)),
+                Message::Poll(_) | Message::Unsubscribe { .. } => self.counts.stray += 1,
+            }
+        }
+    }
+
+    fn answered(&mut self, now: f64, from: Id, nonce: u64, index: Version) {
+        if !self.asked.iter().any(|asked| asked.nonce == nonce && asked.to == from) {
+            return;
+        }
+        if let Some(before) = self.placement.answered(from, now) {
+            self.leave(before);
+            self.counts.switched += 1;
+            (self.poll_at, self.held_off) = (now, f64::NEG_INFINITY);
+            return;
+        }
+        if from == self.placement.current().0 {
+            self.pace(false);
+            for holding in self.scopes.values_mut() {
+                holding.fall_back(index);
+            }
+        }
+    }
+
+    /// Tells one that it is no longer needed.
+    fn leave(&mut self, control: Id) {
+        let scopes: Vec<Scope> = self.scopes.keys().copied().collect();
+        for scopes in scopes.chunks(MOST_SCOPES) {
+            self.send(control, &[Message::Unsubscribe { scopes: scopes.to_vec() }]);
+        }
+    }
+
+    fn note_fresh(&mut self, now: f64, from: Id, nonce: u64, path: &BatchPath, proof: &FreshnessProof) {
+        let Some(&asked) = self.asked.iter().find(|asked| asked.nonce == nonce && asked.to == from) else {
+            return;
+        };
+        if !self.verify.take(now, 1.0) {
+            self.counts.crowded += 1;
+            return;
+        }
+        if !path.leads(nonce, &proof.nonce) || !self.trust.is_fresh(proof) {
+            self.counts.unproved += 1;
+            return;
+        }
+        self.asked.retain(|asked| asked.nonce != nonce);
+        self.fresh.push_back((proof.index, asked.at));
+        if self.fresh.len() > MOST_FRESH {
+            self.fresh.pop_front();
+        }
+        self.note_ages();
+    }
+
+    /// What was decided by the time of a poll is known once it is in force.
+    fn note_ages(&mut self) {
+        for holding in self.scopes.values_mut() {
+            self.fresh.iter().for_each(|&(index, at)| holding.note_fresh(index, at));
+        }
+        let oldest = self.scopes.values().map(Holding::index).min().unwrap_or(Version::MAX);
+        self.fresh.retain(|(index, _)| *index > oldest);
+    }
+
+    fn stage(&mut self, now: f64, from: Id, changes: Changes) {
+        let (scope, complete) = (changes.scope, changes.complete);
+        let Some(holding) = self.scopes.get_mut(&scope) else { return };
+        let progress = holding.stage(from, changes, self.terms.most_scope_bytes);
+        self.note(now, scope, progress);
+        if progress == Progress::Staged {
+            if !complete {
+                self.acknowledge(now);
+            }
+            self.settle(now, scope);
+        }
+    }
+
+    fn prove(&mut self, now: f64, scope: Scope, index: Version, proof: ScopeProof) {
+        let Some(holding) = self.scopes.get_mut(&scope) else { return };
+        if !self.trust.has_seal(index) {
+            return holding.wait_for_seal(index, proof);
+        }
+        match self.trust.proved(scope, index, &proof) {
+            Some(seal) => holding.prove(seal, proof),
+            None => self.counts.unproved += 1,
+        }
+        self.settle(now, scope);
+    }
+
+    fn seal(&mut self, now: f64, seal: Seal) {
+        let index = seal.statement.index;
+        if self.trust.has_seal(index) {
+            return;
+        }
+        if !self.verify.take(now, 1.0) {
+            self.counts.crowded += 1;
+            return;
+        }
+        if let Err(unbelieved) = self.trust.seal(seal) {
+            self.counts.unproved += u64::from(unbelieved == Unbelieved::Unsigned);
+            return;
+        }
+        for scope in self.scopes.keys().copied().collect::<Vec<_>>() {
+            let waiting = self.scopes.get_mut(&scope).and_then(|holding| holding.take_unsealed(index));
+            if let Some(proof) = waiting {
+                self.prove(now, scope, index, proof);
+            }
+        }
+    }
+
+    fn follow(&mut self, now: f64, link: Link) {
+        if !self.trust.is_next(&link) {
+            return;
+        }
+        if !self.verify.take(now, 1.0) {
+            self.counts.crowded += 1;
+        } else if self.trust.follow(link).is_err() {
+            self.counts.unproved += 1;
+        } else {
+            self.unsaved = true;
+            self.progress_at = now;
+            self.hasten(now);
+        }
+    }
+
+    fn settle(&mut self, now: f64, scope: Scope) {
+        let Some(holding) = self.scopes.get_mut(&scope) else { return };
+        let progress = holding.settle();
+        self.note(now, scope, progress);
+        if matches!(progress, Progress::Changed | Progress::Confirmed) {
+            self.note_ages();
+            self.acknowledge(now);
+        }
+    }
+
+    fn note(&mut self, now: f64, scope: Scope, progress: Progress) {
+        match progress {
+            Progress::None => return,
+            Progress::Malformed => {
+                self.counts.malformed += 1;
+                return;
+            }
+            Progress::Mismatch(source) => {
+                self.counts.mismatched += 1;
+                if source == Some(self.placement.current().0) {
+                    self.placement.suspect(now, &mut self.chance);
+                }
+                return self.hasten(now);
+            }
+            Progress::Changed => {
+                self.changed.insert(scope);
+                self.unsaved = true;
+            }
+            Progress::Staged | Progress::Confirmed => {}
+        }
+        self.progress_at = now;
+    }
+
+    /// Says before long what it has.
+    fn acknowledge(&mut self, now: f64) {
+        let soon = ACKNOWLEDGE * self.terms.heartbeat;
+        let at = (now + soon * self.chance.random::<f64>()).max(self.polled_at + soon);
+        self.acknowledge_at = self.acknowledge_at.min(at).max(self.held_off);
+    }
+
+    /// Polls at the pace of what is unanswered.
+    fn hasten(&mut self, now: f64) {
+        let at = self.polled_at + self.terms.heartbeat / HASTE;
+        self.poll_at = self.poll_at.min(at.max(now)).max(self.held_off);
+    }
+
+    fn hold_off(&mut self, now: f64, from: Id, after: f64) {
+        if from != self.placement.current().0 {
+            return;
+        }
+        self.counts.deferred += 1;
+        self.placement.answered(from, now);
+        self.held_off = now + after.min(self.terms.lease);
+        self.poll_at = self.poll_at.max(self.held_off);
+    }
+
+    /// Time has passed.
+    pub fn turn(&mut self, now: f64) {
+        if now >= self.stale_at() {
+            self.progress_at = now;
+            self.placement.suspect(now, &mut self.chance);
+        }
+        if self.placement.turn(now, &mut self.chance) {
+            self.counts.switched += 1;
+            self.held_off = f64::NEG_INFINITY;
+            self.progress_at = now;
+            self.poll_at = now;
+        }
+        if let Some(other) = self.placement.retry(now, &mut self.chance) {
+            self.poll(now, other, Vec::new());
+        }
+        if now >= self.poll_at.min(self.acknowledge_at) {
+            self.poll_all(now);
+        }
+    }
+
+    /// When the control machine that serves is taken for gone, as it answers but brings nothing.
+    fn stale_at(&self) -> f64 {
+        let oldest = |at: f64, of: &Holding| at.min(of.fresh_since().unwrap_or(f64::NEG_INFINITY));
+        let fresh = self.scopes.values().fold(f64::INFINITY, oldest);
+        let since = fresh.max(self.progress_at).max(self.placement.current().1);
+        since + self.terms.lease
+    }
+
+    fn poll_all(&mut self, now: f64) {
+        let to = self.placement.current().0;
+        let positions = self.scopes.iter().map(|(scope, holding)| (*scope, holding.position())).collect();
+        for scopes in in_datagrams(positions) {
+            self.poll(now, to, scopes);
+        }
+        self.placement.polled(now);
+        (self.polled_at, self.acknowledge_at) = (now, f64::INFINITY);
+        self.pace(true);
+    }
+
+    /// Sets when the next poll is due, unless something is to be acknowledged before.
+    fn pace(&mut self, unanswered: bool) {
+        let jitter = self.chance.random_range(1.0 - JITTER..1.0 + JITTER);
+        let underway = unanswered || self.scopes.values().any(Holding::is_underway);
+        let pace = if underway { self.terms.heartbeat / HASTE } else { self.terms.heartbeat };
+        self.poll_at = (self.polled_at + jitter * pace).max(self.held_off);
+    }
+
+    fn poll(&mut self, now: f64, to: Id, scopes: Vec<(Scope, Position)>) {
+        let poll = Poll { nonce: self.nonces.draw(), council: self.trust.version(), scopes };
+        self.asked.push_back(Asked { nonce: poll.nonce, to, at: now });
+        if self.asked.len() > MOST_ASKED {
+            self.asked.pop_front();
+        }
+        self.send(to, &[Message::Poll(poll)]);
+    }
+
+    fn send(&mut self, to: Id, messages: &[Message]) {
+        for bytes in wire::pack(messages) {
+            self.counts.sent += 1;
+            self.counts.sent_bytes += bytes.len() as u64;
+            self.out.push_back(Outgoing { to, bytes });
+        }
+        while self.out.len() > MOST_OUT {
+            self.out.pop_front();
+        }
+    }
+
+    /// When [`Subscriber::turn`] is to be called at the latest.
+    pub fn due(&self) -> f64 {
+        self.poll_at.min(self.acknowledge_at).min(self.placement.due()).min(self.stale_at())
+    }
+
+    /// The next datagram to be sent.
+    pub fn outgoing(&mut self) -> Option<Outgoing> {
+        self.out.pop_front()
+    }
+
+    /// How it stands.
+    pub fn standing(&self, now: f64) -> SubscriberStanding {
+        let (control, since) = self.placement.current();
+        let scope = |(scope, of): (&Scope, &Holding)| (*scope, (of.index(), self.age(*scope, now)));
+        SubscriberStanding {
+            control: (control, now - since),
+            scopes: self.scopes.iter().map(scope).collect(),
+            council: self.trust.version(),
+            counts: self.counts,
+        }
+    }
+}
+
+/// Positions in runs that each fit a datagram; one empty run where there are none.
+fn in_datagrams(positions: Vec<(Scope, Position)>) -> Vec<Vec<(Scope, Position)>> {
+    let (mut runs, mut room) = (vec![Vec::new()], LARGEST - POLL_HEAD);
+    for position in positions {
+        let size = postcard::experimental::serialized_size(&position).expect("plain data");
+        let last = runs.last_mut().expect("never empty");
+        if size > room || last.len() == MOST_SCOPES {
+            room = LARGEST - POLL_HEAD;
+            runs.push(vec![position]);
+        } else {
+            last.push(position);
+        }
+        room = room.saturating_sub(size);
+    }
+    runs
+}
--- /dev/null
+++ b/distribution/src/wire.rs
@@ -0,0 +1,225 @@
+//! The form of what subscribers and control machines say to each other, in postcard's compact encoding. Who
+//! says it is proved by the packet that carries it.
+//!
+//! A datagram holds a version byte and one message or more. [`pack`] and [`read`] are the two ways; what is
+//! read has bounded keys, values and lists, and nothing else of it is checked.
+
+use agree::council::MOST_SEATS;
+use agree::freshness::FreshnessProof;
+use agree::seal::{Link, Seal};
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::Version;
+use crate::batch::BatchPath;
+use crate::cursor::Cursor;
+use crate::entry::{Key, LONGEST_VALUE};
+use crate::merkle::LONGEST_PATH;
+use crate::scope::Scope;
+use crate::state::ScopeProof;
+
+/// The first byte of a datagram.
+pub const VERSION: u8 = 1;
+/// Bytes of the longest datagram: with what the packet around it takes it is cut up on no path.
+pub const LARGEST: usize = 1000;
+/// Bytes of changes in one message: the longest change fits, and what stands beside them in the message
+/// (two places with keys of full length) still leaves it within a datagram.
+pub const MOST_CHANGES_BYTES: usize = 640;
+/// Scopes in one message at most.
+pub const MOST_SCOPES: usize = 64;
+
+/// Where a transfer of a scope stands, for whoever goes on with it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Transfer {
+    /// The version that it started from: removals after it must not be left out.
+    pub base: Version,
+    /// The newest state that a part of it came from: an older control machine cannot go on with it.
+    pub seen: Version,
+    /// Up to where the changes are there.
+    pub after: Cursor,
+}
+
+/// What a subscriber has of a scope.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Position {
+    /// The index of the seal by which what is in force was proved; 0 where nothing is.
+    pub in_force: Version,
+    /// What has come of newer content that is not in force yet.
+    pub transfer: Option<Transfer>,
+}
+
+/// From a subscriber: it is there, acknowledges what it has and asks for what follows. Scopes that do not fit
+/// go in further polls.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Poll {
+    /// Drawn anew for each poll.
+    pub nonce: u64,
+    /// Since when the newest council votes whose proof the subscriber has.
+    pub council: Version,
+    /// Some of its scopes, with what it has of each.
+    pub scopes: Vec<(Scope, Position)>,
+}
+
+/// One key's change within [`Changes`].
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct KeyChange {
+    /// The decision that changed it.
+    pub version: Version,
+    /// Which entry.
+    pub key: Key,
+    /// Its value; none where it was removed.
+    pub value: Option<Vec<u8>>,
+}
+
+/// A run of changes of a scope, in the order of version and key. A snapshot is such a run from the beginning,
+/// so what changes while it is read follows by itself.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Changes {
+    /// The scope.
+    pub scope: Scope,
+    /// Removals up to this version are left out.
+    pub base: Version,
+    /// The state that they are read from.
+    pub seen: Version,
+    /// They follow this place without a gap.
+    pub after: Cursor,
+    /// The changes.
+    pub changes: Vec<KeyChange>,
+    /// Whether nothing follows in the state that they are read from.
+    pub complete: bool,
+}
+
+impl Changes {
+    /// Up to where the scope's changes are known with them.
+    pub fn until(&self) -> Cursor {
+        let last = self.changes.last();
+        match last {
+            _ if self.complete => Cursor::all_of(self.seen),
+            Some(last) => Cursor::at(last.version, last.key.clone()),
+            None => self.after.clone(),
+        }
+    }
+}
+
+/// A message either way.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Message {
+    /// From a subscriber: see [`Poll`].
+    Poll(Poll),
+    /// From a subscriber: it no longer wants these scopes from this control machine.
+    Unsubscribe {
+        /// The scopes.
+        scopes: Vec<Scope>,
+    },
+    /// From a control machine: the answer to a poll.
+    Alive {
+        /// The poll's.
+        nonce: u64,
+        /// The sealed index that the control machine serves.
+        index: Version,
+    },
+    /// From a control machine: a voter's word on how far decisions were after a poll was sent.
+    Fresh {
+        /// The poll's nonce.
+        nonce: u64,
+        /// The way from the poll's nonce to the one that the voter was asked with.
+        path: BatchPath,
+        /// What the voter signed.
+        proof: FreshnessProof,
+    },
+    /// From a control machine: changes of a scope.
+    Changes(Changes),
+    /// From a control machine: what the sealed state at an index says of a scope.
+    Proof {
+        /// The scope.
+        scope: Scope,
+        /// The index of the seal.
+        index: Version,
+        /// The way to the state's root.
+        proof: ScopeProof,
+    },
+    /// From a control machine: a majority's signatures on the state at an index.
+    Seal(Seal),
+    /// From a control machine: the proof of the council that follows the one that the subscriber knows.
+    Council(Link),
+    /// From a control machine that is full: poll again after so many milliseconds.
+    Later {
+        /// Milliseconds.
+        after_ms: u32,
+    },
+}
+
+/// Why a datagram was dropped.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum Unfit {
+    /// It is longer than [`LARGEST`].
+    #[error("longer than any datagram")]
+    Oversized,
+    /// Its version is not known.
+    #[error("field version: not known")]
+    Version,
+    /// It cannot be read, or nothing is in it.
+    #[error("not of its form")]
+    Form,
+    /// A list or a value in it is longer than any.
+    #[error("a list or a value is longer than any")]
+    Bounds,
+}
+
+/// Puts messages into datagrams in their order, as many into each as fit. One that fits none is left out.
+pub fn pack(messages: &[Message]) -> Vec<Vec<u8>> {
+    let mut datagrams: Vec<Vec<u8>> = Vec::new();
+    for message in messages {
+        let bytes = postcard::to_stdvec(message).expect("plain data");
+        if bytes.len() + 1 > LARGEST {
+            continue;
+        }
+        match datagrams.last_mut() {
+            Some(last) if last.len() + bytes.len() <= LARGEST => last.extend(bytes),
+            _ => datagrams.push([&[VERSION], &bytes[..]].concat()),
+        }
+    }
+    datagrams
+}
+
+/// The messages of a datagram.
+///
+/// # Errors
+///
+/// [`Unfit`] where any part of it is not as it must be; nothing of it is used then.
+pub fn read(bytes: &[u8]) -> Result<Vec<Message>, Unfit> {
+    if bytes.len() > LARGEST {
+        return Err(Unfit::Oversized);
+    }
+    let (&version, mut body) = bytes.split_first().ok_or(Unfit::Form)?;
+    if version != VERSION {
+        return Err(Unfit::Version);
+    }
+    let mut messages = Vec::new();
+    while !body.is_empty() {
+        let (message, rest) = postcard::take_from_bytes::<Message>(body).map_err(|_| Unfit::Form)?;
+        if !is_bounded(&message) {
+            return Err(Unfit::Bounds);
+        }
+        messages.push(message);
+        body = rest;
+    }
+    if messages.is_empty() { Err(Unfit::Form) } else { Ok(messages) }
+}
+
+fn is_bounded(message: &Message) -> bool {
+    let fits = |seal: &Seal| seal.signatures.len() <= MOST_SEATS;
+    match message {
+        Message::Poll(poll) => poll.scopes.len() <= MOST_SCOPES,
+        Message::Unsubscribe { scopes } => scopes.len() <= MOST_SCOPES,
+        Message::Changes(changes) => changes.changes.iter().all(|change| {
+            let length = change.value.as_ref().map_or(0, Vec::len);
+            length <= LONGEST_VALUE
+        }),
+        Message::Proof { proof, .. } => proof.path.len() <= LONGEST_PATH,
+        Message::Seal(seal) => fits(seal),
+        Message::Council(link) => fits(&link.seal) && link.council.seats().len() <= MOST_SEATS,
+        Message::Fresh { path, .. } => path.is_bounded(),
+        Message::Alive { .. } | Message::Later { .. } => true,
+    }
+}
--- /dev/null
+++ b/distribution/tests/world/council.rs
@@ -0,0 +1,150 @@
+//! What stands in for the council: it decides at once, and a majority of it signs every index.
+
+use std::collections::BTreeMap;
+
+use agree::freshness::{FreshnessProof, Nonce};
+use agree::seal::{Link, Seal, Signs, Statement};
+use agree::{Id, Seat};
+use distribution::{Change, Key, Scope, ScopedState, Version};
+
+/// Voters have numbers from here on.
+const VOTERS: Id = 50;
+
+/// Signatures that cost little: nobody here forges any.
+#[derive(Clone, Debug)]
+pub struct Keys(pub Id);
+
+fn signature(id: Id, bytes: &[u8]) -> [u8; 64] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&id.to_le_bytes());
+    hasher.update(bytes);
+    let mut signature = [0; 64];
+    hasher.finalize_xof().fill(&mut signature);
+    signature
+}
+
+impl Signs for Keys {
+    fn sign(&self, bytes: &[u8]) -> [u8; 64] {
+        signature(self.0, bytes)
+    }
+
+    fn said(&self, by: Id, bytes: &[u8], said: &[u8; 64]) -> bool {
+        signature(by, bytes) == *said
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Decision {
+    at: f64,
+    changes: Vec<Change>,
+    state: ScopedState,
+    seal: Option<Seal>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Council {
+    founders: Vec<Id>,
+    voters: agree::Council,
+    version: Version,
+    links: Vec<Link>,
+    decisions: Vec<Decision>,
+}
+
+impl Council {
+    pub fn new(voters: u64) -> Self {
+        let founders: Vec<Id> = (VOTERS..VOTERS + voters).collect();
+        let voters = agree::Council::founders(founders.iter().copied());
+        let start = Decision {
+            at: f64::NEG_INFINITY,
+            changes: Vec::new(),
+            state: ScopedState::default(),
+            seal: None,
+        };
+        Self { founders, voters, version: 0, links: Vec::new(), decisions: vec![start] }
+    }
+
+    pub fn founders(&self) -> Vec<Id> {
+        self.founders.clone()
+    }
+
+    pub fn index(&self) -> Version {
+        self.decisions.len() as Version - 1
+    }
+
+    fn newest(&self) -> &Decision {
+        self.decisions.last().expect("the start")
+    }
+
+    pub fn decide(&mut self, now: f64, changes: &[(Scope, &str, Option<&[u8]>)]) -> Version {
+        let version = self.index() + 1;
+        let mut state = self.newest().state.clone();
+        let change = |&(scope, key, value): &(Scope, &str, Option<&[u8]>)| {
+            let (key, value) = (Key::new(key).expect("fit"), value.map(<[u8]>::to_vec));
+            Change { scope, key, version, value }
+        };
+        let changes: Vec<Change> = changes.iter().map(change).collect();
+        changes.iter().for_each(|change| state.apply(change.clone()).expect("in order"));
+        let voters = self.voters.clone();
+        let seal = Some(self.seal_of(version, &state, &voters));
+        self.decisions.push(Decision { at: now, changes, state, seal });
+        version
+    }
+
+    /// Another voter comes in.
+    pub fn elect(&mut self, now: f64) -> Version {
+        let former = self.voters.clone();
+        self.voters = former.with(Seat { id: 90 + self.index(), life: 0 });
+        self.version = self.index() + 1;
+        let state = self.newest().state.clone();
+        let link = Link { council: self.voters.clone(), seal: self.seal_of(self.version, &state, &former) };
+        self.links.push(link);
+        self.decide(now, &[])
+    }
+
+    fn seal_of(&self, index: Version, state: &ScopedState, by: &agree::Council) -> Seal {
+        let zero = [0; 32];
+        let statement = Statement {
+            index,
+            hash: zero,
+            snapshot: 0,
+            digest: zero,
+            version: self.version,
+            council: self.voters.digest(),
+            state: state.root(),
+        };
+        let bytes = statement.bytes();
+        let signed: BTreeMap<Id, Vec<u8>> = by.ids().map(|id| (id, signature(id, &bytes).to_vec())).collect();
+        Seal::of(&statement, &signed, by).expect("a majority")
+    }
+
+    pub fn changes(&self, index: Version) -> &[Change] {
+        &self.decisions[index as usize].changes
+    }
+
+    pub fn state(&self, index: Version) -> &ScopedState {
+        &self.decisions[index as usize].state
+    }
+
+    pub fn seal(&self, index: Version) -> Option<&Seal> {
+        self.decisions[index as usize].seal.as_ref()
+    }
+
+    pub fn links(&self) -> &[Link] {
+        &self.links
+    }
+
+    pub fn version_of(&self, scope: Scope) -> Version {
+        self.newest().state.summary(scope).version
+    }
+
+    /// How far decisions were before a time.
+    pub fn decided_by(&self, time: f64) -> Version {
+        self.decisions.iter().rposition(|of| of.at < time).map_or(0, |index| index as Version)
+    }
+
+    /// A voter's answer, given now.
+    pub fn fresh(&self, nonce: Nonce) -> FreshnessProof {
+        let signer = self.voters.ids().next().expect("a voter");
+        FreshnessProof::sign(signer, nonce, self.index(), &Keys(signer))
+    }
+}
--- /dev/null
+++ b/distribution/tests/world/mod.rs
@@ -0,0 +1,408 @@
+//! A council, control machines and subscribers on one virtual clock, and what is checked of each subscriber at
+//! every step: no scope goes back a version within a process, what is in force is what was decided at the index
+//! that it is in force by, and nothing that its age covers is missing.
+
+#![allow(dead_code)]
+
+pub mod council;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use agree::Id;
+use agree::freshness::FreshnessProof;
+use council::{Council, Keys};
+use distribution::placement::ControlMachine;
+use distribution::{Control, ControlTerms, Scope, Subscriber, SubscriberTerms, Version};
+use links::{Links, Place};
+
+pub const HEARTBEAT: f64 = 1000.0;
+pub const LEASE: f64 = 10_000.0;
+pub const STEP: f64 = 5.0;
+/// Within which a change is to be in force everywhere.
+pub const IN_FORCE: f64 = 4_000.0;
+/// Bytes of the packet around each datagram, as the bounds count them.
+const PACKET: usize = 120;
+/// Until the council has answered how far decisions are.
+const ASKING: f64 = 30.0;
+pub const COUNCIL: Place = 0;
+/// The places of subscribers begin here.
+pub const SUBSCRIBERS: Place = 100;
+pub const REGION: u16 = 1;
+
+pub fn control_id(number: usize) -> Id {
+    1 + number as Id
+}
+
+pub fn subscriber_id(number: usize) -> Id {
+    (SUBSCRIBERS + number) as Id
+}
+
+fn place(id: Id) -> Place {
+    id as Place
+}
+
+pub fn control_terms() -> ControlTerms {
+    ControlTerms {
+        heartbeat: HEARTBEAT,
+        most_subscribers: 3000,
+        bytes_per_second: 8e6,
+        subscriber_bytes_per_second: 6000.0,
+        snapshots_at_once: 128,
+    }
+}
+
+/// A control machine, and what it follows.
+pub struct Machine {
+    pub control: Option<Control>,
+    /// How far it has followed the council.
+    pub followed: Version,
+    /// It follows no further than this.
+    pub stops_at: Version,
+    pub region: u16,
+    /// Bytes sent, and the most of a second.
+    pub second: (u64, u64),
+    pub most_in_a_second: u64,
+    pub most_snapshots: usize,
+}
+
+/// A border proxy's part.
+pub struct Proxy {
+    pub subscriber: Option<Subscriber<Keys>>,
+    pub scopes: BTreeSet<Scope>,
+    pub disk: Vec<u8>,
+    /// What is in force is written to the disk as soon as it is.
+    pub writes: bool,
+    pub region: u16,
+    in_force: BTreeMap<Scope, Version>,
+    /// When each version came in force first.
+    pub reached: BTreeMap<(Scope, Version), f64>,
+    pub second: (u64, u64),
+    pub most_in_a_second: u64,
+    pub total: u64,
+}
+
+pub struct World {
+    pub now: f64,
+    pub council: Council,
+    pub machines: Vec<Machine>,
+    pub proxies: Vec<Proxy>,
+    pub links: Links<Vec<u8>>,
+    pub terms: ControlTerms,
+    /// No voter leads: nobody is told how far decisions are.
+    pub leaderless: bool,
+    /// All control machines are honest: no transfer comes to other content than the proved one.
+    pub honest: bool,
+    answers: VecDeque<(f64, Place, FreshnessProof)>,
+    seeds: u64,
+}
+
+impl World {
+    /// So many control machines in one region.
+    pub fn new(machines: usize, seed: u64) -> Self {
+        let council = Council::new(3);
+        let mut world = Self {
+            now: 0.0,
+            council,
+            machines: Vec::new(),
+            proxies: Vec::new(),
+            links: Links::new(20.0, seed),
+            terms: control_terms(),
+            leaderless: false,
+            honest: true,
+            answers: VecDeque::new(),
+            seeds: seed * 1_000_000,
+        };
+        (0..machines).for_each(|_| world.add_machine(REGION));
+        world
+    }
+
+    fn seed(&mut self) -> u64 {
+        self.seeds += 1;
+        self.seeds
+    }
+
+    pub fn add_machine(&mut self, region: u16) {
+        let (control, second) = (None, (0, 0));
+        let (followed, stops_at, most_in_a_second, most_snapshots) = (0, Version::MAX, 0, 0);
+        self.machines.push(Machine {
+            control,
+            followed,
+            stops_at,
+            region,
+            second,
+            most_in_a_second,
+            most_snapshots,
+        });
+        self.start_machine(self.machines.len() - 1);
+    }
+
+    /// Starts a control machine from what the council has decided by now.
+    pub fn start_machine(&mut self, number: usize) {
+        let newest = self.council.index();
+        self.start_machine_from(number, newest);
+    }
+
+    /// Starts a control machine from the state of an earlier index, as an old disk gives it.
+    pub fn start_machine_from(&mut self, number: usize, index: Version) {
+        let (seed, now) = (self.seed(), self.now);
+        let mut control = Control::new(self.terms.clone(), seed, now);
+        control.restore(index, self.council.state(index).clone());
+        (self.machines[number].control, self.machines[number].followed) = (Some(control), index);
+    }
+
+    pub fn kill_machine(&mut self, number: usize) {
+        self.machines[number].control = None;
+    }
+
+    pub fn controls(&self) -> Vec<ControlMachine> {
+        let machines = self.machines.iter().enumerate();
+        machines.map(|(n, of)| ControlMachine { id: control_id(n), region: of.region }).collect()
+    }
+
+    /// A subscriber of some scopes, with an empty disk.
+    pub fn add_proxy(&mut self, scopes: &[Scope]) -> usize {
+        self.proxies.push(Proxy {
+            subscriber: None,
+            scopes: scopes.iter().copied().collect(),
+            disk: Vec::new(),
+            writes: true,
+            region: REGION,
+            in_force: BTreeMap::new(),
+            reached: BTreeMap::new(),
+            second: (0, 0),
+            most_in_a_second: 0,
+            total: 0,
+        });
+        let number = self.proxies.len() - 1;
+        self.start_proxy(number);
+        number
+    }
+
+    /// Starts a subscriber from its disk.
+    pub fn start_proxy(&mut self, number: usize) {
+        let (seed, now, controls) = (self.seed(), self.now, self.controls());
+        let proxy = &mut self.proxies[number];
+        let terms = SubscriberTerms {
+            id: subscriber_id(number),
+            region: proxy.region,
+            controls,
+            founders: self.council.founders(),
+            heartbeat: HEARTBEAT,
+            lease: LEASE,
+            most_scope_bytes: 1 << 20,
+        };
+        let mut subscriber = Subscriber::new(terms, Keys(subscriber_id(number)), seed, now);
+        proxy.scopes.iter().for_each(|&scope| subscriber.subscribe(scope, now));
+        subscriber.restore(&proxy.disk);
+        proxy.in_force = BTreeMap::new();
+        proxy.subscriber = Some(subscriber);
+    }
+
+    pub fn kill_proxy(&mut self, number: usize) {
+        self.proxies[number].subscriber = None;
+    }
+
+    pub fn subscribe(&mut self, number: usize, scope: Scope) {
+        let proxy = &mut self.proxies[number];
+        proxy.scopes.insert(scope);
+        proxy.subscriber.as_mut().expect("runs").subscribe(scope, self.now);
+    }
+
+    pub fn unsubscribe(&mut self, number: usize, scope: Scope) {
+        let proxy = &mut self.proxies[number];
+        proxy.scopes.remove(&scope);
+        proxy.in_force.remove(&scope);
+        proxy.subscriber.as_mut().expect("runs").unsubscribe(scope);
+    }
+
+    pub fn subscriber(&self, number: usize) -> &Subscriber<Keys> {
+        self.proxies[number].subscriber.as_ref().expect("runs")
+    }
+
+    pub fn control(&self, number: usize) -> &Control {
+        self.machines[number].control.as_ref().expect("runs")
+    }
+
+    /// Decides; gives the index.
+    pub fn decide(&mut self, changes: &[(Scope, &str, Option<&[u8]>)]) -> Version {
+        self.council.decide(self.now, changes)
+    }
+
+    pub fn set(&mut self, scope: Scope, key: &str, value: &[u8]) -> Version {
+        self.decide(&[(scope, key, Some(value))])
+    }
+
+    /// Lets so many milliseconds pass.
+    pub fn run(&mut self, time: f64) {
+        let until = self.now + time;
+        while self.now < until {
+            self.step();
+        }
+    }
+
+    /// Until all subscribers that run have all of their scopes in force as they were decided; gives how long it
+    /// took.
+    pub fn run_until_all_are_new(&mut self, most: f64) -> f64 {
+        let began = self.now;
+        while !self.lacking().is_empty() {
+            let took = self.now - began;
+            assert!(took < most, "after {took} ms: {:?}", &self.lacking()[..self.lacking().len().min(3)]);
+            self.step();
+        }
+        self.now - began
+    }
+
+    /// Who lacks the newest version of a scope: the subscriber, the scope, and what it has.
+    pub fn lacking(&self) -> Vec<(usize, Scope, Version)> {
+        let running =
+            self.proxies.iter().enumerate().filter_map(|(n, of)| Some((n, of.subscriber.as_ref()?)));
+        let scopes = running.flat_map(|(n, of)| of.scopes().map(move |scope| (n, scope, of.index(scope))));
+        let newest = |scope| self.council.version_of(scope).max(1).min(self.council.index());
+        scopes.filter(|(_, scope, index)| *index < newest(*scope)).collect()
+    }
+
+    pub fn step(&mut self) {
+        self.now += STEP;
+        self.follow();
+        self.answer();
+        while let Some((from, to, bytes)) = self.links.arrived(self.now) {
+            self.deliver(from, to, &bytes);
+        }
+        for number in 0..self.machines.len() {
+            self.turn_machine(number);
+        }
+        for number in 0..self.proxies.len() {
+            self.turn_proxy(number);
+        }
+    }
+
+    /// Control machines hear of what is decided, unless they are cut off.
+    fn follow(&mut self) {
+        for (number, machine) in self.machines.iter_mut().enumerate() {
+            let cut = self.links.is_cut(COUNCIL, place(control_id(number)));
+            let Some(control) = machine.control.as_mut().filter(|_| !cut) else { continue };
+            while machine.followed < self.council.index().min(machine.stops_at) {
+                machine.followed += 1;
+                control.decided(machine.followed, self.council.changes(machine.followed).to_vec());
+            }
+            if let Some(seal) = self.council.seal(machine.followed) {
+                control.sealed(seal, self.council.links());
+            }
+        }
+    }
+
+    fn answer(&mut self) {
+        while let Some((_, to, proof)) = self.answers.pop_front_if(|(at, _, _)| *at <= self.now) {
+            if let Some(control) = self.machines[to].control.as_mut() {
+                control.fresh(self.now, proof);
+            }
+        }
+    }
+
+    fn deliver(&mut self, from: Place, to: Place, bytes: &[u8]) {
+        let (now, from) = (self.now, from as Id);
+        if to >= SUBSCRIBERS {
+            let number = to - SUBSCRIBERS;
+            let Some(proxy) = self.proxies.get_mut(number) else { return };
+            proxy.count(now, bytes.len() + PACKET);
+            if let Some(subscriber) = proxy.subscriber.as_mut() {
+                subscriber.receive(now, from, bytes);
+                self.carry_out(number);
+            }
+        } else if let Some(control) = self.machines[to - 1].control.as_mut() {
+            control.receive(now, from, bytes);
+        }
+    }
+
+    fn turn_machine(&mut self, number: usize) {
+        let now = self.now;
+        let cut = self.links.is_cut(place(control_id(number)), COUNCIL);
+        let Some(control) = self.machines[number].control.as_mut() else { return };
+        if control.due() <= now {
+            control.turn(now);
+        }
+        while let Some(nonce) = control.ask() {
+            if !cut && !self.leaderless {
+                self.answers.push_back((now + ASKING, number, self.council.fresh(nonce)));
+            }
+        }
+        let (mut sent, from) = (0, place(control_id(number)));
+        while let Some(out) = control.outgoing() {
+            sent += (out.bytes.len() + PACKET) as u64;
+            self.links.send(now, from, place(out.to), out.bytes);
+        }
+        let snapshots = control.standing().snapshots;
+        let machine = &mut self.machines[number];
+        machine.most_snapshots = machine.most_snapshots.max(snapshots);
+        note(&mut machine.second, &mut machine.most_in_a_second, now, sent);
+    }
+
+    fn turn_proxy(&mut self, number: usize) {
+        let now = self.now;
+        let Some(subscriber) = self.proxies[number].subscriber.as_mut() else { return };
+        if subscriber.due() <= now {
+            subscriber.turn(now);
+            self.carry_out(number);
+        }
+    }
+
+    fn carry_out(&mut self, number: usize) {
+        let (now, proxy) = (self.now, &mut self.proxies[number]);
+        let subscriber = proxy.subscriber.as_mut().expect("runs");
+        let mut sent = 0;
+        while let Some(out) = subscriber.outgoing() {
+            sent += out.bytes.len() + PACKET;
+            self.links.send(now, SUBSCRIBERS + number, place(out.to), out.bytes);
+        }
+        while subscriber.changed().is_some() {}
+        if proxy.writes
+            && let Some(bytes) = subscriber.saved()
+        {
+            proxy.disk = bytes;
+        }
+        proxy.count(now, sent);
+        self.check(number);
+    }
+
+    fn check(&mut self, number: usize) {
+        let (now, proxy) = (self.now, &mut self.proxies[number]);
+        let subscriber = proxy.subscriber.as_ref().expect("runs");
+        for scope in subscriber.scopes() {
+            let index = subscriber.index(scope);
+            let before = proxy.in_force.insert(scope, index).unwrap_or(0);
+            assert!(index >= before, "proxy {number}: {scope} went back from {before} to {index}");
+            if index > before {
+                let content = subscriber.content(scope).expect("in force");
+                let decided = self.council.state(index).summary(scope).digest;
+                assert_eq!(content.digest(), decided, "proxy {number}: {scope} at {index}");
+                for version in before + 1..=index {
+                    proxy.reached.entry((scope, version)).or_insert(now);
+                }
+            }
+            let counts = subscriber.standing(now).counts;
+            assert!(
+                !self.honest || counts.mismatched + counts.unproved + counts.malformed == 0,
+                "{counts:?}"
+            );
+            let covered = self.council.decided_by(now - subscriber.age(scope, now));
+            assert!(covered <= index, "proxy {number}: {scope} at {index} claims to know {covered}");
+        }
+    }
+}
+
+impl Proxy {
+    fn count(&mut self, now: f64, bytes: usize) {
+        self.total += bytes as u64;
+        note(&mut self.second, &mut self.most_in_a_second, now, bytes as u64);
+    }
+}
+
+/// Counts bytes by the second.
+fn note(second: &mut (u64, u64), most: &mut u64, now: f64, bytes: u64) {
+    let current = (now / 1000.0) as u64;
+    if second.0 != current {
+        *second = (current, 0);
+    }
+    second.1 += bytes;
+    *most = (*most).max(second.1);
+}
