--- a/distribution/src/batch.rs
+++ b/distribution/src/batch.rs
@@ -48,7 +48,8 @@
     /// Most nonces of a batch.
     pub const MOST: usize = 1 << LONGEST_PATH;
 
-    /// The tree over some nonces, of which there must be one at least; those past [`Batch::MOST`] are left out.
+    /// The tree over some nonces, of which there must be one at least; those past [`Batch::MOST`] are left
+    /// out.
     pub fn new(nonces: &[u64]) -> Self {
         let mut levels = vec![nonces.iter().take(Self::MOST).map(|&nonce| leaf(nonce)).collect::<Vec<_>>()];
         while levels.last().is_some_and(|level| level.len() > 1) {
--- a/distribution/src/control.rs
+++ b/distribution/src/control.rs
@@ -26,12 +26,12 @@
 use crate::{Outgoing, Version};
 
 /// What is not acknowledged is sent again so many times a heartbeat. At 30% loss each way all but one in a
-/// million have it after some 12 times, within the 4 s in which a change must be in force. It costs bytes where
-/// packets take longer than this both ways.
+/// million have it after some 12 times, within the 4 s in which a change must be in force. It costs bytes
+/// where packets take longer than this both ways.
 const REPEATS: f64 = 4.0;
-/// One subscriber is sent changes so many times a heartbeat at the most: what is decided in between goes along
-/// with the next, under one seal. More costs bytes in a burst, for a seal and a proof each time; less delays
-/// the later changes of a burst.
+/// One subscriber is sent changes so many times a heartbeat at the most: what is decided in between goes
+/// along with the next, under one seal. More costs bytes in a burst, for a seal and a proof each time; less
+/// delays the later changes of a burst.
 const PUSHES: f64 = 4.0;
 /// A newer seal is proved to a subscriber of an unchanged scope once in this part of a heartbeat: that keeps
 /// the scope's age low. Less costs bytes while other scopes change.
@@ -42,8 +42,8 @@
 /// A subscriber that has not polled for so many heartbeats is forgotten. Less forgets those with bad links;
 /// more keeps sending to those who are gone.
 const GONE_HEARTBEATS: f64 = 10.0;
-/// To one that has not polled for so many heartbeats nothing is sent again, until it polls. At 30% loss one in
-/// some 10,000 is silent for as long that is there; more would send to those who are gone.
+/// To one that has not polled for so many heartbeats nothing is sent again, until it polls. At 30% loss one
+/// in some 10,000 is silent for as long that is there; more would send to those who are gone.
 const SILENT_HEARTBEATS: f64 = 2.5;
 /// The right to read a snapshot lapses when its holder has got no further for so many heartbeats.
 const SNAPSHOT_HEARTBEATS: f64 = 2.0;
@@ -211,7 +211,8 @@
         }
     }
 
-    /// Whether [`Control::restore`] is to be called: at the start, or as the state here is not the signed one.
+    /// Whether [`Control::restore`] is to be called: at the start, or as the state here is not the signed
+    /// one.
     pub fn wants_state(&self) -> bool {
         self.replica.wants_state()
     }
@@ -584,8 +585,8 @@
     Budget::new((1.0 - BURST) * bytes_per_second, BURST * bytes_per_second, now)
 }
 
-/// What follows for a subscriber that has this much of a scope. A snapshot is read at the pace of the reader's
-/// polls; what has changed is sent of its own accord.
+/// What follows for a subscriber that has this much of a scope. A snapshot is read at the pace of the
+/// reader's polls; what has changed is sent of its own accord.
 fn plan(of: &Subscribed, index: Version, state: &ScopedState, scope: Scope) -> Plan {
     let position = &of.position;
     let in_force = position.in_force;
--- a/distribution/src/holding.rs
+++ b/distribution/src/holding.rs
@@ -1,7 +1,7 @@
 //! What a subscriber has of one scope: the content in force, and newer content on its way. Content comes in
-//! force only when its digest is the one that a seal proves for the scope, and that seal is newer than the one
-//! of the content in force. So no scope ever goes back a version, and none is skipped, whoever the content
-//! came from.
+//! force only when its digest is the one that a seal proves for the scope, and that seal is newer than the
+//! one of the content in force. So no scope ever goes back a version, and none is skipped, whoever the
+//! content came from.
 
 use agree::Id;
 
@@ -228,8 +228,8 @@
         }
     }
 
-    /// Drops what is staged from a state that is newer than the one which the control machine serves, so that it
-    /// can go on from what is in force.
+    /// Drops what is staged from a state that is newer than the one which the control machine serves, so that
+    /// it can go on from what is in force.
     pub fn fall_back(&mut self, index: Version) -> bool {
         let newer = |staged: &mut Staged| staged.transfer.seen > index;
         index > self.index() && self.staged.take_if(newer).is_some()
--- a/distribution/src/lib.rs
+++ b/distribution/src/lib.rs
@@ -4,16 +4,16 @@
 //! service. [`state::ScopedState`] holds the entries of all scopes, with a Merkle root over them and a proof
 //! for each scope. docs/distribution.md explains how the parts work together.
 //!
-//! A [`Control`] is driven so: [`Control::restore`] gives it the machine's state while [`Control::wants_state`];
-//! [`Control::decided`] each decision carried out, with what it changed; [`Control::sealed`] the newest seal and
-//! links of the agreement; [`Control::receive`] each datagram. Then [`Control::turn`], also when
-//! [`Control::due`] has come. Then [`Control::outgoing`] is emptied into packets, and [`Control::ask`] into
-//! `Agreement::ask_freshness`, whose answers go to [`Control::fresh`].
+//! A [`Control`] is driven so: [`Control::restore`] gives it the machine's state while
+//! [`Control::wants_state`]; [`Control::decided`] each decision carried out, with what it changed;
+//! [`Control::sealed`] the newest seal and links of the agreement; [`Control::receive`] each datagram. Then
+//! [`Control::turn`], also when [`Control::due`] has come. Then [`Control::outgoing`] is emptied into
+//! packets, and [`Control::ask`] into `Agreement::ask_freshness`, whose answers go to [`Control::fresh`].
 //!
-//! A [`Subscriber`] so: [`Subscriber::subscribe`] for each scope, [`Subscriber::restore`] with the file if there
-//! is one; [`Subscriber::receive`] for each datagram, [`Subscriber::turn`] when [`Subscriber::due`] has come;
-//! after either, [`Subscriber::outgoing`] is emptied into packets, [`Subscriber::changed`] tells which scopes'
-//! [`Subscriber::content`] to carry out, and [`Subscriber::saved`] what to write.
+//! A [`Subscriber`] so: [`Subscriber::subscribe`] for each scope, [`Subscriber::restore`] with the file if
+//! there is one; [`Subscriber::receive`] for each datagram, [`Subscriber::turn`] when [`Subscriber::due`] has
+//! come; after either, [`Subscriber::outgoing`] is emptied into packets, [`Subscriber::changed`] tells which
+//! scopes' [`Subscriber::content`] to carry out, and [`Subscriber::saved`] what to write.
 //!
 //! Times are milliseconds on the clock of whoever is given them; it only goes forward.
 
--- a/distribution/src/placement.rs
+++ b/distribution/src/placement.rs
@@ -26,8 +26,8 @@
 /// come to the others all at once. It delays changes by as much then.
 const SWITCH_JITTER: f64 = 0.5;
 /// A machine that would be preferred is tried again after so many heartbeats, half as many to one and a half
-/// times as many: its subscribers return over that time. It hurts where a region's other machines are full for
-/// as long.
+/// times as many: its subscribers return over that time. It hurts where a region's other machines are full
+/// for as long.
 const RETURN_HEARTBEATS: f64 = 30.0;
 
 /// Whom to poll.
--- a/distribution/src/replica.rs
+++ b/distribution/src/replica.rs
@@ -81,8 +81,8 @@
         self.at.is_some() && self.ahead.as_ref().is_some_and(reached)
     }
 
-    /// Goes on to the newest seal, as far as it is decided here. Gives what has changed with it; none where it
-    /// stays.
+    /// Goes on to the newest seal, as far as it is decided here. Gives what has changed with it; none where
+    /// it stays.
     pub fn advance(&mut self) -> Option<Vec<Change>> {
         let at = self.at?;
         let seal = self.ahead.take_if(|seal| seal.index() <= self.decided)?;
--- a/distribution/src/state.rs
+++ b/distribution/src/state.rs
@@ -1,6 +1,7 @@
 //! The state of all scopes, as the log decided it.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::ops::Bound;
 
 use agree::Hash;
@@ -84,14 +85,21 @@
 }
 
 /// The entries of all scopes, with a root over them. The same changes in the same order give the same state,
-/// byte by byte. An empty scope keeps the version of its last change.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// byte by byte. An empty scope keeps the version of its last change. Printed short: by what begins the root.
+#[derive(Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "Plain", into = "Plain")]
 pub struct ScopedState {
     scopes: BTreeMap<Scope, ScopeState>,
     trie: Trie,
 }
 
+impl fmt::Debug for ScopedState {
+    fn fmt(&self, to: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (scopes, version) = (self.scopes.len(), self.version());
+        write!(to, "ScopedState({scopes} scopes at {version}, root {:02x?})", &self.root()[..8])
+    }
+}
+
 impl ScopedState {
     /// Applies what a decision changed. Several changes may have the same version.
     ///
@@ -146,9 +154,9 @@
         self.scopes.values().map(|state| state.summary.version).max().unwrap_or(0)
     }
 
-    /// What follows a cursor, as many changes as fit into so many bytes, one at least. Removals up to `base` are
-    /// left out: the reader never held what they removed, as it began to read the scope at `base`, or held all
-    /// of `base`.
+    /// What follows a cursor, as many changes as fit into so many bytes, one at least. Removals up to `base`
+    /// are left out: the reader never held what they removed, as it began to read the scope at `base`, or
+    /// held all of `base`.
     ///
     /// # Errors
     ///
--- a/distribution/src/subscriber.rs
+++ b/distribution/src/subscriber.rs
@@ -139,8 +139,8 @@
 }
 
 impl<K: Signs> Subscriber<K> {
-    /// A subscriber without any scope. `seed` must not be known to others: what a control machine can foretell
-    /// it could answer beforehand.
+    /// A subscriber without any scope. `seed` must not be known to others: what a control machine can
+    /// foretell it could answer beforehand.
     pub fn new(terms: SubscriberTerms, keys: K, seed: u64, now: f64) -> Self {
         let mut chance = Pcg64Mcg::seed_from_u64(seed);
         let founders = Council::founders(terms.founders.iter().copied());
--- a/distribution/src/trust.rs
+++ b/distribution/src/trust.rs
@@ -14,7 +14,8 @@
 use crate::scope::Scope;
 use crate::state::ScopeProof;
 
-/// Seals that are kept: proofs of scopes that come out of order still find theirs. More would cost memory only.
+/// Seals that are kept: proofs of scopes that come out of order still find theirs. More would cost memory
+/// only.
 const MOST_SEALS: usize = 8;
 /// Proofs of councils that are kept, as many as control machines keep.
 pub const MOST_LINKS: usize = 64;
--- a/distribution/tests/operators.rs
+++ b/distribution/tests/operators.rs
@@ -49,8 +49,7 @@
 }
 
 #[test]
-fn a_subscriber_that_acknowledges_and_does_not_apply_is_shown_as_acknowledging_and_changes_nothing_for_others()
- {
+fn a_subscriber_that_acknowledges_and_does_not_apply_is_shown_as_acknowledging_and_no_more() {
     let mut world = settled(5);
     let liar = subscriber_id(70);
     let say = |world: &mut World, in_force| {
--- a/distribution/tests/untrusted.rs
+++ b/distribution/tests/untrusted.rs
@@ -1,5 +1,5 @@
-//! Messages that nobody honest sends: floods, forgeries, unknown versions, old and doubled ones. Nothing panics,
-//! memory stays bounded, and what is in force stays proved.
+//! Messages that nobody honest sends: floods, forgeries, unknown versions, old and doubled ones. Nothing
+//! panics, memory stays bounded, and what is in force stays proved.
 
 mod world;
 
--- a/distribution/tests/world/council.rs
+++ b/distribution/tests/world/council.rs
@@ -1,6 +1,7 @@
 //! What stands in for the council: it decides at once, and a majority of it signs every index.
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 
 use agree::freshness::{FreshnessProof, Nonce};
 use agree::seal::{Link, Seal, Signs, Statement};
@@ -47,7 +48,7 @@
     voters: agree::Council,
     version: Version,
     links: Vec<Link>,
-    decisions: Vec<Decision>,
+    decisions: Vec<Rc<Decision>>,
 }
 
 impl Council {
@@ -60,7 +61,7 @@
             state: ScopedState::default(),
             seal: None,
         };
-        Self { founders, voters, version: 0, links: Vec::new(), decisions: vec![start] }
+        Self { founders, voters, version: 0, links: Vec::new(), decisions: vec![Rc::new(start)] }
     }
 
     pub fn founders(&self) -> Vec<Id> {
@@ -86,7 +87,7 @@
         changes.iter().for_each(|change| state.apply(change.clone()).expect("in order"));
         let voters = self.voters.clone();
         let seal = Some(self.seal_of(version, &state, &voters));
-        self.decisions.push(Decision { at: now, changes, state, seal });
+        self.decisions.push(Rc::new(Decision { at: now, changes, state, seal }));
         version
     }
 
--- a/distribution/tests/world/mod.rs
+++ b/distribution/tests/world/mod.rs
@@ -1,6 +1,6 @@
-//! A council, control machines and subscribers on one virtual clock, and what is checked of each subscriber at
-//! every step: no scope goes back a version within a process, what is in force is what was decided at the index
-//! that it is in force by, and nothing that its age covers is missing.
+//! A council, control machines and subscribers on one virtual clock, and what is checked of each subscriber
+//! at every step: no scope goes back a version within a process, what is in force is what was decided at the
+//! index that it is in force by, and nothing that its age covers is missing.
 
 #![allow(dead_code)]
 
@@ -240,8 +240,8 @@
         }
     }
 
-    /// Until all subscribers that run have all of their scopes in force as they were decided; gives how long it
-    /// took.
+    /// Until all subscribers that run have all of their scopes in force as they were decided; gives how long
+    /// it took.
     pub fn run_until_all_are_new(&mut self, most: f64) -> f64 {
         let began = self.now;
         while !self.lacking().is_empty() {
