--- a/daemon/src/control.rs
+++ b/daemon/src/control.rs
@@ -4,6 +4,7 @@
 
 use anyhow::{Context, Result};
 use border::decided::{Answer, CouncilStatus, OutsStatus, Wish};
+use border::distributed::{ChangeStatus, DistributionStatus};
 use border::status::{GossipStatus, LimitsStatus, Status};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -11,11 +12,13 @@
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::{mpsc, oneshot};
 
-const WORDS: &str = "status, members, suspicions, gossip, limits, council, outs, a wish, rekey or stop";
+const WORDS: &str = "status, members, suspicions, gossip, limits, council, outs, distribution, changes, a wish, rekey or stop";
 /// What a proxy without gossip says of it.
 pub const NO_GOSSIP: &str = "this proxy has no [gossip]";
 const NO_FLEET: &str = "this proxy has no [fleet]";
 const NO_COUNCIL: &str = "this proxy has no [council]";
+const NO_DISTRIBUTION: &str = "this proxy has no [distribution]";
+const NO_CHANGES: &str = "this proxy is no control machine: one of those knows who has what";
 
 /// What an operator asks for, with where the answer goes.
 #[derive(Debug)]
@@ -28,6 +31,10 @@
     /// None where nothing is decided for all.
     Council(oneshot::Sender<Option<CouncilStatus>>),
     Outs(oneshot::Sender<Option<OutsStatus>>),
+    /// None where nothing is distributed by scope.
+    Distribution(oneshot::Sender<Option<DistributionStatus>>),
+    /// None where this proxy serves no subscribers.
+    Changes(oneshot::Sender<Option<Vec<ChangeStatus>>>),
     /// Have something decided, or see what it would come to.
     Wish(Wished, oneshot::Sender<Result<Answer, String>>),
     /// Read the key files again; what is wrong with them, if anything.
@@ -93,6 +100,16 @@
                 asks.send(Ask::Outs(give)).await?;
                 told(take.await?, NO_COUNCIL)?
             }
+            "distribution" => {
+                let (give, take) = oneshot::channel();
+                asks.send(Ask::Distribution(give)).await?;
+                told(take.await?, NO_DISTRIBUTION)?
+            }
+            "changes" => {
+                let (give, take) = oneshot::channel();
+                asks.send(Ask::Changes(give)).await?;
+                told(take.await?, NO_CHANGES)?
+            }
             wish if wish.starts_with('{') => match serde_json::from_str(wish) {
                 Err(error) => serde_json::json!({ "error": format!("wish: {error}") }).to_string(),
                 Ok(wished) => {
--- a/daemon/src/keys.rs
+++ b/daemon/src/keys.rs
@@ -6,12 +6,12 @@
 use std::fs::{self, OpenOptions};
 use std::io::Write;
 use std::os::unix::fs::{OpenOptionsExt, PermissionsExt};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use anyhow::{Context, Result, bail, ensure};
 use gossip::keys::{Roster, Secrets};
 
-use crate::settings::GossipPlan;
+use crate::settings::{GossipPlan, SubscriberPlan};
 
 /// Bits of a file's mode that let others than its owner at it.
 const OTHERS: u32 = 0o077;
@@ -49,6 +49,42 @@
     Ok(hex::encode(Secrets::new(read(file)?, vec![[0; 32]])?.public()))
 }
 
+/// Where the keys of one proxy stand.
+#[derive(Clone, Copy, Debug)]
+pub struct KeyFiles<'a> {
+    /// Its own.
+    pub key: &'a Path,
+    /// The fleet's, the one in use first.
+    pub fleet_keys: &'a [PathBuf],
+    /// The public ones of all whom it hears.
+    pub roster: &'a Path,
+}
+
+impl<'a> From<&'a GossipPlan> for KeyFiles<'a> {
+    fn from(plan: &'a GossipPlan) -> Self {
+        Self { key: &plan.key, fleet_keys: &plan.fleet_keys, roster: &plan.roster }
+    }
+}
+
+impl<'a> From<&'a SubscriberPlan> for KeyFiles<'a> {
+    fn from(plan: &'a SubscriberPlan) -> Self {
+        Self { key: &plan.key, fleet_keys: &plan.fleet_keys, roster: &plan.roster }
+    }
+}
+
+/// Reads a roster: lines of a name and a public key.
+pub fn read_roster(file: &Path) -> Result<Roster> {
+    let shown = file.display();
+    let text = fs::read_to_string(file).with_context(|| shown.to_string())?;
+    let named: BTreeMap<String, String> =
+        toml_edit::de::from_str(&text).with_context(|| format!("{shown}: lines of NAME = \"KEY\" wanted"))?;
+    let mut members = Vec::new();
+    for (member, key) in &named {
+        members.push((&member[..], unhex(key).with_context(|| format!("{shown}: {member}"))?));
+    }
+    Ok(Roster::new(members)?)
+}
+
 /// All keys of one proxy.
 pub struct Keyring {
     pub secrets: Secrets,
@@ -58,18 +94,12 @@
 impl Keyring {
     /// Reads the files that the settings name. `name` is the proxy's, under which the roster must have its
     /// key.
-    pub fn read(plan: &GossipPlan, name: &str) -> Result<Self> {
-        let fleet = plan.fleet_keys.iter().map(|file| read(file)).collect::<Result<Vec<_>>>()?;
-        let secrets = Secrets::new(read(&plan.key)?, fleet)?;
-        let shown = plan.roster.display();
-        let text = fs::read_to_string(&plan.roster).with_context(|| shown.to_string())?;
-        let named: BTreeMap<String, String> = toml_edit::de::from_str(&text)
-            .with_context(|| format!("{shown}: lines of NAME = \"KEY\" wanted"))?;
-        let mut members = Vec::new();
-        for (member, key) in &named {
-            members.push((&member[..], unhex(key).with_context(|| format!("{shown}: {member}"))?));
-        }
-        let roster = Roster::new(members)?;
+    pub fn read<'a>(files: impl Into<KeyFiles<'a>>, name: &str) -> Result<Self> {
+        let files = files.into();
+        let fleet = files.fleet_keys.iter().map(|file| read(file)).collect::<Result<Vec<_>>>()?;
+        let secrets = Secrets::new(read(files.key)?, fleet)?;
+        let roster = read_roster(files.roster)?;
+        let shown = files.roster.display();
         match roster.name(secrets.id()) {
             Some(found) if found == name => Ok(Self { secrets, roster }),
             Some(found) => bail!("{shown}: has the key of {name} under the name {found}"),
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,6 +9,7 @@
 mod clock;
 pub mod control;
 pub mod council;
+mod distribution;
 pub mod feed;
 pub mod journal;
 pub mod keys;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -7,6 +7,7 @@
 
 use anyhow::{Context, Result};
 use border::decided::{Answer, CouncilStatus, OutsStatus, Wish};
+use border::distributed::{ChangeStatus, DistributionStatus};
 use border::status::{GossipStatus, LimitsStatus, Status};
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use daemon::control::Wished;
@@ -21,7 +22,10 @@
 
 mod tables;
 
-use tables::{show, show_council, show_limits, show_members, show_outs, show_release, show_suspicions};
+use tables::{
+    show, show_changes, show_council, show_distribution, show_limits, show_members, show_outs, show_release,
+    show_suspicions,
+};
 
 #[derive(Parser)]
 #[command(
@@ -107,6 +111,20 @@
         #[arg(long)]
         json: bool,
     },
+    /// Ask a running border proxy how decided state reaches it by scope, and how old that is
+    Distribution {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
+    /// Ask a running control machine who of its subscribers has the newest changes, and who lacks them
+    Changes {
+        #[arg(long)]
+        config: PathBuf,
+        #[arg(long)]
+        json: bool,
+    },
     /// Have a running border proxy read its key files and roster again
     Rekey {
         #[arg(long)]
@@ -340,6 +358,14 @@
             let Some(outs) = ask::<OutsStatus>(&config, "outs")? else { return Ok(wrong) };
             tell(json, &outs, || show_outs(&outs))?;
         }
+        Command::Distribution { config, json } => {
+            let Some(status) = ask::<DistributionStatus>(&config, "distribution")? else { return Ok(wrong) };
+            tell(json, &status, || show_distribution(&status))?;
+        }
+        Command::Changes { config, json } => {
+            let Some(changes) = ask::<Vec<ChangeStatus>>(&config, "changes")? else { return Ok(wrong) };
+            tell(json, &changes, || show_changes(&changes))?;
+        }
         Command::Status { config, json } => {
             let Some(status) = ask::<Status>(&config, "status")? else { return Ok(wrong) };
             tell(json, &status, || show(&status))?;
--- a/daemon/src/release.rs
+++ b/daemon/src/release.rs
@@ -195,7 +195,7 @@
 }
 
 /// Tables that are a proxy's own: no release changes them.
-const OWN: [&str; 3] = ["proxy", "listen", "gossip"];
+const OWN: [&str; 4] = ["proxy", "listen", "gossip", "distribution"];
 
 /// A release of settings has the tables that it changes, as they are to stand in the settings of all proxies;
 /// what comes of them here is put into a file of its own.
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -33,6 +33,7 @@
 use crate::clock::{Clock, unix};
 use crate::control::{self, Ask};
 use crate::council::Keeper;
+use crate::distribution::{self, StateFile};
 use crate::feed;
 use crate::journal::Journal;
 use crate::keys::Keyring;
@@ -172,10 +173,10 @@
 }
 
 /// Writes a file so that it is there whole or not at all.
-fn write_whole(path: &Path, text: &str) -> Result<()> {
+pub(crate) fn write_whole(path: &Path, bytes: &[u8]) -> Result<()> {
     let folder = path.parent().context("no folder")?;
     let mut file = tempfile::NamedTempFile::new_in(folder)?;
-    file.write_all(text.as_bytes())?;
+    file.write_all(bytes)?;
     file.persist(path)?;
     Ok(())
 }
@@ -277,7 +278,13 @@
             keeper = Some(agree_on(&mut proxy, council, gossip, &plan.name, life, seed, now, kept_in)?);
         }
         peers = Some(socket);
+    } else if let Some(subscriber) = distribution::listens(&plan) {
+        let socket = Sockets::bind(subscriber.listen, plan.receive_buffer);
+        let socket = Arc::new(socket.with_context(|| format!("distribution.listen {}", subscriber.listen))?);
+        tokio::spawn(listen(socket.clone(), Side::Peers, None, arrivals_in.clone()));
+        peers = Some(socket);
     }
+    let mut distributed = distribution::begin(&mut proxy, &plan, seed, clock.now(), unix())?;
     let (synced_in, mut synced) = mpsc::channel(4);
     let mut journal = None;
     if let Some(records) = &plan.records {
@@ -314,13 +321,14 @@
 
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let ready = serde_json::json!({ "callers": address, "peers": peers_at, "pid": std::process::id() });
-    write_whole(&plan.ready_file(), &format!("{ready}\n"))?;
+    write_whole(&plan.ready_file(), format!("{ready}\n").as_bytes())?;
     tracing::info!(name = plan.name, callers = %address, "proxy.ready");
 
     let mut stop_at = None;
     let mut looked = clock.now();
     loop {
         let due = proxy.due().min(journal.as_ref().map_or(f64::INFINITY, Journal::due));
+        let due = due.min(distributed.as_ref().map_or(f64::INFINITY, StateFile::due));
         let due = due.min(looked + BEAT.as_secs_f64() * 1000.0);
         let wait = Duration::from_secs_f64((due - clock.now()).max(0.0) / 1000.0);
         let room = sockets.room(backlog.first());
@@ -334,7 +342,7 @@
                     Ok(()) => {
                         tracing::info!(version = change.version, whole = change.whole, "pool.changed");
                         let _ = have.send(proxy.pool().version());
-                        if let Err(error) = write_whole(&plan.pool_cache(), &proxy.pool().to_cache()) {
+                        if let Err(error) = write_whole(&plan.pool_cache(), proxy.pool().to_cache().as_bytes()) {
                             tracing::warn!("pool.cache_unwritten: {error:#}");
                         }
                     }
@@ -369,14 +377,11 @@
             Some(Ask::Limits(to)) => drop(to.send(proxy.limits())),
             Some(Ask::Council(to)) => drop(to.send(proxy.council())),
             Some(Ask::Outs(to)) => drop(to.send(proxy.outs())),
+            Some(Ask::Distribution(to)) => drop(to.send(proxy.distribution())),
+            Some(Ask::Changes(to)) => drop(to.send(proxy.changes())),
             Some(Ask::Wish(wished, to)) => wishes.ask(now, &mut proxy, &wished, to),
             Some(Ask::Rekey(to)) => {
-                let done = match &plan.gossip {
-                    None => Err(control::NO_GOSSIP.to_owned()),
-                    Some(gossip) => Keyring::read(gossip, &plan.name)
-                        .map(|Keyring { secrets, roster }| proxy.rekey(secrets, roster))
-                        .map_err(|error| format!("{error:#}")),
-                };
+                let done = rekey(&mut proxy, &plan);
                 tracing::info!(done = done.is_ok(), "gossip.rekeyed");
                 let _ = to.send(done);
             }
@@ -421,6 +426,9 @@
         {
             keeper.write(write);
         }
+        if let Some(file) = &mut distributed {
+            file.turn(now, &mut proxy);
+        }
         if let Some(journal) = &mut journal {
             journal.write(now, std::iter::from_fn(|| proxy.entry()));
             journal.turn(now);
@@ -447,6 +455,7 @@
             let left = proxy.conversations();
             proxy.close_all(now);
             proxy.leave(now);
+            distributed.iter_mut().for_each(StateFile::finish);
             if let Some(journal) = &mut journal {
                 journal.finish(now, std::iter::from_fn(|| proxy.entry()));
             }
@@ -459,6 +468,18 @@
     }
 }
 
+/// Reads all key files and rosters again; what is wrong with them, if anything.
+fn rekey(proxy: &mut BorderProxy<impl Decisions>, plan: &Plan) -> Result<(), String> {
+    let told = |error: anyhow::Error| format!("{error:#}");
+    if let Some(gossip) = &plan.gossip {
+        let Keyring { secrets, roster } = Keyring::read(gossip, &plan.name).map_err(told)?;
+        proxy.rekey(secrets, roster);
+    } else if plan.distribution.is_none() {
+        return Err(control::NO_GOSSIP.to_owned());
+    }
+    distribution::rekey(proxy, plan).map_err(told)
+}
+
 /// Gives the last answers their time to be heard.
 async fn farewell(
     proxy: &mut BorderProxy<impl Decisions>,
--- a/daemon/src/settings/fleet.rs
+++ b/daemon/src/settings/fleet.rs
@@ -20,6 +20,8 @@
 const SPAN: f64 = 10_000.0;
 /// A lease is so many beats at the least.
 const LEAST_LEASE_BEATS: f64 = 40.0;
+/// How many members of a council are named at first.
+pub(super) const COUNCIL_SIZES: [usize; 3] = [3, 5, 7];
 
 impl Reader<'_> {
     pub(super) fn gossip(&mut self, top: &mut Rows) -> Option<GossipPlan> {
@@ -85,8 +87,30 @@
         Some(LimitTerms { fleet: FleetTerms { loans, beat }, window, most, share_window })
     }
 
+    /// Names of the roster, each once, of which there are so many.
+    pub(super) fn names(
+        &mut self,
+        rows: &mut Rows,
+        key: &'static str,
+        sizes: [usize; 3],
+    ) -> Option<Vec<String>> {
+        let names = self.texts(rows, key)?;
+        let (line, path) = (rows.line, rows.key(key));
+        let mut once = names.clone();
+        once.sort_unstable();
+        once.dedup();
+        if once.len() != names.len() {
+            self.fault(line, path, "a name twice", "each name once");
+        } else if !sizes.contains(&names.len()) {
+            let [a, b, c] = sizes;
+            let wanted = format!("{a}, {b} or {c} names of the roster");
+            self.fault(line, path, format!("{} names", names.len()), wanted);
+        }
+        Some(names)
+    }
+
     /// Wants another table beside the one that is read.
-    fn beside(&mut self, top: &Rows, rows: &Rows, other: &str, why: &str) {
+    pub(super) fn beside(&mut self, top: &Rows, rows: &Rows, other: &str, why: &str) {
         if !top.table.is_some_and(|table| table.contains_key(other)) {
             let wanted = format!("[{other}] beside it, {why}");
             self.fault(rows.line, rows.path.clone(), format!("no [{other}]"), wanted);
@@ -101,27 +125,14 @@
         }
         self.beside(top, &rows, "gossip", "which carries what members say");
         let line = rows.line;
-        let members = self.texts(&mut rows, "members");
+        let members = self.names(&mut rows, "members", COUNCIL_SIZES);
         let file = self.text(&mut rows, "file", Some(""));
         let beat = self.time(&mut rows, "beat", Some(200.0));
         let lease = self.time(&mut rows, "lease", Some(10_000.0));
         let outs = self.outs(top, lease.unwrap_or_default());
-        let (members_key, lease_key) = (rows.key("members"), rows.key("lease"));
+        let lease_key = rows.key("lease");
         self.done(rows);
         let (members, file, beat, lease) = (members?, file?, beat?, lease?);
-        let mut once = members.clone();
-        once.sort_unstable();
-        once.dedup();
-        if once.len() != members.len() {
-            self.fault(line, members_key, "a name twice", "each name once");
-        } else if ![3, 5, 7].contains(&members.len()) {
-            self.fault(
-                line,
-                members_key,
-                format!("{} names", members.len()),
-                "3, 5 or 7 names of the roster",
-            );
-        }
         // A new leader has to be found and asked within it.
         if lease < LEAST_LEASE_BEATS * beat {
             let wanted = format!("{LEAST_LEASE_BEATS} beats or more, in which a leader can be replaced");
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -2,15 +2,17 @@
 //! at once. [`EXAMPLE`] is a full one with a word on each key; docs/operating.md says more.
 
 mod calls;
+mod distribution;
 mod fleet;
 mod reader;
 mod records;
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use ::distribution::Scope;
 use ::records::commit::Promise;
 use border::ProxyTerms;
 use border::decided::OutTerms;
@@ -22,6 +24,8 @@
 use crate::release::Runs;
 use reader::{Reader, Rows, line_of};
 
+pub use distribution::ControlPlan;
+
 pub const EXAMPLE: &str = include_str!("../example.toml");
 
 /// One thing that is wrong with a settings file.
@@ -61,6 +65,8 @@
     pub fleet: Option<LimitTerms>,
     /// Decisions of all proxies in one order, where there are any.
     pub council: Option<CouncilPlan>,
+    /// Decided state by scope, where it is distributed.
+    pub distribution: Option<DistributionPlan>,
     pub records: Option<RecordsPlan>,
     /// Terms that are watched: what would be decided under them is counted.
     pub to_come: Option<ToCome>,
@@ -110,6 +116,62 @@
     pub outs: OutTerms,
 }
 
+/// How decided state is distributed by scope, and this proxy's part in it.
+#[derive(Clone, Debug)]
+pub struct DistributionPlan {
+    /// How often a subscriber and its control machine hear of each other, in milliseconds.
+    pub heartbeat: f64,
+    /// What this proxy is in it.
+    pub role: DistributionRole,
+}
+
+/// What a border proxy is in the distribution of decided state.
+#[derive(Clone, Debug)]
+pub enum DistributionRole {
+    /// It follows the log and serves subscribers.
+    Control(ServedPlan),
+    /// It holds the scopes that it uses, by one control machine at a time.
+    Subscriber(SubscriberPlan),
+}
+
+/// Whom a control machine serves.
+#[derive(Clone, Debug)]
+pub struct ServedPlan {
+    /// The roster of subscribers.
+    pub subscribers: PathBuf,
+    /// Subscribers at the most.
+    pub most_subscribers: usize,
+    /// Bytes a second to all subscribers together, and to each of them.
+    pub bytes_per_second: f64,
+    /// See [`ServedPlan::bytes_per_second`].
+    pub subscriber_bytes_per_second: f64,
+    /// Subscribers that fetch whole scopes at a time.
+    pub snapshots_at_once: usize,
+}
+
+/// What a subscriber subscribes to, and where.
+#[derive(Clone, Debug)]
+pub struct SubscriberPlan {
+    /// Where it is heard.
+    pub listen: SocketAddr,
+    /// Its own key.
+    pub key: PathBuf,
+    /// The fleet's keys, the one in use first.
+    pub fleet_keys: Vec<PathBuf>,
+    /// Public keys of all control machines, all who may vote, and this proxy.
+    pub roster: PathBuf,
+    /// The region that it is in, whose control machines it prefers.
+    pub region: u16,
+    /// Who votes at first, by the roster's names.
+    pub founders: Vec<String>,
+    /// What it holds.
+    pub scopes: BTreeSet<Scope>,
+    /// Where it keeps what it holds.
+    pub file: PathBuf,
+    /// The control machines.
+    pub controls: Vec<ControlPlan>,
+}
+
 impl Plan {
     pub fn pool_cache(&self) -> PathBuf {
         self.state.join("pool.list")
@@ -161,6 +223,7 @@
         let gossip = self.gossip(&mut top);
         let fleet = self.fleet(&mut top);
         let council = self.council(&mut top, state.as_deref().unwrap_or_default());
+        let distribution = self.distribution(&mut top, state.as_deref().unwrap_or_default());
         let records = self.records(&mut top, state.as_deref().unwrap_or_default());
         let limits = self.limits(&mut top);
         let mut stop = self.rows(&mut top, "stop", false);
@@ -207,6 +270,7 @@
             gossip,
             fleet,
             council,
+            distribution,
             records,
             to_come,
             names: (
--- a/daemon/src/settings/reader.rs
+++ b/daemon/src/settings/reader.rs
@@ -67,8 +67,9 @@
             self.fault(line, key.to_owned(), item.type_name(), format!("tables headed [[{key}]]"));
             return Vec::new();
         };
+        let path = parent.key(key);
         let rows = all.iter().enumerate().map(|(i, table)| Rows {
-            path: format!("{key}[{i}]"),
+            path: format!("{path}[{i}]"),
             line: table.span().map_or(line, |span| line_of(self.source, span.start)),
             table: Some(table as &dyn TableLike),
             asked: HashSet::new(),
--- a/daemon/src/tables.rs
+++ b/daemon/src/tables.rs
@@ -1,6 +1,7 @@
 //! What a running proxy answers, as tables for people.
 
 use border::decided::{AwayStatus, CouncilStatus, DrainStatus, OutsStatus, ReleaseStatus, SeatStatus};
+use border::distributed::{ChangeStatus, DistributedDrain, DistributionStatus, ScopeStatus};
 use border::status::{GossipStatus, LimitStatus, LimitsStatus, MemberStatus, Status, SuspicionStatus};
 use tabled::{Table, Tabled, settings::Style};
 
@@ -251,3 +252,86 @@
         println!("wave {i}: {run} of {all} run it");
     }
 }
+
+pub fn show_distribution(status: &DistributionStatus) {
+    #[derive(Tabled)]
+    struct Row<'a> {
+        scope: &'a str,
+        version: u64,
+        entries: usize,
+        age: String,
+    }
+    #[derive(Tabled)]
+    struct Drained<'a> {
+        server: &'a str,
+        by: &'a str,
+        why: &'a str,
+        decision: u64,
+    }
+    fn row(of: &ScopeStatus) -> Row<'_> {
+        let age = of.age_ms.map_or("-".to_owned(), seconds);
+        Row { scope: &of.scope, version: of.version, entries: of.entries, age }
+    }
+    fn drained(of: &DistributedDrain) -> Drained<'_> {
+        Drained { server: &of.server, by: &of.by, why: &of.why, decision: of.decision }
+    }
+    println!("{}", Table::new(status.scopes.iter().map(row)).with(Style::sharp()));
+    if let Some(control) = &status.control {
+        println!("{}", Table::new(status.drains.iter().map(drained)).with(Style::sharp()));
+        let since = status.control_since_ms.map_or("-".to_owned(), seconds);
+        println!("a subscriber of {control} for {since}; council since decision {}", status.council);
+    }
+    if let Some(served) = status.subscribers {
+        println!(
+            "a control machine with {} subscribers, {} of them reading a scope anew; proved up to {}",
+            served.sessions, served.snapshots, served.sealed
+        );
+    }
+    let channel = status.channel;
+    println!(
+        "sent {} packets, {} bytes; received {}, {} bytes; dropped: malformed {}, version {}, untagged {}, \
+         forged {}, replayed {}, stray {}",
+        channel.sent,
+        channel.sent_bytes,
+        channel.received,
+        channel.received_bytes,
+        channel.malformed,
+        channel.version,
+        channel.untagged,
+        channel.forged,
+        channel.replayed,
+        channel.stray
+    );
+    let counts: Vec<String> = status.counts.iter().map(|(name, count)| format!("{name} {count}")).collect();
+    println!("{}", counts.join(", "));
+}
+
+pub fn show_changes(changes: &[ChangeStatus]) {
+    #[derive(Tabled)]
+    struct Row<'a> {
+        version: u64,
+        scope: &'a str,
+        key: &'a str,
+        change: &'a str,
+        since: String,
+        have: String,
+        lacking: String,
+    }
+    fn row(of: &ChangeStatus) -> Row<'_> {
+        let lacks = of.lacking.iter().map(|one| format!("{} for {}", one.subscriber, seconds(one.since_ms)));
+        Row {
+            version: of.version,
+            scope: &of.scope,
+            key: &of.key,
+            change: if of.removed { "removed" } else { "set" },
+            since: seconds(of.since_ms),
+            have: format!("{} of {}", of.have, of.of),
+            lacking: lacks.collect::<Vec<_>>().join(", "),
+        }
+    }
+    println!("{}", Table::new(changes.iter().map(row)).with(Style::sharp()));
+}
+
+fn seconds(ms: f64) -> String {
+    format!("{:.1} s", ms / 1000.0)
+}
--- a/daemon/tests/settings.rs
+++ b/daemon/tests/settings.rs
@@ -1,6 +1,9 @@
 //! Settings: the example passes, and all that is wrong with a file is told at once.
 
-use daemon::settings::{self, EXAMPLE};
+use std::path::Path;
+
+use daemon::settings::{self, DistributionRole, EXAMPLE, SubscriberPlan};
+use distribution::Scope;
 use rstest::rstest;
 
 #[test]
@@ -52,6 +55,9 @@
     let keys = ["[", "listen", "address", "seeds", "key", "fleet_keys", "roster", "cap", "beat", "liars"];
     let fleet = ["window", "lease", "drift", "spread", "floor", "most", "share_window"];
     let council = ["members", "file", "pool_part", "proxy_part", "witnesses", "well", "judged", "span"];
+    let distribution =
+        ["role", "heartbeat", "subscribers", "most_subscribers", "bytes_per_second", "snapshots_at_once"];
+    let distribution = [&distribution[..], &["subscriber_bytes_per_second"]].concat();
     let more = ["folder", "promise", "delay", "patience", "segment", "share", "probe", "setups_repeat"];
     let whole: Vec<&str> = EXAMPLE
         .lines()
@@ -59,7 +65,7 @@
             let bare = line.strip_prefix("# ").unwrap_or(line);
             let key = bare.split(" = ").next().unwrap_or_default();
             let optional = bare.starts_with('[')
-                || [&keys[..], &fleet, &council, &more].iter().any(|of| of.contains(&key));
+                || [&keys[..], &fleet, &council, &distribution, &more].iter().any(|of| of.contains(&key));
             if optional { bare } else { line }
         })
         .collect();
@@ -67,6 +73,10 @@
     assert!(
         plan.gossip.is_some() && plan.fleet.is_some() && plan.records.is_some() && plan.to_come.is_some()
     );
+    let distribution = plan.distribution.expect("told");
+    assert_eq!(distribution.heartbeat, 1000.0);
+    let DistributionRole::Control(served) = distribution.role else { panic!("{distribution:?}") };
+    assert_eq!((served.most_subscribers, served.snapshots_at_once), (4096, 64));
     let council = plan.council.expect("told");
     assert_eq!((council.members.len(), council.beat, council.lease), (3, 200.0, 10_000.0));
 }
@@ -122,3 +132,87 @@
     let keys: Vec<&str> = faults.iter().map(|fault| &fault.key[..]).collect();
     assert_eq!(keys, ["watch.probes", "watch.cold_from"], "in the order of the lines");
 }
+
+const SUBSCRIBER: &str = r#"[distribution]
+role = "subscriber"
+heartbeat = "500 ms"
+listen = "127.0.0.1:0"
+key = "p9.key"
+fleet_keys = ["fleet.key"]
+roster = "controls.toml"
+region = 1
+founders = ["p1", "p2", "p3"]
+scopes = ["all", "region 1", "zone 7", "service 70000"]
+[[distribution.control]]
+name = "p1"
+address = "127.0.0.1:4571"
+region = 0
+[[distribution.control]]
+name = "p2"
+address = "127.0.0.1:4572"
+region = 1
+"#;
+const CONTROL: &str = "[distribution]\nrole = \"control\"\nsubscribers = \"subscribers.toml\"\n";
+
+fn with(tables: &str) -> String {
+    EXAMPLE.replace("[iax2]\n", &format!("{tables}[iax2]\n"))
+}
+
+fn subscriber(file: &str) -> SubscriberPlan {
+    let plan = settings::read(file).expect("fit").distribution.expect("told");
+    let DistributionRole::Subscriber(subscriber) = plan.role else { panic!("{plan:?}") };
+    subscriber
+}
+
+#[test]
+fn a_subscriber_names_its_scopes_and_control_machines() {
+    let plan = subscriber(&with(SUBSCRIBER));
+    let scopes = [Scope::All, Scope::Region(1), Scope::Zone(7), Scope::Service(70_000)];
+    assert_eq!(Vec::from_iter(plan.scopes), scopes);
+    let controls: Vec<(&str, u16)> = plan.controls.iter().map(|of| (&of.name[..], of.region)).collect();
+    assert_eq!((controls, plan.region), (vec![("p1", 0), ("p2", 1)], 1));
+    assert_eq!(plan.file, Path::new("frostthread-state/distribution"));
+    assert!(settings::read(EXAMPLE).expect("fit").distribution.is_none(), "off by default");
+}
+
+#[test]
+fn the_subscriber_of_the_example_is_fit_too() {
+    let start = EXAMPLE.find("#   listen = ").expect("there");
+    let rows = EXAMPLE[start..].lines().map_while(|line| line.strip_prefix("#   "));
+    let rows: Vec<&str> = rows.collect();
+    let table = format!("[distribution]\nrole = \"subscriber\"\n{}\n", rows.join("\n"));
+    assert_eq!(subscriber(&with(&table)).controls.len(), 1);
+}
+
+#[rstest]
+#[case::no_role("[distribution]\nheartbeat = \"1 s\"\n".to_owned(), "distribution.role", "\"control\" or")]
+#[case::another_role(SUBSCRIBER.replace("subscriber", "watcher"), "distribution.role", "\"control\" or")]
+#[case::control_without_gossip(CONTROL.to_owned(), "distribution", "[gossip] beside it")]
+#[case::control_without_council(CONTROL.to_owned(), "distribution", "[council] beside it")]
+#[case::subscriber_with_gossip(
+    SUBSCRIBER.to_owned() + "[gossip]\n", "distribution", "none beside a subscriber"
+)]
+#[case::subscriber_with_council(
+    SUBSCRIBER.to_owned() + "[council]\n", "distribution", "none beside a subscriber"
+)]
+#[case::a_key_of_the_other_role(
+    CONTROL.to_owned() + "scopes = [\"all\"]\n", "distribution.scopes", "one of bytes_per_second"
+)]
+#[case::no_scope(SUBSCRIBER.replace("zone 7", "zone"), "distribution.scopes", "a list of")]
+#[case::a_zone_too_far(SUBSCRIBER.replace("zone 7", "zone 70000"), "distribution.scopes", "a list of")]
+#[case::an_even_council(SUBSCRIBER.replace(", \"p3\"", ""), "distribution.founders", "3, 5 or 7 names")]
+#[case::a_name_twice(SUBSCRIBER.replace("\"p2\"\n", "\"p1\"\n"), "distribution.control", "each name once")]
+#[case::no_control(
+    SUBSCRIBER.split("[[").next().expect("a table").to_owned(), "distribution.control", "1 to 256 tables"
+)]
+#[case::a_control_without_address(
+    SUBSCRIBER.replace("address = \"127.0.0.1:4572\"", ""), "distribution.control[1].address", "an address"
+)]
+#[case::a_control_with_a_key_more(
+    SUBSCRIBER.to_owned() + "zone = 3\n", "distribution.control[1].zone", "one of address"
+)]
+fn what_is_wrong_with_distribution_is_told(#[case] table: String, #[case] key: &str, #[case] wanted: &str) {
+    let faults = settings::read(&with(&table)).expect_err("unfit");
+    let told = faults.iter().find(|fault| fault.key == key && fault.wanted.contains(wanted));
+    assert!(told.is_some_and(|fault| fault.line > 1), "{faults:?}");
+}
--- a/daemon/tests/world/mod.rs
+++ b/daemon/tests/world/mod.rs
@@ -99,6 +99,60 @@
     }
 }
 
+/// The keys of all proxies and where each is heard, for their settings.
+pub struct Files {
+    folder: PathBuf,
+    fronts: Vec<SocketAddr>,
+    publics: Vec<String>,
+}
+
+impl Files {
+    fn draw(folder: &Path, fronts: Vec<SocketAddr>) -> Self {
+        let key = |name: &str| {
+            let made = frostthread().args(["key", "new"]).arg(folder.join(name)).output().expect("ran");
+            assert!(made.status.success(), "{made:?}");
+            String::from_utf8(made.stdout).expect("text").trim().to_owned()
+        };
+        let publics = (0..PROXIES).map(|i| key(&format!("p{i}.key"))).collect();
+        key("fleet.key");
+        Self { folder: folder.to_owned(), fronts, publics }
+    }
+
+    fn text(&self, name: &str) -> String {
+        self.folder.join(name).to_str().expect("text").to_owned()
+    }
+
+    /// Where a proxy is heard: at the switch.
+    pub fn front(&self, proxy: usize) -> SocketAddr {
+        self.fronts[proxy]
+    }
+
+    /// Writes a roster of some proxies; gives its file.
+    pub fn roster(&self, name: &str, proxies: &[usize]) -> String {
+        let row = |i: &usize| format!("p{i} = \"{}\"\n", self.publics[*i]);
+        fs::write(self.folder.join(name), proxies.iter().map(row).collect::<String>()).expect("written");
+        self.text(name)
+    }
+
+    /// The settings of a proxy's keys.
+    pub fn keys(&self, proxy: usize, roster: &str) -> String {
+        let (key, fleet) = (self.text(&format!("p{proxy}.key")), self.text("fleet.key"));
+        format!("key = \"{key}\"\nfleet_keys = [\"{fleet}\"]\nroster = \"{roster}\"\n")
+    }
+
+    /// The table of a proxy that gossips with the first so many.
+    pub fn gossip(&self, proxy: usize, members: usize) -> String {
+        let all: Vec<usize> = (0..members).collect();
+        format!(
+            "[gossip]\nlisten = \"127.0.0.1:0\"\naddress = \"{}\"\nseeds = [\"{}\"]\n{}\
+             cap = 60000\nbeat = \"50 ms\"\nliars = 0\n",
+            self.front(proxy),
+            self.front((proxy + 1) % members),
+            self.keys(proxy, &self.roster("roster.toml", &all)),
+        )
+    }
+}
+
 pub struct Story {
     folder: tempfile::TempDir,
     pub proxies: Vec<Option<Running>>,
@@ -114,8 +168,13 @@
 }
 
 impl Story {
-    /// With so many central servers, and with tables more in the settings of all proxies.
+    /// With so many central servers; all proxies gossip, with tables more in the settings of all of them.
     pub fn new(servers: usize, tables: &str) -> Self {
+        Self::with(servers, |files, proxy| format!("{}\n{tables}\n", files.gossip(proxy, PROXIES)))
+    }
+
+    /// With so many central servers, and with tables in the settings of each proxy.
+    pub fn with(servers: usize, tables: impl Fn(&Files, usize) -> String) -> Self {
         let folder = tempfile::tempdir().expect("a folder");
         let began = Instant::now();
         let mut threads = Threads { over: Arc::default(), all: Vec::new() };
@@ -208,7 +267,7 @@
             _threads: threads,
             folder,
         };
-        story.settings(feed_at, tables);
+        story.settings(feed_at, &tables);
         (0..PROXIES).for_each(|proxy| story.start(proxy));
         story
     }
@@ -217,29 +276,12 @@
         self.folder.path().join(name)
     }
 
-    fn settings(&mut self, feed: SocketAddr, tables: &str) {
+    fn settings(&mut self, feed: SocketAddr, tables: &impl Fn(&Files, usize) -> String) {
         let text = |path: &Path| path.to_str().expect("text").to_owned();
-        let key = |name: &str| {
-            let made = frostthread().args(["key", "new"]).arg(self.path(name)).output().expect("ran");
-            assert!(made.status.success(), "{made:?}");
-            String::from_utf8(made.stdout).expect("text").trim().to_owned()
-        };
-        let roster: String =
-            (0..PROXIES).map(|i| format!("p{i} = \"{}\"\n", key(&format!("p{i}.key")))).collect();
-        fs::write(self.path("roster.toml"), roster).expect("written");
-        key("fleet.key");
+        let fronts = self.switch.fronts.iter().map(|front| front.local_addr().expect("bound")).collect();
+        let files = Files::draw(self.folder.path(), fronts);
         for i in 0..PROXIES {
-            let front = |i: usize| self.switch.fronts[i].local_addr().expect("bound");
-            let tables = format!(
-                "[gossip]\nlisten = \"127.0.0.1:0\"\naddress = \"{}\"\nseeds = [\"{}\"]\nkey = \"{}\"\n\
-                 fleet_keys = [\"{}\"]\nroster = \"{}\"\ncap = 60000\nbeat = \"50 ms\"\nliars = 0\n\n\
-                 {tables}\n",
-                front(i),
-                front((i + 1) % PROXIES),
-                text(&self.path(&format!("p{i}.key"))),
-                text(&self.path("fleet.key")),
-                text(&self.path("roster.toml")),
-            );
+            let tables = tables(&files, i);
             let settings = EXAMPLE
                 .replace("frostthread-state", &text(&self.path(&format!("p{i}"))))
                 .replace("name = \"p1\"", &format!("name = \"p{i}\""))
--- a/distribution/src/subscriber.rs
+++ b/distribution/src/subscriber.rs
@@ -44,6 +44,14 @@
 /// Bytes of a poll beside its scopes.
 const POLL_HEAD: usize = 32;
 
+/// A control machine that answers but brings nothing new for so many heartbeats, while what is held grows older
+/// than that, is usually taken for gone. Less leaves one whose council elects a new leader; more costs age where
+/// a control machine lies.
+pub const LEASE_HEARTBEATS: f64 = 10.0;
+/// Bytes of the largest scope that is usually taken: 10,000 servers of a service, all of them drained, take a
+/// quarter of it. It bounds memory where a control machine sends without end.
+pub const MOST_SCOPE_BYTES: usize = 16 << 20;
+
 /// What is agreed for a subscriber.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SubscriberTerms {
--- a/outs/src/drains.rs
+++ b/outs/src/drains.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 
 use agree::Index;
+use distribution::{Change, Key, Scope};
 use serde::{Deserialize, Serialize};
 
 /// Bytes of names, and of the reason that is kept.
@@ -35,6 +36,15 @@
     },
 }
 
+impl Command {
+    /// The server that it is about.
+    pub fn server(&self) -> &str {
+        match self {
+            Self::Drain { server, .. } | Self::Undrain { server } => server,
+        }
+    }
+}
+
 /// What became of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Verdict {
@@ -61,6 +71,48 @@
     pub decided: Index,
 }
 
+/// Under what a drain is distributed, in the scope of its pool.
+const KEY: &str = "drain/";
+
+/// What a drain that is distributed says, beside its server and its pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Notice {
+    pub by: String,
+    pub why: String,
+    pub unix: u64,
+}
+
+impl Notice {
+    /// What the value of an entry says; nothing where its form is not known.
+    pub fn read(value: &[u8]) -> Option<Self> {
+        crate::read(crate::VERSION, value)
+    }
+}
+
+/// The scope that drains of a pool's servers belong to.
+pub fn scope(pool: u16) -> Scope {
+    Scope::Service(u32::from(pool))
+}
+
+/// The server that is drained by an entry of that key.
+pub fn server_of(key: &Key) -> Option<&str> {
+    key.as_str().strip_prefix(KEY)
+}
+
+/// What a decision on a drain changes for those who are told by scope; nothing where the name is no key's.
+pub(crate) fn change(decided: Index, server: &str, pool: u16, drain: Option<&Drain>) -> Option<Change> {
+    let notice = |drain: &Drain| {
+        let (by, why) = (drain.by.clone(), drain.why.clone());
+        crate::write(crate::VERSION, &Notice { by, why, unix: drain.unix })
+    };
+    Some(Change {
+        scope: scope(pool),
+        key: Key::new(format!("{KEY}{server}")).ok()?,
+        version: decided,
+        value: drain.map(notice),
+    })
+}
+
 /// All servers that are drained, by name.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Drains {
--- /dev/null
+++ b/outs/src/feed.rs
@@ -0,0 +1,50 @@
+//! What the decisions changed in the distributed state, on its way to whoever serves it to others.
+
+use std::collections::VecDeque;
+
+use distribution::Change;
+
+/// Changes that wait to be taken, about a megabyte. Past that they are dropped, and whoever serves the state
+/// is to begin anew from all of it: it costs memory here where nobody takes them.
+const MOST_WAITING: usize = 4096;
+
+/// What was changed since it was last asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Changes {
+    /// These, in the order of the decisions.
+    Since(Vec<Change>),
+    /// Not known one by one: the whole state is to be taken anew.
+    Anew,
+}
+
+/// Changes that wait to be taken, each of them once.
+#[derive(Clone, Debug, Default)]
+pub struct Feed {
+    waiting: VecDeque<Change>,
+    anew: bool,
+}
+
+impl Feed {
+    pub(crate) fn push(&mut self, change: Change) {
+        if self.anew {
+            return;
+        }
+        self.waiting.push_back(change);
+        if self.waiting.len() > MOST_WAITING {
+            self.begin_anew();
+        }
+    }
+
+    /// The state was replaced as a whole.
+    pub(crate) fn begin_anew(&mut self) {
+        self.waiting.clear();
+        self.anew = true;
+    }
+
+    pub(crate) fn take(&mut self) -> Changes {
+        if std::mem::take(&mut self.anew) {
+            return Changes::Anew;
+        }
+        Changes::Since(self.waiting.drain(..).collect())
+    }
+}
--- a/outs/src/lib.rs
+++ b/outs/src/lib.rs
@@ -2,27 +2,33 @@
 //!
 //! [`Outs`] is the machine that the agreement gives its decisions to: [`drains`] of central servers,
 //! [`grants`] for border proxies, [`releases`] that replace them in waves. [`holder`] is what one proxy does
-//! by it: when it asks, goes and says that it is back, and what it tells of others.
+//! by it: when it asks, goes and says that it is back, and what it tells of others. [`feed`] hands what changes
+//! on to whoever distributes it by scope.
 
 #![forbid(unsafe_code)]
 
 pub mod drains;
 pub mod evidence;
+pub mod feed;
 pub mod grants;
 pub mod holder;
 pub mod releases;
 
-use agree::{Id, Index, Machine, Unknown};
+use agree::{Hash, Id, Index, Machine, Unknown};
+use distribution::{Change, ScopedState};
 use serde::{Deserialize, Serialize};
 
 pub use drains::{Drain, Drains};
+pub use feed::Changes;
 pub use grants::Grants;
 pub use releases::{Kind, Phase, Release, Releases};
 
 /// The part of the agreement that all of this is.
 pub const OUTS: u8 = 1;
-/// The form of commands, answers and of the state.
+/// The form of commands and answers.
 const VERSION: u8 = 1;
+/// The form of the state: since 2 it holds what is distributed by scope.
+const STATE_VERSION: u8 = 2;
 
 /// What may be asked for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -40,37 +46,84 @@
     Releases(releases::Verdict),
 }
 
-fn write(what: &impl Serialize) -> Vec<u8> {
-    postcard::to_extend(what, vec![VERSION]).expect("plain data")
+fn write(version: u8, what: &impl Serialize) -> Vec<u8> {
+    postcard::to_extend(what, vec![version]).expect("plain data")
 }
 
-fn read<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Option<T> {
-    let body = bytes.strip_prefix(&[VERSION])?;
+fn read<'a, T: Deserialize<'a>>(version: u8, bytes: &'a [u8]) -> Option<T> {
+    let body = bytes.strip_prefix(&[version])?;
     let (what, rest) = postcard::take_from_bytes(body).ok()?;
     rest.is_empty().then_some(what)
 }
 
 impl Command {
     pub fn write(&self) -> Vec<u8> {
-        write(self)
+        write(VERSION, self)
     }
 }
 
 impl Verdict {
     pub fn read(bytes: &[u8]) -> Option<Self> {
-        read(bytes)
+        read(VERSION, bytes)
     }
 }
 
 /// All that is decided about who is out.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Outs {
     pub drains: Drains,
     pub grants: Grants,
     pub releases: Releases,
+    /// What of it is distributed by scope: the drains.
+    scoped: ScopedState,
+    #[serde(skip)]
+    feed: feed::Feed,
 }
 
+/// What waits to be handed on is no part of what was decided.
+impl PartialEq for Outs {
+    fn eq(&self, other: &Self) -> bool {
+        let Self { drains, grants, releases, scoped, feed: _ } = self;
+        let same = (drains, grants, releases) == (&other.drains, &other.grants, &other.releases);
+        same && *scoped == other.scoped
+    }
+}
+
+impl Eq for Outs {}
+
 impl Outs {
+    /// What is distributed by scope, as of the newest decision that was carried out.
+    pub fn scoped(&self) -> &ScopedState {
+        &self.scoped
+    }
+
+    /// What was changed in [`Outs::scoped`] since this was last called.
+    pub fn take_changes(&mut self) -> Changes {
+        self.feed.take()
+    }
+
+    /// Applies what a decision changed. One of an earlier index than the state's changes nothing there: only
+    /// a trial of what a command would come to has such.
+    fn distribute(&mut self, change: Change) {
+        if self.scoped.apply(change.clone()).is_ok() {
+            self.feed.push(change);
+        }
+    }
+
+    fn drain(&mut self, index: Index, command: drains::Command) -> drains::Verdict {
+        let server = command.server().to_owned();
+        let former = self.drains.get(&server).cloned();
+        let verdict = self.drains.decide(index, command);
+        let drain = self.drains.get(&server).cloned();
+        if drain != former
+            && let Some(pool) = drain.as_ref().or(former.as_ref()).map(|drain| drain.pool)
+            && let Some(change) = drains::change(index, &server, pool, drain.as_ref())
+        {
+            self.distribute(change);
+        }
+        verdict
+    }
+
     fn carry_out(&mut self, index: Index, command: Command) -> Verdict {
         let verdict = self.of_part(index, command);
         let grants = &self.grants;
@@ -80,7 +133,7 @@
 
     fn of_part(&mut self, index: Index, command: Command) -> Verdict {
         match command {
-            Command::Drains(command) => Verdict::Drains(self.drains.decide(index, command)),
+            Command::Drains(command) => Verdict::Drains(self.drain(index, command)),
             Command::Grants(command) => Verdict::Grants(self.grant(index, command)),
             Command::Releases(command) => {
                 let halts =
@@ -130,17 +183,22 @@
         if part != OUTS {
             return Err(unknown("no part of this program: a newer one is wanted"));
         }
-        let command = read(command).ok_or_else(|| unknown("no command of this program"))?;
-        Ok(write(&self.carry_out(index, command)))
+        let command = read(VERSION, command).ok_or_else(|| unknown("no command of this program"))?;
+        Ok(write(VERSION, &self.carry_out(index, command)))
+    }
+
+    fn root(&self) -> Hash {
+        self.scoped.root()
     }
 
     fn state(&self) -> Vec<u8> {
-        write(self)
+        write(STATE_VERSION, self)
     }
 
     fn restore(&mut self, index: Index, state: &[u8]) -> Result<(), Unknown> {
         let unread = || Unknown { index, part: OUTS, what: "a state of no known form".to_owned() };
-        *self = read(state).ok_or_else(unread)?;
+        *self = read(STATE_VERSION, state).ok_or_else(unread)?;
+        self.feed.begin_anew();
         Ok(())
     }
 }
--- a/proxy/src/border/hands.rs
+++ b/proxy/src/border/hands.rs
@@ -13,6 +13,7 @@
 
 use crate::causes;
 use crate::decided::Decided;
+use crate::distributed::Distributed;
 use crate::earned::Earned;
 use crate::hints::Hints;
 use crate::limits::FleetLimits;
@@ -61,6 +62,7 @@
     pub(super) scribe: Option<Scribe>,
     pub(super) limits: Option<FleetLimits>,
     pub(super) decided: Option<Decided>,
+    pub(super) distributed: Option<Distributed>,
     pub(super) earned: Earned,
 }
 
--- a/proxy/src/border/mod.rs
+++ b/proxy/src/border/mod.rs
@@ -5,6 +5,7 @@
 //! [`BorderProxy::outbound`] and [`BorderProxy::note`], and come back when [`BorderProxy::due`] says.
 
 mod callers;
+mod distribution;
 mod hands;
 mod peers;
 mod servers;
@@ -23,6 +24,7 @@
 use crate::causes;
 use crate::decided::Decided;
 use crate::decisions::Decisions;
+use crate::distributed::Distributed;
 use crate::earned::Earned;
 use crate::pool::{News, PoolList, Unfit};
 use crate::routes::Routes;
@@ -119,6 +121,7 @@
                 scribe: None,
                 limits: None,
                 decided: None,
+                distributed: None,
                 earned: Earned::new(terms.terms.grades),
             },
             module,
@@ -157,6 +160,7 @@
                 self.hands.servers.receive(now, peer, datagram);
                 self.hear_servers();
             }
+            Side::Peers if self.hear_distribution(peer, datagram) => self.drain(),
             Side::Peers => {
                 if let Some(node) = &mut self.hands.gossip {
                     node.receive(now, peer, datagram);
@@ -219,6 +223,7 @@
                 decided.report(now, node, self.hands.earned.report());
             }
         }
+        self.turn_distribution();
         self.drain();
         self.hear_callers(0.0);
         self.hear_servers();
@@ -256,7 +261,8 @@
         let node = hands.gossip.as_ref().map(Node::due);
         let limits = hands.limits.as_ref().map(|limits| limits.due(hands.now));
         let decided = hands.decided.as_ref().map(Decided::due);
-        let legs = [hands.callers.due(), hands.servers.due(), node, limits, decided];
+        let distributed = hands.distributed.as_ref().map(Distributed::due);
+        let legs = [hands.callers.due(), hands.servers.due(), node, limits, decided, distributed];
         legs.into_iter().flatten().fold(hands.timers.due(), f64::min)
     }
 
@@ -267,7 +273,9 @@
         let peers = |d: gossip::Outgoing| Outbound { side: Side::Peers, peer: d.peer, bytes: d.bytes.into() };
         let servers = hands.servers.datagram().map(of(Side::Servers));
         let legs = servers.or_else(|| hands.callers.datagram().map(of(Side::Callers)));
-        legs.or_else(|| hands.gossip.as_mut().and_then(Node::outgoing).map(peers))
+        let (node, distributed) = (&mut hands.gossip, &mut hands.distributed);
+        let gossiped = legs.or_else(|| node.as_mut().and_then(Node::outgoing).map(peers));
+        gossiped.or_else(|| distributed.as_mut().and_then(Distributed::outgoing).map(peers))
     }
 
     /// The next line for the log.
--- a/proxy/src/border/peers.rs
+++ b/proxy/src/border/peers.rs
@@ -10,6 +10,7 @@
 use super::BorderProxy;
 use crate::decided::{Answer, CouncilStatus, Decided, Life, OutTerms, OutsStatus, Wish};
 use crate::decisions::Decisions;
+use crate::distributed::Distributed;
 use crate::limits::{FleetLimits, LimitTerms};
 use crate::status::{GossipStatus, LimitsStatus};
 
@@ -127,8 +128,14 @@
         for at in self.hands.decided.as_mut().map(Decided::looks).unwrap_or_default() {
             self.hands.servers.poke(now, at);
         }
-        let Some(drained) = self.hands.decided.as_mut().and_then(Decided::news) else { return };
-        let lines = self.hands.pool.drain(drained);
+        let hands = &mut self.hands;
+        let lines = if let Some(drained) = hands.decided.as_mut().and_then(Decided::news) {
+            hands.pool.drain(drained)
+        } else if let Some(drained) = hands.distributed.as_mut().and_then(Distributed::news) {
+            hands.pool.drain(&drained)
+        } else {
+            return;
+        };
         self.module.listed(&lines, false, &mut self.hands);
         if let Some(limits) = &mut self.hands.limits {
             limits.listed(now, &self.hands.pool);
@@ -163,6 +170,9 @@
         dry: bool,
     ) -> Result<Result<u64, Answer>, String> {
         let hands = &mut self.hands;
+        if let Some(controls) = hands.distributed.as_ref().and_then(Distributed::controls) {
+            return Err(format!("a subscriber decides nothing: ask one of {}", controls.join(", ")));
+        }
         let (Some(decided), Some(node)) = (&mut hands.decided, &hands.gossip) else {
             return Err("this proxy has no [council]".to_owned());
         };
--- a/proxy/src/decided/mod.rs
+++ b/proxy/src/decided/mod.rs
@@ -11,6 +11,7 @@
 use agree::disk::{Kept, Lost, Write};
 use agree::seal::FleetKeys;
 use agree::{AgreeStanding, AgreeTerms, Agreement, Id, Unknown};
+use distribution::ScopedState;
 use gossip::Node;
 use gossip::wire::{Part, Standing};
 use outs::evidence::{Evidence, Judgement, Report};
@@ -102,6 +103,21 @@
         })
     }
 
+    /// What is decided, for whoever serves it to others.
+    pub(crate) fn agreement(&mut self) -> &mut Agreement<Outs, FleetKeys> {
+        &mut self.agreement
+    }
+
+    /// What is distributed by scope.
+    pub(crate) fn scoped(&self) -> &ScopedState {
+        self.agreement.machine().scoped()
+    }
+
+    /// The decision since which the council votes.
+    pub(crate) fn council_since(&self) -> u64 {
+        self.agreement.council_since()
+    }
+
     pub fn rekey(&mut self, keys: FleetKeys) {
         self.agreement.rekey(keys);
     }
--- /dev/null
+++ b/proxy/src/distributed/service.rs
@@ -0,0 +1,192 @@
+//! A control machine's service to subscribers: what it decides with others, passed on by scope.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use agree::Id;
+use distribution::progress::{ChangeProgress, Lacking};
+use distribution::{Control, ControlTerms};
+use gossip::Outgoing;
+use gossip::channel::Channel;
+use gossip::keys::{Roster, Secrets};
+use gossip::wire::Part;
+use outs::Changes;
+
+use super::status::{
+    ChangeStatus, DistributionRole, DistributionStatus, LackingStatus, ScopeStatus, SubscribersStatus,
+};
+use crate::decided::Decided;
+
+/// What is agreed for a control machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ServiceTerms {
+    /// Milliseconds.
+    pub heartbeat: f64,
+    /// Subscribers at the most.
+    pub most_subscribers: usize,
+    /// Bytes a second to all subscribers together, and to each of them.
+    pub bytes_per_second: f64,
+    pub subscriber_bytes_per_second: f64,
+    /// Subscribers that fetch whole scopes at a time.
+    pub snapshots_at_once: usize,
+}
+
+/// A control machine's side of the channel.
+pub struct Service {
+    channel: Channel,
+    control: Control,
+    /// Where each subscriber was last heard; bounded by the roster.
+    addresses: BTreeMap<Id, SocketAddr>,
+    out: VecDeque<Outgoing>,
+}
+
+impl Service {
+    /// `roster` is the subscribers'; `unix` is the wall clock in milliseconds.
+    pub fn new(
+        terms: ServiceTerms,
+        secrets: Secrets,
+        roster: Roster,
+        seed: u64,
+        now: f64,
+        unix: f64,
+    ) -> Self {
+        let control_terms = ControlTerms {
+            heartbeat: terms.heartbeat,
+            most_subscribers: terms.most_subscribers,
+            bytes_per_second: terms.bytes_per_second,
+            subscriber_bytes_per_second: terms.subscriber_bytes_per_second,
+            snapshots_at_once: terms.snapshots_at_once,
+        };
+        Self {
+            channel: Channel::new(secrets, roster, unix),
+            control: Control::new(control_terms, seed, now),
+            addresses: BTreeMap::new(),
+            out: VecDeque::new(),
+        }
+    }
+
+    /// A datagram came on the peers' socket. False where it names no subscriber as its sender: then it is
+    /// gossip.
+    pub fn receive(&mut self, now: f64, peer: SocketAddr, datagram: &[u8]) -> bool {
+        if !Channel::sender(datagram).is_some_and(|from| self.channel.roster().contains(from)) {
+            return false;
+        }
+        if let Some(received) = self.channel.open(datagram).filter(|received| received.part == Part::State) {
+            self.addresses.insert(received.from, peer);
+            self.control.receive(now, received.from, &received.bytes);
+            self.send();
+        }
+        true
+    }
+
+    /// Takes over what was decided meanwhile, and does what has fallen due.
+    pub fn turn(&mut self, now: f64, decided: &mut Decided) {
+        let agreement = decided.agreement();
+        let applied = agreement.applied();
+        match agreement.machine_mut().take_changes() {
+            Changes::Since(changes) => self.control.decided(applied, changes),
+            Changes::Anew => self.control.restore(applied, agreement.machine().scoped().clone()),
+        }
+        if self.control.wants_state() {
+            self.control.restore(applied, agreement.machine().scoped().clone());
+        }
+        if let Some(seal) = agreement.seal() {
+            self.control.sealed(seal, agreement.links());
+        }
+        while let Some(proof) = agreement.freshness() {
+            self.control.fresh(now, proof);
+        }
+        self.control.turn(now);
+        while let Some(nonce) = self.control.ask() {
+            agreement.ask_freshness(nonce);
+        }
+        self.send();
+    }
+
+    fn send(&mut self) {
+        while let Some(out) = self.control.outgoing() {
+            let Some(&peer) = self.addresses.get(&out.to) else { continue };
+            let sealed = self.channel.seal(Part::State, out.bytes);
+            self.out.extend(sealed.map(|bytes| Outgoing { peer, bytes }));
+        }
+    }
+
+    /// When [`Service::turn`] is wanted.
+    pub fn due(&self) -> f64 {
+        self.control.due()
+    }
+
+    /// The next datagram to send.
+    pub fn outgoing(&mut self) -> Option<Outgoing> {
+        self.out.pop_front()
+    }
+
+    /// Goes on with other keys, as in a rotation; `roster` is the subscribers'.
+    pub fn rekey(&mut self, secrets: Secrets, roster: Roster) {
+        for (gone, _) in self.addresses.extract_if(.., |id, _| !roster.contains(*id)) {
+            self.control.forget(gone);
+        }
+        self.channel.rekey(secrets, roster);
+    }
+
+    fn name(&self, id: Id) -> String {
+        self.channel.roster().name(id).unwrap_or("?").to_owned()
+    }
+
+    /// How it stands; `decided` is what it serves.
+    pub fn status(&self, decided: &Decided) -> DistributionStatus {
+        let standing = self.control.standing();
+        let counts = standing.counts;
+        let scoped = decided.scoped();
+        let scope = |scope| ScopeStatus {
+            scope: format!("{scope}"),
+            version: scoped.summary(scope).version,
+            entries: scoped.content(scope).map_or(0, |content| content.len()),
+            age_ms: None,
+        };
+        DistributionStatus {
+            role: DistributionRole::Control,
+            control: None,
+            control_since_ms: None,
+            council: decided.council_since(),
+            scopes: scoped.scopes().map(scope).collect(),
+            drains: Vec::new(),
+            subscribers: Some(SubscribersStatus {
+                sessions: standing.subscribers,
+                snapshots: standing.snapshots,
+                sealed: standing.index,
+            }),
+            channel: self.channel.counts(),
+            counts: BTreeMap::from([
+                ("malformed".to_owned(), counts.malformed),
+                ("stray".to_owned(), counts.stray),
+                ("crowded".to_owned(), counts.crowded),
+                ("deferred".to_owned(), counts.deferred),
+                ("expired".to_owned(), counts.expired),
+                ("dropped".to_owned(), counts.dropped),
+                ("ahead".to_owned(), counts.ahead),
+                ("diverged".to_owned(), counts.diverged),
+            ]),
+        }
+    }
+
+    /// Who of those that it serves has the newest changes.
+    pub fn changes(&self, now: f64) -> Vec<ChangeStatus> {
+        let lacking = |of: &Lacking| LackingStatus {
+            subscriber: self.name(of.id),
+            since_ms: of.since_ms,
+            silent_ms: of.silent_ms,
+        };
+        let row = |change: ChangeProgress| ChangeStatus {
+            scope: change.scope.to_string(),
+            key: change.key.to_string(),
+            version: change.version,
+            removed: change.removed,
+            since_ms: change.since_ms,
+            have: change.acknowledged,
+            of: change.acknowledged + change.lacking,
+            lacking: change.names.iter().map(lacking).collect(),
+        };
+        self.control.changes(now).into_iter().map(row).collect()
+    }
+}
