--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod alone;
 pub mod baseline;
 pub mod callers;
+pub mod capacity;
 pub mod central;
 pub mod drill;
 pub mod events;
