Lab: sources in folders, a file a command; no behaviour changes

Cause: 21 files of lab/src stood side by side and main.rs (528 lines) held arguments and work of all commands. Change: lab/src in stand_ins/ (central, callers, feed, link, peers, platform, baseline), drills/ (drill, world, simulated, sockets, release, permits, and alone as standalone), witness/ and reports/ (report as summary, page, events); commands/ has a file a command with its arguments and `run`; main.rs (74 lines) parses and dispatches. The functions of drill, sizes, load and limits are cut into short ones. Paths in docs follow.

--- /dev/null
+++ b/lab/src/commands/caller.rs
@@ -0,0 +1,66 @@
+//! `caller`: stand-in callers of border proxies.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use anyhow::Result;
+use clap::Args;
+use lab::drills::drill::{Drill, Tenant};
+use lab::drills::standalone;
+
+use super::block_on;
+
+/// Whom to call, how often, and with what patience.
+#[derive(Args)]
+pub struct CallerArguments {
+    /// Where the proxies take callers
+    #[arg(required = true)]
+    proxies: Vec<SocketAddr>,
+    /// Grades, tenants and load of a drill
+    #[arg(long, default_value = "calm")]
+    drill: String,
+    /// What numbers called begin with, one a service grade in order
+    #[arg(long)]
+    called: Vec<String>,
+    /// User names of tenants, called for in equal parts
+    #[arg(long)]
+    tenant: Vec<String>,
+    /// First tries a second
+    #[arg(long, default_value_t = 20.0)]
+    rate: f64,
+    #[arg(long, default_value_t = 10.0)]
+    seconds: f64,
+    /// Seconds for which a try is waited for
+    #[arg(long)]
+    patience: Option<f64>,
+    #[arg(long)]
+    redials: Option<u32>,
+    /// The part of the refused who follow advice
+    #[arg(long)]
+    honour: Option<f64>,
+    #[arg(long)]
+    seed: Option<u64>,
+}
+
+/// Calls the proxies; fails if a conversation taken did not get exactly one answer in time.
+pub fn run(arguments: CallerArguments) -> Result<ExitCode> {
+    let mut drill = Drill::named(&arguments.drill)?;
+    (drill.load.rate, drill.seconds) = (arguments.rate, arguments.seconds);
+    drill.load.patience = arguments.patience.unwrap_or(drill.load.patience);
+    drill.load.redials = arguments.redials.unwrap_or(drill.load.redials);
+    drill.load.honour = arguments.honour.unwrap_or(drill.load.honour);
+    drill.seed = arguments.seed.unwrap_or(drill.seed);
+    if !arguments.called.is_empty() {
+        drill.grades.truncate(arguments.called.len());
+    }
+    for (grade, called) in drill.grades.iter_mut().zip(arguments.called) {
+        grade.called = Some(called);
+    }
+    if !arguments.tenant.is_empty() {
+        let share = 1.0 / arguments.tenant.len() as f64;
+        drill.tenants = arguments.tenant.into_iter().map(|name| Tenant { name, share }).collect();
+    }
+    drill.check()?;
+    let sound = block_on(standalone::callers(drill, &arguments.proxies))?;
+    Ok(if sound { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
--- /dev/null
+++ b/lab/src/commands/drill.rs
@@ -0,0 +1,166 @@
+//! `drill`: plays a drill, beside others if asked, and judges the rules.
+
+use std::fs::{self, File};
+use std::io::BufWriter;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::{Context, Result, ensure};
+use clap::Args;
+use lab::drills::drill::Drill;
+use lab::drills::release::By;
+use lab::drills::{simulated, sockets};
+use lab::reports::events::Events;
+use lab::reports::page;
+use lab::reports::summary::{self, Summary};
+use lab::stand_ins::baseline::{Broken, Routing};
+
+/// Which drill, what is changed in it, what is played beside it and what is kept.
+#[derive(Args)]
+pub struct DrillArguments {
+    drill: String,
+    /// Under a virtual clock, in this process
+    #[arg(long = "virtual")]
+    simulated: bool,
+    #[arg(long)]
+    proxies: Option<usize>,
+    #[arg(long)]
+    servers: Option<usize>,
+    /// First tries a second
+    #[arg(long)]
+    rate: Option<f64>,
+    /// What that is of the servers' capacity when all is well
+    #[arg(long)]
+    of_capacity: Option<f64>,
+    #[arg(long)]
+    seconds: Option<f64>,
+    #[arg(long)]
+    seed: Option<u64>,
+    /// Play it again with another routing: random, round-robin or least-out
+    #[arg(long)]
+    against: Vec<Routing>,
+    /// Let proxies gossip, whatever the drill says
+    #[arg(long)]
+    gossip: bool,
+    /// Lose such a part of their messages
+    #[arg(long)]
+    gossip_loss: Option<f64>,
+    /// Members beside the proxies that call every server silent
+    #[arg(long)]
+    liars: Option<usize>,
+    /// Of how many members it is borne that they lie
+    #[arg(long)]
+    liars_borne: Option<usize>,
+    /// Do not tell the proxies of the fleet's limit: the check is to catch them
+    #[arg(long)]
+    unlimited: bool,
+    /// How the proxies of a drill with a release are replaced
+    #[arg(long, value_enum)]
+    release_by: Option<By>,
+    /// Play it again without gossip
+    #[arg(long)]
+    without_gossip: bool,
+    /// Keep summary.json, events.jsonl (ours only) and report.html in this directory
+    #[arg(long)]
+    out: Option<PathBuf>,
+    /// One JSON object in place of tables
+    #[arg(long)]
+    json: bool,
+}
+
+/// Plays the drill and what is asked beside it; fails if a rule broke.
+pub fn run(arguments: &DrillArguments) -> Result<ExitCode> {
+    let drill = changed(arguments)?;
+    if let Some(folder) = &arguments.out {
+        fs::create_dir_all(folder).with_context(|| folder.display().to_string())?;
+    }
+    let mut summaries = Vec::new();
+    for (place, (routing, drill)) in plays(&drill, arguments).into_iter().enumerate() {
+        let events = match &arguments.out {
+            Some(folder) if place == 0 => {
+                Events::to(BufWriter::new(File::create(folder.join("events.jsonl"))?))
+            }
+            _ => Events::default(),
+        };
+        summaries.push(play(drill, routing, events, arguments.simulated)?);
+    }
+    if let Some(folder) = &arguments.out {
+        page::write(folder, &drill, &summaries)?;
+    }
+    if arguments.json {
+        println!("{}", serde_json::to_string(&summaries)?);
+    } else {
+        print(&drill, &summaries);
+    }
+    let ours = &summaries[0];
+    let sound = ours.gossip.as_ref().is_none_or(|gossip| gossip.sound());
+    Ok(if ours.broken() > 0 || !sound { ExitCode::FAILURE } else { ExitCode::SUCCESS })
+}
+
+/// The drill that is named, as the arguments change it.
+fn changed(arguments: &DrillArguments) -> Result<Drill> {
+    let mut drill = Drill::named(&arguments.drill)?;
+    let set = |to: &mut usize, from: Option<usize>| *to = from.unwrap_or(*to);
+    set(&mut drill.fleet.proxies, arguments.proxies);
+    set(&mut drill.fleet.servers, arguments.servers);
+    drill.load.rate = arguments.rate.unwrap_or(drill.load.rate);
+    drill.load.of_capacity = arguments.of_capacity.unwrap_or(drill.load.of_capacity);
+    drill.seconds = arguments.seconds.unwrap_or(drill.seconds);
+    drill.seed = arguments.seed.unwrap_or(drill.seed);
+    drill.gossip.on |= arguments.gossip;
+    drill.gossip.limit_told &= !arguments.unlimited;
+    if let Some((play, by)) = drill.release.as_mut().zip(arguments.release_by) {
+        play.by = by;
+    }
+    ensure!(!(arguments.simulated && drill.release.is_some()), "a release is played on sockets");
+    drill.gossip.loss = arguments.gossip_loss.unwrap_or(drill.gossip.loss);
+    set(&mut drill.gossip.liars, arguments.liars);
+    set(&mut drill.gossip.liars_borne, arguments.liars_borne);
+    drill.check()?;
+    Ok(drill)
+}
+
+/// What is played: ours first, then the routings and the drill without gossip that are asked for.
+fn plays(drill: &Drill, arguments: &DrillArguments) -> Vec<(Routing, Drill)> {
+    let mut plays: Vec<(Routing, Drill)> = std::iter::once(Routing::Ours)
+        .chain(arguments.against.iter().copied())
+        .map(|routing| (routing, drill.clone()))
+        .collect();
+    if arguments.without_gossip {
+        let mut without = drill.clone();
+        without.gossip.on = false;
+        plays.push((Routing::Ours, without));
+    }
+    plays
+}
+
+fn play(drill: Drill, routing: Routing, events: Events, simulated: bool) -> Result<Summary> {
+    if simulated {
+        let world = simulated::run(drill, routing, Broken::default(), events)?;
+        return Ok(Summary::of(&world, &routing.to_string(), true));
+    }
+    let played = sockets::play(drill, Some(routing), events)?;
+    Ok(Summary::of(&played.world, &routing.to_string(), false).costing(&played.costs))
+}
+
+fn print(drill: &Drill, summaries: &[Summary]) {
+    let ours = &summaries[0];
+    println!(
+        "{}: {} proxies, {} servers, seed {}; {} callers, {} tries",
+        ours.drill, ours.proxies, ours.servers, ours.seed, ours.people, ours.tries
+    );
+    ours.print_rules();
+    summary::print_beside(summaries);
+    if drill.gossip.on {
+        summary::print_gossip(summaries);
+    }
+    for (cpu, memory) in summaries.iter().filter_map(|summary| summary.cost) {
+        println!("a proxy: {cpu:.0} ms of processor time, {:.1} MiB at the end", memory / 1_048_576.0);
+    }
+    println!(
+        "nearest to pushing a cold server over: {:.0}% of what it bears; {} answers could not be judged \
+         for time, since the first two copies of their NEW were lost",
+        ours.cold_peak * 100.0,
+        ours.unknowable
+    );
+}
--- /dev/null
+++ b/lab/src/commands/proxy.rs
@@ -0,0 +1,29 @@
+//! The hidden `proxy`: a border proxy that a baseline decides for.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::Result;
+use clap::Args;
+use lab::stand_ins::baseline::{Broken, Plain, Routing};
+
+use super::block_on;
+
+/// The baseline, and the proxy's settings.
+#[derive(Args)]
+pub struct ProxyArguments {
+    #[arg(long)]
+    routing: Routing,
+    #[arg(long)]
+    config: PathBuf,
+}
+
+/// Runs a border proxy by its settings, with a baseline in place of the module.
+pub fn run(arguments: &ProxyArguments) -> Result<ExitCode> {
+    let routing = arguments.routing;
+    let source = std::fs::read_to_string(&arguments.config)?;
+    let plan = daemon::settings::read(&source).map_err(|faults| anyhow::anyhow!("{faults:?}"))?;
+    let decide = |terms, seed, now| Plain::new(routing, Broken::default(), terms, seed, now);
+    block_on(daemon::run::run_deciding(plan, decide))?;
+    Ok(ExitCode::SUCCESS)
+}
--- a/lab/src/drill.rs
+++ b/lab/src/drills/drill.rs
@@ -12,7 +12,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::release::ReleasePlay;
+use crate::drills::release::ReleasePlay;
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -279,18 +279,18 @@
             return Self::of_kind(kind);
         }
         match name {
-            "bad-day" => Self::read(include_str!("../drills/bad-day.toml")),
-            "release" => Self::read(include_str!("../drills/release.toml")),
-            "gossip-100" => Self::read(include_str!("../drills/gossip-100.toml")),
-            "fleet-limits" => Self::read(include_str!("../drills/fleet-limits.toml")),
-            "new-shape" => Self::read(include_str!("../drills/new-shape.toml")),
-            "calm" => Self::read(include_str!("../drills/calm.toml")),
+            "bad-day" => Self::read(include_str!("../../drills/bad-day.toml")),
+            "release" => Self::read(include_str!("../../drills/release.toml")),
+            "gossip-100" => Self::read(include_str!("../../drills/gossip-100.toml")),
+            "fleet-limits" => Self::read(include_str!("../../drills/fleet-limits.toml")),
+            "new-shape" => Self::read(include_str!("../../drills/new-shape.toml")),
+            "calm" => Self::read(include_str!("../../drills/calm.toml")),
             file => Self::read(&std::fs::read_to_string(file).with_context(|| format!("drill {file}"))?),
         }
     }
 
     fn of_kind(name: &str) -> Result<Self> {
-        let mut drill = Self::read(include_str!("../drills/calm.toml"))?;
+        let mut drill = Self::read(include_str!("../../drills/calm.toml"))?;
         let (lasts, kind) = match name {
             "vanish" => (8.0, Kind::Vanish { part: 0.12 }),
             "slow" => (14.0, Kind::Slow { part: 0.4, factor: 3.0 }),
--- /dev/null
+++ b/lab/src/drills/mod.rs
@@ -0,0 +1,9 @@
+//! Drills and what plays them: under a virtual clock, on sockets, or one stand-in at a time.
+
+pub mod drill;
+pub mod permits;
+pub mod release;
+pub mod simulated;
+pub mod sockets;
+pub mod standalone;
+pub mod world;
--- a/lab/src/release.rs
+++ b/lab/src/drills/release.rs
@@ -64,7 +64,7 @@
     /// What each proxy's settings say of it.
     pub fn settings(&self) -> String {
         let members: Vec<String> =
-            (0..self.members).map(|proxy| format!("\"{}\"", crate::peers::name(proxy))).collect();
+            (0..self.members).map(|proxy| format!("\"{}\"", crate::stand_ins::peers::name(proxy))).collect();
         format!(
             "\n[council]\nmembers = [{}]\nbeat = \"100 ms\"\nlease = \"4 s\"\n\n[outs]\nproxy_part = {:?}\nwitnesses = {}\n\
              well = \"{} ms\"\njudged = false\n",
--- a/lab/src/sockets.rs
+++ b/lab/src/drills/sockets.rs
@@ -29,12 +29,12 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
-use crate::baseline::Routing;
-use crate::drill::Drill;
-use crate::events::Events;
-use crate::peers::{self, Liars};
-use crate::release::{self, AwayWitness, By};
-use crate::world::{Out, Place, World};
+use crate::drills::drill::Drill;
+use crate::drills::release::{self, AwayWitness, By};
+use crate::drills::world::{Out, Place, World};
+use crate::reports::events::Events;
+use crate::stand_ins::baseline::Routing;
+use crate::stand_ins::peers::{self, Liars};
 
 /// How far the clock at which a datagram is read may lie from when it passed.
 pub const SLACK: f64 = 20.0;
--- a/lab/src/alone.rs
+++ b/lab/src/drills/standalone.rs
@@ -20,12 +20,12 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 
-use crate::callers::Callers;
-use crate::central::Central;
-use crate::drill::{Drill, LinkFaults};
-use crate::feed::Feed;
-use crate::link::Link;
-use crate::sockets::{LARGEST, bind};
+use crate::drills::drill::{Drill, LinkFaults};
+use crate::drills::sockets::{LARGEST, bind};
+use crate::stand_ins::callers::Callers;
+use crate::stand_ins::central::Central;
+use crate::stand_ins::feed::Feed;
+use crate::stand_ins::link::Link;
 use crate::witness::{Verdict, Witness};
 
 /// How often a list's file is looked at for changes.
@@ -211,14 +211,14 @@
 /// conversation that was taken did not get exactly one final answer in time.
 pub async fn callers(drill: Drill, proxies: &[SocketAddr]) -> Result<bool> {
     ensure!(!proxies.is_empty(), "no proxy to call");
-    let socket = bind(crate::sockets::loopback())?;
+    let socket = bind(crate::drills::sockets::loopback())?;
     let mut drill = drill;
     drill.fleet.proxies = proxies.len();
     let longest = drill.grades.iter().map(|grade| grade.limit).fold(drill.load.patience, f64::max);
     let watch = Watch::new(Some(drill.seconds + longest));
     let mut callers = Callers::new(&drill, Pcg64Mcg::seed_from_u64(drill.seed));
     callers.proxies = proxies.iter().copied().map(Some).collect();
-    let mut witness = Witness::new(crate::sockets::SLACK, None);
+    let mut witness = Witness::new(crate::drills::sockets::SLACK, None);
     let mut buffer = BytesMut::new();
     while !watch.over() {
         if let Some((from, bytes)) = arrival(&socket, &watch, callers.due(), &mut buffer).await {
@@ -284,7 +284,7 @@
                     let back = match backs.get(&client) {
                         Some(back) => back.clone(),
                         None => {
-                            let back = Arc::new(bind(crate::sockets::loopback())?);
+                            let back = Arc::new(bind(crate::drills::sockets::loopback())?);
                             tokio::spawn(carry_back(back.clone(), client, come.clone()));
                             backs.insert(client, back.clone());
                             back
--- a/lab/src/world.rs
+++ b/lab/src/drills/world.rs
@@ -1,5 +1,6 @@
 //! A drill being played: stand-in servers, callers, list feed, link and script, without I/O. Whoever drives
-//! it brings the border proxies: [`crate::simulated`] under a virtual clock, [`crate::sockets`] as processes.
+//! it brings the border proxies: [`simulated`](super::simulated) under a virtual clock,
+//! [`sockets`](super::sockets) as processes.
 //!
 //! Feed it with [`World::arrive`] and [`World::turn`], drain [`World::out`], come back at [`World::due`].
 
@@ -14,14 +15,14 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::callers::Callers;
-use crate::central::Central;
-use crate::drill::{Drill, Kind, Trouble};
-use crate::events::{Event, Events};
-use crate::feed::Feed;
-use crate::link::Link;
-use crate::peers::Seen;
-use crate::release::AwayWitness;
+use crate::drills::drill::{Drill, Kind, Trouble};
+use crate::drills::release::AwayWitness;
+use crate::reports::events::{Event, Events};
+use crate::stand_ins::callers::Callers;
+use crate::stand_ins::central::Central;
+use crate::stand_ins::feed::Feed;
+use crate::stand_ins::link::Link;
+use crate::stand_ins::peers::Seen;
 use crate::witness::{ServerFacts, Witness};
 
 /// After the last first try, what is under way is given so long.
--- a/lab/src/events.rs
+++ b/lab/src/reports/events.rs
@@ -8,7 +8,7 @@
 use iax2::frame::{self, Frame};
 use serde::Serialize;
 
-use crate::drill::Trouble;
+use crate::drills::drill::Trouble;
 use crate::witness;
 
 /// One line.
--- a/lab/src/page.rs
+++ b/lab/src/reports/page.rs
@@ -7,8 +7,8 @@
 use minijinja::{Environment, context};
 use plotters::prelude::*;
 
-use crate::drill::Drill;
-use crate::report::Summary;
+use crate::drills::drill::Drill;
+use crate::reports::summary::Summary;
 
 const PAGE: &str = include_str!("page.html");
 const SIZE: (u32, u32) = (960, 320);
--- a/lab/src/report.rs
+++ b/lab/src/reports/summary.rs
@@ -5,11 +5,11 @@
 use serde::Serialize;
 use tabled::{Table, Tabled, settings::Style};
 
-use crate::drill::Drill;
-use crate::release::By;
-use crate::sockets::Cost;
+use crate::drills::drill::Drill;
+use crate::drills::release::By;
+use crate::drills::sockets::Cost;
+use crate::drills::world::World;
 use crate::witness::Verdict;
-use crate::world::World;
 
 /// What the five rules are called in a summary.
 pub const RULES: [&str; 5] =
--- a/lab/src/central.rs
+++ b/lab/src/stand_ins/central.rs
@@ -1,7 +1,7 @@
 //! A stand-in central server: an IAX2 endpoint before a processor with one line. Set-up, answer and release
 //! cost it work, a set-up that is sent again costs as much as a new one. It repeats nothing that RFC 5456
 //! does not, and can be cold, slow, hung, ageing, faulty, losing answers, full or pushed over; who is silent
-//! or down is the [`crate::world`]'s to say.
+//! or down is the [`crate::drills::world`]'s to say.
 
 use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -14,8 +14,8 @@
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64Mcg;
 
-use crate::drill::{ANSWER_WORK, COLD, COLD_FROM, FALL_MULTIPLE, FALL_SPAN, RELEASE_WORK, REPEAT};
-use crate::drill::{Drill, Shape};
+use crate::drills::drill::{ANSWER_WORK, COLD, COLD_FROM, FALL_MULTIPLE, FALL_SPAN, RELEASE_WORK, REPEAT};
+use crate::drills::drill::{Drill, Shape};
 
 /// Work of turning a set-up away, and of a probe, in set-ups.
 const REJECT_WORK: f64 = 0.2;
--- a/lab/src/witness.rs
+++ b/lab/src/witness/mod.rs
@@ -17,7 +17,7 @@
 use iax2::frame::{self, Frame, Full, control, iax, kind};
 use serde::Serialize;
 
-use crate::drill::{COLD, DRAIN_GRACE, FALL_MULTIPLE, FALL_SPAN, LIMIT_WINDOW, RELEASE};
+use crate::drills::drill::{COLD, DRAIN_GRACE, FALL_MULTIPLE, FALL_SPAN, LIMIT_WINDOW, RELEASE};
 
 /// Most breaks of a rule that are told in full.
 const MOST_TOLD: usize = 5;
--- a/lab/tests/permits.rs
+++ b/lab/tests/permits.rs
@@ -1,6 +1,6 @@
 //! What looks over the limits of a whole fleet sees a way that passes them, and lets the program's own pass.
 
-use lab::permits::{Case, Fault, Way, play};
+use lab::drills::permits::{Case, Fault, Way, play};
 use rstest::rstest;
 
 fn most(way: Way, fault: Fault) -> usize {
--- a/lab/tests/platform.rs
+++ b/lab/tests/platform.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use anyhow::Result;
-use lab::platform::{
+use lab::stand_ins::platform::{
     Caller, Central, ChangeLog, PATIENCE, Play, Proxy, bye, call_id, configuration, desc_of, visit,
 };
 use nix::sys::signal::Signal;
--- a/lab/tests/release.rs
+++ b/lab/tests/release.rs
@@ -1,6 +1,6 @@
 //! The witness of who is away, in a release.
 
-use lab::release::AwayWitness;
+use lab::drills::release::AwayWitness;
 
 fn images(changed: &[usize]) -> Vec<String> {
     (0..4).map(|i| if changed.contains(&i) { format!("{i} new") } else { format!("{i} old") }).collect()
--- a/lab/tests/rules.rs
+++ b/lab/tests/rules.rs
@@ -3,13 +3,13 @@
 use bytes::Bytes;
 use iax2::element::{self, Elements};
 use iax2::frame::{Full, iax, kind};
-use lab::baseline::{Broken, Routing};
-use lab::drill::Drill;
-use lab::events::Events;
-use lab::report::Summary;
-use lab::simulated;
+use lab::drills::drill::Drill;
+use lab::drills::simulated;
+use lab::drills::world::World;
+use lab::reports::events::Events;
+use lab::reports::summary::Summary;
+use lab::stand_ins::baseline::{Broken, Routing};
 use lab::witness::{ServerFacts, Witness};
-use lab::world::World;
 use rstest::rstest;
 
 fn play(name: &str, seconds: f64, routing: Routing, broken: Broken) -> World {
