Circles between modules undone in lab, proxy and daemon; no behaviour changes

lab: drill used release, which used peers, which used drill. The data of a release (ReleasePlay, By) stand with the drill, `release::settings` writes a proxy's settings of it. With the new folders there were also circles between folders: drill.rs stands at the root of lab/src, events.rs with the witness (whose judge is a file of its own), so that drill, stand-ins, witness, drills, reports, commands each use only those before. proxy: decisions and watch used each other; the counted differences stand in differences.rs (the wrapper's `Asked` is `Requests`). daemon: release and settings used each other; what a process runs stands in running_release.rs (`Runs` is `RunningRelease`).

Ruled out: a trait between lab's drill and release, since only data were needed.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod release;
 mod replacing;
 pub mod run;
+pub mod running_release;
 pub mod serve;
 pub mod settings;
 mod stamp;
--- a/daemon/src/release.rs
+++ b/daemon/src/release.rs
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 use toml_edit::DocumentMut;
 
+use crate::running_release::RunningRelease;
 use crate::settings;
 
 /// Set for a process that runs a release, to its number.
@@ -39,18 +40,9 @@
     before: Option<Box<Installed>>,
 }
 
-/// How this process runs.
-#[derive(Clone, Debug, Default)]
-pub struct Runs {
-    /// The release; 0 for none.
-    pub release: u64,
-    /// The release that this proxy could not become, and why.
-    pub failed: Option<(u64, String)>,
-}
-
 /// Where a start goes on.
 pub enum Start {
-    Here(Runs),
+    Here(RunningRelease),
     Elsewhere(Change),
 }
 
@@ -92,17 +84,17 @@
 
 /// Looks at what is installed where a process starts.
 pub fn start(state: &Path) -> Result<Start> {
-    let Some(mut installed) = read(state)? else { return Ok(Start::Here(Runs::default())) };
+    let Some(mut installed) = read(state)? else { return Ok(Start::Here(RunningRelease::default())) };
     let release = installed.release;
     if std::env::var(MARK).is_ok_and(|mark| mark == release.to_string()) {
-        return Ok(Start::Here(Runs { release, failed: None }));
+        return Ok(Start::Here(RunningRelease { release, failed: None }));
     }
     if installed.failed.is_none() && installed.starts >= MOST_STARTS {
         installed.failed = Some(format!("{MOST_STARTS} starts in a row were not well"));
         write(state, Some(&installed))?;
     }
     if let Some(why) = installed.failed {
-        return Ok(Start::Here(Runs { release: 0, failed: Some((release, why)) }));
+        return Ok(Start::Here(RunningRelease { release: 0, failed: Some((release, why)) }));
     }
     installed.starts += 1;
     write(state, Some(&installed))?;
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -19,7 +19,7 @@
 use frostthread::host::Terms;
 use toml_edit::Document;
 
-use crate::release::Runs;
+use crate::running_release::RunningRelease;
 use reader::{Reader, Rows, line_of};
 
 pub const EXAMPLE: &str = include_str!("../example.toml");
@@ -45,7 +45,7 @@
     pub name: String,
     /// The file that it was read from, and what of a release this process runs: by whoever starts it.
     pub config: PathBuf,
-    pub runs: Runs,
+    pub runs: RunningRelease,
     /// Directory for what lasts: the cached list, the addresses that it listens on.
     pub state: PathBuf,
     pub callers: SocketAddr,
@@ -197,7 +197,7 @@
         Some(Plan {
             name: name?,
             config: PathBuf::new(),
-            runs: Runs::default(),
+            runs: RunningRelease::default(),
             control: if control.is_empty() { state.join("control.sock") } else { PathBuf::from(control) },
             state,
             callers: callers?,
--- a/lab/src/commands/caller.rs
+++ b/lab/src/commands/caller.rs
@@ -5,7 +5,7 @@
 
 use anyhow::Result;
 use clap::Args;
-use lab::drills::drill::{Drill, Tenant};
+use lab::drill::{Drill, Tenant};
 use lab::drills::standalone;
 
 use super::block_on;
--- a/lab/src/commands/drill.rs
+++ b/lab/src/commands/drill.rs
@@ -7,13 +7,12 @@
 
 use anyhow::{Context, Result, ensure};
 use clap::Args;
-use lab::drills::drill::Drill;
-use lab::drills::release::By;
+use lab::drill::{By, Drill};
 use lab::drills::{simulated, sockets};
-use lab::reports::events::Events;
 use lab::reports::page;
 use lab::reports::summary::{self, Summary};
 use lab::stand_ins::baseline::{Broken, Routing};
+use lab::witness::events::Events;
 
 /// Which drill, what is changed in it, what is played beside it and what is kept.
 #[derive(Args)]
--- a/lab/src/commands/load.rs
+++ b/lab/src/commands/load.rs
@@ -4,11 +4,11 @@
 
 use anyhow::Result;
 use clap::Args;
-use lab::drills::drill::Drill;
+use lab::drill::Drill;
 use lab::drills::sockets;
-use lab::reports::events::Events;
 use lab::reports::summary::Summary;
 use lab::stand_ins::baseline::Routing;
+use lab::witness::events::Events;
 use tabled::{Table, Tabled, settings::Style};
 
 /// Rates to try, and how long.
--- a/lab/src/commands/sizes.rs
+++ b/lab/src/commands/sizes.rs
@@ -6,12 +6,12 @@
 
 use anyhow::Result;
 use clap::Args;
-use lab::drills::drill::Drill;
+use lab::drill::Drill;
 use lab::drills::simulated;
-use lab::reports::events::Events;
 use lab::reports::page;
 use lab::reports::summary::{self, GossipSummary, Summary};
 use lab::stand_ins::baseline::{Broken, Routing};
+use lab::witness::events::Events;
 
 /// Sizes to play, and where the plots go.
 #[derive(Args)]
--- a/lab/src/drills/drill.rs
+++ b/lab/src/drill.rs
@@ -6,14 +6,13 @@
 use border::ProxyTerms;
 use border::limits::LimitTerms;
 use border::routes::{Route, Routes};
+use clap::ValueEnum;
 use fleet::{FleetTerms, LoanTerms};
 use frostthread::host::{GradeTerms, TenantTerms, Terms};
 use iax2::Limits;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
-use crate::drills::release::ReleasePlay;
-
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Drill {
@@ -128,6 +127,42 @@
     }
 }
 
+/// How the proxies are replaced.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum By {
+    /// By the fleet's decision.
+    #[default]
+    Agreed,
+    /// A baseline: each at a time of its own, without agreement, spread so that the budget holds on average.
+    Timer,
+    /// A baseline: all are told at once.
+    Push,
+}
+
+/// What a drill says of its release.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ReleasePlay {
+    /// When it is started, in seconds.
+    pub at: f64,
+    /// The first so many proxies vote.
+    pub members: usize,
+    pub part: f64,
+    pub witnesses: u16,
+    /// Seconds that one has to be well.
+    pub well: f64,
+    #[serde(default)]
+    pub by: By,
+}
+
+impl ReleasePlay {
+    /// How many proxies may be out at once.
+    pub fn most(&self, proxies: usize) -> usize {
+        usize::from(outs::drains::most_out(self.part, proxies))
+    }
+}
+
 /// How late the list is.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -279,18 +314,18 @@
             return Self::of_kind(kind);
         }
         match name {
-            "bad-day" => Self::read(include_str!("../../drills/bad-day.toml")),
-            "release" => Self::read(include_str!("../../drills/release.toml")),
-            "gossip-100" => Self::read(include_str!("../../drills/gossip-100.toml")),
-            "fleet-limits" => Self::read(include_str!("../../drills/fleet-limits.toml")),
-            "new-shape" => Self::read(include_str!("../../drills/new-shape.toml")),
-            "calm" => Self::read(include_str!("../../drills/calm.toml")),
+            "bad-day" => Self::read(include_str!("../drills/bad-day.toml")),
+            "release" => Self::read(include_str!("../drills/release.toml")),
+            "gossip-100" => Self::read(include_str!("../drills/gossip-100.toml")),
+            "fleet-limits" => Self::read(include_str!("../drills/fleet-limits.toml")),
+            "new-shape" => Self::read(include_str!("../drills/new-shape.toml")),
+            "calm" => Self::read(include_str!("../drills/calm.toml")),
             file => Self::read(&std::fs::read_to_string(file).with_context(|| format!("drill {file}"))?),
         }
     }
 
     fn of_kind(name: &str) -> Result<Self> {
-        let mut drill = Self::read(include_str!("../../drills/calm.toml"))?;
+        let mut drill = Self::read(include_str!("../drills/calm.toml"))?;
         let (lasts, kind) = match name {
             "vanish" => (8.0, Kind::Vanish { part: 0.12 }),
             "slow" => (14.0, Kind::Slow { part: 0.4, factor: 3.0 }),
--- a/lab/src/drills/mod.rs
+++ b/lab/src/drills/mod.rs
@@ -1,6 +1,5 @@
-//! Drills and what plays them: under a virtual clock, on sockets, or one stand-in at a time.
+//! What plays a [drill](crate::drill): under a virtual clock, on sockets, or one stand-in at a time.
 
-pub mod drill;
 pub mod permits;
 pub mod release;
 pub mod simulated;
--- a/lab/src/drills/release.rs
+++ b/lab/src/drills/release.rs
@@ -13,67 +13,31 @@
 use anyhow::{Result, bail};
 use border::decided::{Answer, Wish};
 use bytes::Bytes;
-use clap::ValueEnum;
 use daemon::control::{Wished, ask};
 use iax2::{Endpoint, Happening, Limits};
 use outs::Kind;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
+use crate::drill::ReleasePlay;
+use crate::stand_ins::peers;
+
 /// How often each callers' socket is asked, and the silence after which nobody is there.
 const LOOK_EVERY: Duration = Duration::from_millis(100);
 const SILENT: f64 = 1_000.0;
 /// What a fault put in by the script does lasts this long after it for the witness.
 const AFTER: f64 = 3_000.0;
 
-/// How the proxies are replaced.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, ValueEnum, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum By {
-    /// By the fleet's decision.
-    #[default]
-    Agreed,
-    /// A baseline: each at a time of its own, without agreement, spread so that the budget holds on average.
-    Timer,
-    /// A baseline: all are told at once.
-    Push,
-}
-
-/// What a drill says of its release.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct ReleasePlay {
-    /// When it is started, in seconds.
-    pub at: f64,
-    /// The first so many proxies vote.
-    pub members: usize,
-    pub part: f64,
-    pub witnesses: u16,
-    /// Seconds that one has to be well.
-    pub well: f64,
-    #[serde(default)]
-    pub by: By,
-}
-
-impl ReleasePlay {
-    /// How many proxies may be out at once.
-    pub fn most(&self, proxies: usize) -> usize {
-        usize::from(outs::drains::most_out(self.part, proxies))
-    }
-
-    /// What each proxy's settings say of it.
-    pub fn settings(&self) -> String {
-        let members: Vec<String> =
-            (0..self.members).map(|proxy| format!("\"{}\"", crate::stand_ins::peers::name(proxy))).collect();
-        format!(
-            "\n[council]\nmembers = [{}]\nbeat = \"100 ms\"\nlease = \"4 s\"\n\n[outs]\nproxy_part = {:?}\nwitnesses = {}\n\
-             well = \"{} ms\"\njudged = false\n",
-            members.join(", "),
-            self.part,
-            self.witnesses,
-            self.well * 1000.0
-        )
-    }
+/// What each proxy's settings say of the release.
+pub fn settings(play: &ReleasePlay) -> String {
+    let members: Vec<String> = (0..play.members).map(|proxy| format!("\"{}\"", peers::name(proxy))).collect();
+    format!(
+        "\n[council]\nmembers = [{}]\nbeat = \"100 ms\"\nlease = \"4 s\"\n\n[outs]\nproxy_part = {:?}\nwitnesses = {}\n\
+         well = \"{} ms\"\njudged = false\n",
+        members.join(", "),
+        play.part,
+        play.witnesses,
+        play.well * 1000.0
+    )
 }
 
 /// The tables that the release puts in the place of those of each proxy.
--- a/lab/src/drills/simulated.rs
+++ b/lab/src/drills/simulated.rs
@@ -15,11 +15,11 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::drills::drill::Drill;
+use crate::drill::Drill;
 use crate::drills::world::{Out, Place, World};
-use crate::reports::events::Events;
 use crate::stand_ins::baseline::{Broken, Decider, Routing};
 use crate::stand_ins::peers::{self, Liars};
+use crate::witness::events::Events;
 
 /// From a stand-in's socket to a proxy's, or back; the link adds its own.
 const HOP: f64 = 0.2;
--- a/lab/src/drills/sockets.rs
+++ b/lab/src/drills/sockets.rs
@@ -29,12 +29,12 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
-use crate::drills::drill::Drill;
-use crate::drills::release::{self, AwayWitness, By};
+use crate::drill::{By, Drill};
+use crate::drills::release::{self, AwayWitness};
 use crate::drills::world::{Out, Place, World};
-use crate::reports::events::Events;
 use crate::stand_ins::baseline::Routing;
 use crate::stand_ins::peers::{self, Liars};
+use crate::witness::events::Events;
 
 /// How far the clock at which a datagram is read may lie from when it passed.
 pub const SLACK: f64 = 20.0;
@@ -349,7 +349,7 @@
             terms.beat,
             terms.liars,
             self.world.drill.limit_settings()
-                + &self.world.drill.release.map_or(String::new(), |play| play.settings()),
+                + &self.world.drill.release.map_or(String::new(), |play| release::settings(&play)),
         ))
     }
 
--- a/lab/src/drills/standalone.rs
+++ b/lab/src/drills/standalone.rs
@@ -20,7 +20,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::mpsc;
 
-use crate::drills::drill::{Drill, LinkFaults};
+use crate::drill::{Drill, LinkFaults};
 use crate::drills::sockets::{LARGEST, bind};
 use crate::stand_ins::callers::Callers;
 use crate::stand_ins::central::Central;
--- a/lab/src/drills/world.rs
+++ b/lab/src/drills/world.rs
@@ -15,14 +15,14 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::drills::drill::{Drill, Kind, Trouble};
+use crate::drill::{Drill, Kind, Trouble};
 use crate::drills::release::AwayWitness;
-use crate::reports::events::{Event, Events};
 use crate::stand_ins::callers::Callers;
 use crate::stand_ins::central::Central;
 use crate::stand_ins::feed::Feed;
 use crate::stand_ins::link::Link;
 use crate::stand_ins::peers::Seen;
+use crate::witness::events::{Event, Events};
 use crate::witness::{ServerFacts, Witness};
 
 /// After the last first try, what is under way is given so long.
--- a/lab/src/reports/mod.rs
+++ b/lab/src/reports/mod.rs
@@ -1,5 +1,4 @@
-//! What is kept and shown of a drill: its events, its summary, tables and the HTML page.
+//! What is shown of a drill: its summary, tables and the HTML page.
 
-pub mod events;
 pub mod page;
 pub mod summary;
--- a/lab/src/reports/page.rs
+++ b/lab/src/reports/page.rs
@@ -7,7 +7,7 @@
 use minijinja::{Environment, context};
 use plotters::prelude::*;
 
-use crate::drills::drill::Drill;
+use crate::drill::Drill;
 use crate::reports::summary::Summary;
 
 const PAGE: &str = include_str!("page.html");
--- a/lab/src/reports/summary.rs
+++ b/lab/src/reports/summary.rs
@@ -5,8 +5,7 @@
 use serde::Serialize;
 use tabled::{Table, Tabled, settings::Style};
 
-use crate::drills::drill::Drill;
-use crate::drills::release::By;
+use crate::drill::{By, Drill};
 use crate::drills::sockets::Cost;
 use crate::drills::world::World;
 use crate::witness::Verdict;
--- a/lab/src/stand_ins/callers.rs
+++ b/lab/src/stand_ins/callers.rs
@@ -17,7 +17,7 @@
 use rand_pcg::Pcg64Mcg;
 use slotmap::SecondaryMap;
 
-use crate::drills::drill::{Drill, REPEAT};
+use crate::drill::{Drill, REPEAT};
 
 /// Without advice a caller dials again after about this long.
 const OWN_WAIT: f64 = 800.0;
--- a/lab/src/stand_ins/central.rs
+++ b/lab/src/stand_ins/central.rs
@@ -14,8 +14,8 @@
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64Mcg;
 
-use crate::drills::drill::{ANSWER_WORK, COLD, COLD_FROM, FALL_MULTIPLE, FALL_SPAN, RELEASE_WORK, REPEAT};
-use crate::drills::drill::{Drill, Shape};
+use crate::drill::{ANSWER_WORK, COLD, COLD_FROM, FALL_MULTIPLE, FALL_SPAN, RELEASE_WORK, REPEAT};
+use crate::drill::{Drill, Shape};
 
 /// Work of turning a set-up away, and of a probe, in set-ups.
 const REJECT_WORK: f64 = 0.2;
--- a/lab/src/stand_ins/link.rs
+++ b/lab/src/stand_ins/link.rs
@@ -3,7 +3,7 @@
 use rand::Rng;
 use rand_pcg::Pcg64Mcg;
 
-use crate::drills::drill::LinkFaults;
+use crate::drill::LinkFaults;
 
 /// How much later than others a datagram comes that is overtaken.
 const OVERTAKEN: f64 = 25.0;
--- a/lab/src/stand_ins/peers.rs
+++ b/lab/src/stand_ins/peers.rs
@@ -9,7 +9,7 @@
 use gossip::keys::{Roster, Secrets};
 use gossip::{GossipTerms, Node};
 
-use crate::drills::drill::{GossipPlay, REPEAT};
+use crate::drill::{GossipPlay, REPEAT};
 
 /// Members that are known to all from the start.
 const SEEDS: usize = 3;
--- a/lab/src/reports/events.rs
+++ b/lab/src/witness/events.rs
@@ -8,8 +8,8 @@
 use iax2::frame::{self, Frame};
 use serde::Serialize;
 
-use crate::drills::drill::Trouble;
-use crate::witness;
+use crate::drill::Trouble;
+use crate::witness::judge;
 
 /// One line.
 #[derive(Serialize)]
@@ -67,7 +67,7 @@
         if self.0.is_some()
             && let Ok(Frame::Full(full)) = frame::read(bytes)
         {
-            self.note(&Event::Frame { ms, at, way, peer, frame: witness::say(&full) });
+            self.note(&Event::Frame { ms, at, way, peer, frame: judge::say(&full) });
         }
     }
 }
--- a/lab/tests/rules.rs
+++ b/lab/tests/rules.rs
@@ -3,12 +3,12 @@
 use bytes::Bytes;
 use iax2::element::{self, Elements};
 use iax2::frame::{Full, iax, kind};
-use lab::drills::drill::Drill;
+use lab::drill::Drill;
 use lab::drills::simulated;
 use lab::drills::world::World;
-use lab::reports::events::Events;
 use lab::reports::summary::Summary;
 use lab::stand_ins::baseline::{Broken, Routing};
+use lab::witness::events::Events;
 use lab::witness::{ServerFacts, Witness};
 use rstest::rstest;
 
--- a/proxy/src/decisions.rs
+++ b/proxy/src/decisions.rs
@@ -4,7 +4,7 @@
 use frostthread::Proxy;
 use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, Suspicion, View};
 
-use crate::watch::Differences;
+use crate::differences::Differences;
 
 /// The calls of [`frostthread::Proxy`] and its handles; see there for each.
 pub trait Decisions {
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod causes;
 pub mod decided;
 mod decisions;
+pub mod differences;
 mod earned;
 pub mod hints;
 pub mod limits;
--- a/proxy/src/status.rs
+++ b/proxy/src/status.rs
@@ -4,8 +4,8 @@
 use gossip::{Counts, Node};
 use serde::{Deserialize, Serialize};
 
+use crate::differences::Differences;
 use crate::pool::PoolList;
-use crate::watch::Differences;
 
 /// How often each thing has happened since the start.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/proxy/src/watch.rs
+++ b/proxy/src/watch.rs
@@ -9,40 +9,15 @@
 
 use frostthread::Proxy;
 use frostthread::host::{Call, Ending, Handle, Host, Listed, Report, Server, Suspicion, Terms, View};
-use serde::{Deserialize, Serialize};
 
 use crate::decisions::Decisions;
+use crate::differences::Differences;
 
 /// Time-outs are the same within this, in milliseconds.
 const SAME_TIME_OUT: f64 = 1.0;
 
-/// How often the terms to come would have decided otherwise, by kind.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Differences {
-    /// Turns, those of them that were decided twice, and those of these in which anything differed.
-    pub turns: u64,
-    pub seen: u64,
-    pub differing: u64,
-    /// Shots that would go to another server, with another time-out, or not yet; and shots that would go
-    /// sooner.
-    pub elsewhere: u64,
-    pub time_out: u64,
-    pub held_back: u64,
-    pub sooner: u64,
-    /// Conversations that would be refused or failed in that turn, and those that would be kept.
-    pub given_up: u64,
-    pub kept: u64,
-    /// Conversations refused in both, with other advice.
-    pub advice: u64,
-    /// Shots called off in only one of both.
-    pub called_off: u64,
-    /// Probes that would not be sent, and that would be.
-    pub unprobed: u64,
-    pub probed: u64,
-}
-
-/// What a turn asks of its host; it goes on to `to`, where there is one.
-struct Asked<'a, H> {
+/// What a turn requests of its host, kept by kind; each request is passed on to `to`, where there is one.
+struct Requests<'a, H> {
     to: Option<&'a mut H>,
     shots: HashMap<Handle, (Server, f64)>,
     given_up: HashMap<Handle, Option<f64>>,
@@ -50,13 +25,13 @@
     probes: u64,
 }
 
-impl<'a, H> Asked<'a, H> {
+impl<'a, H> Requests<'a, H> {
     fn of(to: Option<&'a mut H>) -> Self {
         Self { to, shots: HashMap::new(), given_up: HashMap::new(), cancelled: HashSet::new(), probes: 0 }
     }
 }
 
-impl<H: Host> Host for Asked<'_, H> {
+impl<H: Host> Host for Requests<'_, H> {
     fn shoot(&mut self, handle: Handle, server: Server, time_out: f64) {
         self.shots.insert(handle, (server, time_out));
         if let Some(to) = &mut self.to {
@@ -106,7 +81,7 @@
 
 impl Differences {
     /// Counts what `other` asks for otherwise than `now`.
-    fn count<H, I>(&mut self, now: &Asked<H>, other: &Asked<I>) {
+    fn count<H, I>(&mut self, now: &Requests<H>, other: &Requests<I>) {
         let before = Self { seen: self.seen + 1, ..*self };
         *self = before;
         for (handle, (server, time_out)) in &now.shots {
@@ -155,17 +130,17 @@
         Self { module, to_come, credit: 0.0, differences: Differences::default() }
     }
 
-    fn twice<H: Host>(&mut self, host: &mut H, decide: impl Fn(&mut Proxy, &mut Asked<H>)) {
+    fn twice<H: Host>(&mut self, host: &mut H, decide: impl Fn(&mut Proxy, &mut Requests<H>)) {
         self.differences.turns += 1;
         self.credit += self.to_come.as_ref().map_or(0.0, |to_come| to_come.share);
         let Some(ToCome { terms, .. }) = self.to_come.as_ref().filter(|_| self.credit >= 1.0) else {
-            return decide(&mut self.module, &mut Asked::of(Some(host)));
+            return decide(&mut self.module, &mut Requests::of(Some(host)));
         };
         self.credit -= 1.0;
         let mut copy = self.module.under(terms.clone());
-        let mut other = Asked::of(None);
+        let mut other = Requests::of(None);
         decide(&mut copy, &mut other);
-        let mut now = Asked::of(Some(host));
+        let mut now = Requests::of(Some(host));
         decide(&mut self.module, &mut now);
         self.differences.count(&now, &other);
     }
--- a/proxy/tests/stories.rs
+++ b/proxy/tests/stories.rs
@@ -2,10 +2,11 @@
 
 mod fixture;
 
+use border::differences::Differences;
 use border::hints::Hints;
 use border::limits::{FleetLimits, LimitTerms};
 use border::pool::{News, PoolList, Readiness, Unfit};
-use border::watch::{Differences, ToCome};
+use border::watch::ToCome;
 use border::{Decisions, Side, Watched};
 use bytes::Bytes;
 use fixture::{Story, address, entry};
