Council: what others know of a member is kept by the life of its seat

Cause (proved by tests without I/O): a member whose disk was lost and that is let in anew is seated by the proof of the council. Where not all others had answered its start by then, it is not checked yet and takes no entries and no term; its next `Hello` is answered with the term and the index of its former life, which no new disk can have, so `known()` took it for an older copy and drew another number: barred for good.

- `met` is kept by (member, life); `Known` is about the life that asks.
`Ask` and `Append` name the life they are said by, `Progress` the life that said what it has; the wire's version goes to 2.
- A member that is let in asks at each beat, no longer at each tenth.
- Found by the stricter test: a `Have` or a refused `Vote` meant for the process before raised the term of a member that still asked the others, which hid that its disk was an older copy.
It learns no term so now.

An older copy, by founder's seat and by a seat let in anew, of a follower and of a leader: 5 stories red without the check, 3 without the index, 2 without the term, 1 where answers raise the term of an unchecked member.

The junk of `what_nobody_may_say` follows the version byte, so that it still reaches the form's check.

--- a/agree/src/agreement.rs
+++ b/agree/src/agreement.rs
@@ -226,10 +226,12 @@
         match message {
             Message::Hello { nonce, stage, life } => self.hello(from, nonce, stage, life),
             Message::Known { nonce, stage, term, acked } => self.known(now, from, nonce, stage, term, acked),
-            Message::Ask { term, trial, index, of } => self.asked(now, from, term, trial, index, of),
+            Message::Ask { term, trial, life, index, of } => {
+                self.asked(now, from, term, trial, life, index, of);
+            }
             Message::Vote { term, trial, granted, life } => self.voted(now, from, term, trial, granted, life),
-            Message::Append { term, round, prev, hash, entries, decided } => {
-                self.appended(now, from, term, round, (prev, hash), entries, decided);
+            Message::Append { term, round, life, prev, hash, entries, decided } => {
+                self.appended(now, from, term, round, life, (prev, hash), entries, decided);
             }
             Message::Have { term, round, life, index, fits, signed } => {
                 self.has(now, from, term, round, life, index, fits, signed);
--- a/agree/src/election.rs
+++ b/agree/src/election.rs
@@ -80,6 +80,15 @@
         }
     }
 
+    /// A later term was met in an answer. A member that still asks the others after its start waits for no
+    /// answer: what comes was meant for the process before it, and a term taken from there would hide that its
+    /// disk is an older copy.
+    pub(crate) fn learn_term(&mut self, now: f64, term: Term) {
+        if self.founding.checked && term > self.kept.term {
+            self.adopt(now, term);
+        }
+    }
+
     /// Asks for votes when its patience is over.
     pub(crate) fn stand(&mut self, now: f64) {
         let (since, waits) = match &self.post {
@@ -105,20 +114,30 @@
         }
         let (waits, position) = (self.chance.random(), self.disk.position());
         self.post = Post::Asking { trial, term, votes: BTreeSet::new(), since: now, waits, position };
-        let last = self.kept.log.last();
+        let (life, last) = (self.life(), self.kept.log.last());
         let others: Vec<Id> = self.kept.log.council().ids().filter(|&id| id != self.id).collect();
         for to in others {
-            self.send_kept(to, &Message::Ask { term, trial, index: last.index, of: last.term });
+            self.send_kept(to, &Message::Ask { term, trial, life, index: last.index, of: last.term });
         }
         self.tally(now);
     }
 
-    pub(crate) fn asked(&mut self, now: f64, from: Id, term: Term, trial: bool, index: Index, of: Term) {
+    #[allow(clippy::too_many_arguments)] // the fields of the message
+    pub(crate) fn asked(
+        &mut self,
+        now: f64,
+        from: Id,
+        term: Term,
+        trial: bool,
+        life: u64,
+        index: Index,
+        of: Term,
+    ) {
         if !self.may_vote() || !self.kept.log.council().contains(from) {
             self.counts.stray += u64::from(!self.kept.log.council().contains(from));
             return;
         }
-        self.met(from, if trial { 0 } else { term }, 0);
+        self.met(from, life, if trial { 0 } else { term }, 0);
         let last = self.kept.log.last();
         let whole = (of, index) >= (last.term, last.index);
         let led = match &self.post {
@@ -147,11 +166,9 @@
 
     pub(crate) fn voted(&mut self, now: f64, from: Id, term: Term, trial: bool, granted: bool, life: u64) {
         let Some(seat) = self.kept.log.council().seat(from) else { return };
-        self.met(from, if granted && trial { 0 } else { term }, 0);
+        self.met(from, life, if granted && trial { 0 } else { term }, 0);
         if !granted {
-            if term > self.kept.term {
-                self.adopt(now, term);
-            }
+            self.learn_term(now, term);
             return;
         }
         if let Post::Asking { trial: asks, term: of, votes, .. } = &mut self.post
--- a/agree/src/founding.rs
+++ b/agree/src/founding.rs
@@ -10,7 +10,7 @@
 
 use crate::Id;
 use crate::agreement::Agreement;
-use crate::council::Council;
+use crate::council::{Council, Seat};
 use crate::disk;
 use crate::election::{PATIENCE_BEATS, Post};
 use crate::log::{Index, Term};
@@ -20,6 +20,17 @@
 
 /// One that has no vote asks only once in so many beats: an operator has to let it in.
 const BARRED_BEATS: u64 = 10;
+/// Lives of one member of which something is known; more only where one draws life upon life.
+const MOST_LIVES: usize = 4;
+
+/// What is known of a member's disk from what the member said.
+#[derive(Clone, Copy, Debug, Default)]
+struct Met {
+    /// The latest term that it spoke in.
+    term: Term,
+    /// Up to where it said that it has the log.
+    acked: Index,
+}
 
 /// What others have said since the start.
 #[derive(Clone, Debug)]
@@ -29,8 +40,9 @@
     known: BTreeMap<Id, Stage>,
     /// Its disk is no older than what others know.
     pub(crate) checked: bool,
-    /// What this process knows of others: the latest term, and up to where they said that they have the log.
-    met: BTreeMap<Id, (Term, Index)>,
+    /// What this process knows of others, by the life that they spoke under: what a lost disk held says nothing
+    /// about the new disk of a member that is let in anew.
+    met: BTreeMap<Seat, Met>,
     /// Lives of those who have no vote by them, for an operator who lets them in.
     pub(crate) lives: BTreeMap<Id, u64>,
 }
@@ -42,10 +54,15 @@
     }
 }
 
+/// The life that a member votes under, by its stage and the number that its disk drew.
+fn seat_life(stage: Stage, drawn: u64) -> u64 {
+    if stage == Stage::Founder { 0 } else { drawn }
+}
+
 impl<M: Machine, S: Signs> Agreement<M, S> {
     /// The number that its votes go by.
     pub(crate) fn life(&self) -> u64 {
-        if self.kept.stage == Stage::Founder { 0 } else { self.kept.life }
+        seat_life(self.kept.stage, self.kept.life)
     }
 
     /// Who votes, as far as this proxy knows: by its log, or by a proof of a council that its log does not
@@ -75,7 +92,7 @@
         }
         let barred = self.kept.stage == Stage::Fresh
             && self.founding.known.values().any(|&stage| stage == Stage::Founder);
-        if barred && !self.beats.is_multiple_of(BARRED_BEATS) {
+        if barred && !self.is_seated() && !self.beats.is_multiple_of(BARRED_BEATS) {
             return;
         }
         let (nonce, stage, life) = (self.founding.nonce, self.kept.stage, self.kept.life);
@@ -96,11 +113,12 @@
         if let Post::Leading(lead) = &mut self.post
             && let Some(progress) = lead.progress.get_mut(&from)
         {
-            let met = self.founding.met.entry(from).or_default();
-            met.1 = met.1.max(progress.has.min(self.decided));
+            let (former, has) = (progress.life, progress.has);
             (progress.has, progress.counts) = (0, false);
+            self.met(from, former, 0, has.min(self.decided));
         }
-        let (term, acked) = self.founding.met.get(&from).copied().unwrap_or_default();
+        let asks = Seat { id: from, life: seat_life(stage, life) };
+        let Met { term, acked } = self.founding.met.get(&asks).copied().unwrap_or_default();
         let stage = self.kept.stage;
         self.send_kept(from, &Message::Known { nonce, stage, term, acked });
     }
@@ -149,11 +167,18 @@
         self.founding.checked |= checked;
     }
 
-    /// A member of the council spoke in a term, or said up to where it has the log.
-    pub(crate) fn met(&mut self, from: Id, term: Term, acked: Index) {
-        if self.kept.log.council().contains(from) {
-            let met = self.founding.met.entry(from).or_default();
-            *met = (met.0.max(term), met.1.max(acked));
+    /// A member of the council spoke in a term under one of its lives, or said up to where it has the log.
+    pub(crate) fn met(&mut self, from: Id, life: u64, term: Term, acked: Index) {
+        let Some(seated) = self.kept.log.council().seat(from) else { return };
+        let spoke = Seat { id: from, life };
+        let met = self.founding.met.entry(spoke).or_default();
+        *met = Met { term: met.term.max(term), acked: met.acked.max(acked) };
+        // What a member says is signed by it: with many lives it only drives out what is known of itself.
+        let lives = Seat { id: from, life: 0 }..=Seat { id: from, life: u64::MAX };
+        let others = self.founding.met.range(lives).map(|(&seat, _)| seat);
+        let others: Vec<Seat> = others.filter(|&seat| seat != spoke && seat != seated).collect();
+        if others.len() + 2 > MOST_LIVES {
+            self.founding.met.remove(&others[0]);
         }
     }
 }
--- a/agree/src/replicate.rs
+++ b/agree/src/replicate.rs
@@ -21,7 +21,8 @@
     /// The latest round that it answered, and when.
     pub round: u64,
     pub heard: f64,
-    /// What it has is by the life that its seat names.
+    /// The life under which it said what it has, and whether that is the one that its seat names.
+    pub life: u64,
     pub counts: bool,
 }
 
@@ -39,7 +40,7 @@
 impl<M: Machine, S: Signs> Agreement<M, S> {
     pub(crate) fn lead(&mut self, now: f64) {
         let last = self.kept.log.last().index;
-        let at_first = Progress { next: last + 1, has: 0, round: 0, heard: now, counts: false };
+        let at_first = Progress { next: last + 1, has: 0, round: 0, heard: now, life: 0, counts: false };
         let others = self.kept.log.council().ids().filter(|&id| id != self.id);
         let progress = others.map(|id| (id, at_first)).collect();
         // All that this log holds was kept before the vote for it was.
@@ -56,7 +57,7 @@
         let position = self.disk.position();
         let Post::Leading(lead) = &mut self.post else { return };
         lead.writing.push_back((position, mark.index));
-        let fresh = Progress { next: mark.index, has: 0, round: 0, heard: now, counts: false };
+        let fresh = Progress { next: mark.index, has: 0, round: 0, heard: now, life: 0, counts: false };
         let council = self.kept.log.council();
         council.ids().filter(|&id| id != self.id).for_each(|id| {
             lead.progress.entry(id).or_insert(fresh);
@@ -85,8 +86,8 @@
         });
         let prev = mark.index;
         let entries = self.kept.log.since(prev, ENTRIES);
-        let (term, hash, decided) = (self.kept.term, mark.hash, self.decided);
-        self.send(to, &Message::Append { term, round, prev, hash, entries, decided });
+        let (term, life, hash, decided) = (self.kept.term, self.life(), mark.hash, self.decided);
+        self.send(to, &Message::Append { term, round, life, prev, hash, entries, decided });
     }
 
     /// A leader's beat: speaks to all, and steps down where it hears no majority.
@@ -110,6 +111,7 @@
         from: Id,
         term: Term,
         round: u64,
+        leader_life: u64,
         prev: (Index, Hash),
         entries: Vec<Entry>,
         decided: Index,
@@ -124,7 +126,7 @@
         if !self.disk.is_sound() || !(self.founding.checked || learns) {
             return;
         }
-        self.met(from, term, 0);
+        self.met(from, leader_life, term, 0);
         let life = self.life();
         if term < self.kept.term {
             let (term, index) = (self.kept.term, self.decided);
@@ -185,13 +187,17 @@
         signed: Option<Signed>,
     ) {
         let Some(seat) = self.kept.log.council().seat(from) else { return };
-        self.met(from, term, 0);
+        self.met(from, life, term, 0);
         if term > self.kept.term {
-            return self.adopt(now, term);
+            return self.learn_term(now, term);
         }
         let last = self.kept.log.last().index;
         let Post::Leading(lead) = &mut self.post else { return };
         let Some(progress) = lead.progress.get_mut(&from).filter(|_| term == self.kept.term) else { return };
+        if progress.life != life {
+            // What another life of it had is not on this one's disk.
+            (progress.life, progress.has) = (life, 0);
+        }
         (progress.heard, progress.counts) = (now, seat.life == life);
         progress.round = progress.round.max(round);
         if progress.counts {
@@ -210,7 +216,7 @@
         }
         let news = self.decide(now);
         // Only what is decided can never be taken back by a later leader.
-        self.met(from, term, if fits { index.min(self.decided) } else { 0 });
+        self.met(from, life, term, if fits { index.min(self.decided) } else { 0 });
         if behind && !news {
             self.send_append(from);
         }
--- a/agree/src/tests/stories.rs
+++ b/agree/src/tests/stories.rs
@@ -3,6 +3,7 @@
 use rstest::rstest;
 
 use super::world::{BEAT, LEASE, World};
+use crate::wire::{Message, write};
 use crate::{Outcome, Refusal, Role, disk};
 
 fn settled(proxies: usize, founders: usize, seed: u64) -> World {
@@ -145,6 +146,81 @@
     sound(&mut world);
 }
 
+/// A follower that lost its disk, and the other follower. It is let in anew while it is heard but hears nobody;
+/// then it is handed the proofs of its new seat, before any of the log.
+fn seated_before_its_log(seed: u64) -> (World, usize, usize) {
+    let mut world = settled(3, 3, seed);
+    busy(&mut world, 500.0);
+    let leader = world.leader().expect("leads");
+    let (lost, other) = ((leader + 1) % 3, (leader + 2) % 3);
+    world.crash(lost);
+    world.disks[lost] = Default::default();
+    world.links.cut(&[leader, other], &[lost], true);
+    world.start(lost);
+    let life = world.proxy(lost).kept.life;
+    world.until("let in anew", 5_000.0, |world| {
+        world.let_in();
+        let standing = world.standing(leader);
+        standing.linked && standing.council.seat(lost as u64).is_some_and(|seat| seat.life == life)
+    });
+    let (now, links) = (world.clock(lost), world.proxy(leader).kept.links.clone());
+    let proxy = world.proxy(lost);
+    for link in links {
+        proxy.receive(now, leader as u64, &write(&Message::Council { link: Box::new(link) }));
+    }
+    assert!(proxy.is_seated() && !proxy.founding.checked, "its seat is proved, its disk not checked");
+    assert_eq!(proxy.kept.log.last().index, 0, "the proof came before the log");
+    world.links.heal();
+    (world, lost, other)
+}
+
+#[rstest]
+fn one_let_in_anew_whose_seat_is_proved_before_its_log_comes_votes(#[values(30, 31, 32, 33, 34)] seed: u64) {
+    let (mut world, lost, other) = seated_before_its_log(seed);
+    world.until("it votes", 3_000.0, |world| world.standing(lost).role == Role::Follows);
+    assert_eq!(world.standing(lost).counts.outdated, 0, "taken for an older copy of its former life's disk");
+    world.crash(other);
+    let applied = world.standing(lost).applied;
+    busy(&mut world, 1_000.0);
+    assert!(world.standing(lost).applied > applied + 5, "nothing is decided without its vote");
+    world.settles(5_000.0);
+    sound(&mut world);
+}
+
+#[rstest]
+fn an_older_copy_of_a_disk_is_found_out_under_any_seat_of_its_member(
+    #[values(false, true)] let_in_anew: bool,
+    #[values(false, true)] it_led: bool,
+) {
+    let (mut world, member) = if let_in_anew {
+        let (mut world, lost, _) = seated_before_its_log(35);
+        world.until("it votes", 3_000.0, |world| world.standing(lost).role == Role::Follows);
+        world.settles(5_000.0);
+        (world, lost)
+    } else {
+        let world = settled(3, 3, 36);
+        let member = (world.leader().expect("leads") + 1) % 3;
+        (world, member)
+    };
+    let copy = world.disks[member].holds.clone();
+    while it_led && world.leader() != Some(member) {
+        let leader = world.leader().expect("leads");
+        world.crash(leader);
+        world.until("another leader", 5_000.0, |world| world.leader().is_some());
+        world.start(leader);
+        world.settles(5_000.0);
+    }
+    busy(&mut world, 1_000.0);
+    world.crash(member);
+    world.disks[member].holds = copy;
+    world.start(member);
+    world.until("found out", 3_000.0, |world| world.standing(member).counts.outdated == 1);
+    assert_eq!(world.standing(member).role, Role::Barred);
+    busy(&mut world, 500.0);
+    world.settles(5_000.0);
+    sound(&mut world);
+}
+
 #[rstest]
 #[case::whole(0.0)]
 #[case::torn(0.5)]
@@ -273,7 +349,7 @@
     let mut world = settled(5, 3, 12);
     let before = world.standing(0);
     let now = world.clock(0);
-    let junk = [&[][..], &[1], &[9, 9, 9], &[1; 900], &[1, 255, 255, 255]];
+    let junk = [&[][..], &[2], &[9, 9, 9], &[2; 900], &[2, 255, 255, 255]];
     junk.iter().for_each(|bytes| world.proxy(0).receive(now, 4, bytes));
     // One without a seat asks for votes, leads, and proves by no signatures.
     let log = world.proxy(0).kept.log.clone();
@@ -290,20 +366,21 @@
         signatures: (0..3).map(|id| (id, vec![3; 64])).collect(),
     };
     let forged = [
-        crate::wire::Message::Ask { term, trial: false, index: 99, of: term },
-        crate::wire::Message::Append {
+        Message::Ask { term, trial: false, life: 0, index: 99, of: term },
+        Message::Append {
             term,
             round: 1,
+            life: 0,
             prev: last.index,
             hash: last.hash,
             entries: Vec::new(),
             decided: 99,
         },
-        crate::wire::Message::Tell { seal },
-        crate::wire::Message::Vote { term, trial: false, granted: true, life: 0 },
-        crate::wire::Message::FreshIs { nonce: 4, index: 0 },
+        Message::Tell { seal },
+        Message::Vote { term, trial: false, granted: true, life: 0 },
+        Message::FreshIs { nonce: 4, index: 0 },
     ];
-    forged.iter().for_each(|message| world.proxy(0).receive(now, 4, &crate::wire::write(message)));
+    forged.iter().for_each(|message| world.proxy(0).receive(now, 4, &write(message)));
     let after = world.standing(0);
     assert_eq!((after.term, after.applied, after.sealed), (before.term, before.applied, before.sealed));
     assert!(after.counts.malformed + after.counts.unknown >= 5, "{:?}", after.counts);
--- a/agree/src/wire.rs
+++ b/agree/src/wire.rs
@@ -9,7 +9,7 @@
 use crate::log::{Entry, Hash, Index, MOST_COMMAND, Term, What};
 use crate::seal::{Link, Seal};
 
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Bytes of the longest message: with all that a packet of gossip's takes along it stays a datagram.
 pub const LARGEST: usize = 780;
 /// Bytes of entries in a message, of which a command of full length must find room.
@@ -44,7 +44,7 @@
         stage: Stage,
         life: u64,
     },
-    /// Known of the one asked by: the latest term it spoke in, and up to where it said that it has the log.
+    /// Known of the life that asked: the latest term it spoke in, and up to where it said that it has the log.
     Known {
         nonce: u64,
         stage: Stage,
@@ -55,6 +55,7 @@
     Ask {
         term: Term,
         trial: bool,
+        life: u64,
         index: Index,
         of: Term,
     },
@@ -68,6 +69,7 @@
     Append {
         term: Term,
         round: u64,
+        life: u64,
         prev: Index,
         hash: Hash,
         entries: Vec<Entry>,
