IAX2: endpoint.rs in files by concern; no behaviour changes

Change: endpoint/ with mod.rs (what a user calls), types, state (of a leg), legs (begun, ended, removed), send (and resend), timers, receive; the largest is receive.rs with 242 lines. The long `full` and `offered` are cut into leg_of, ponged, stray and turn_away. Doc comments on public items that had none; a doc link to Endpoint::reject, which is not there, names Endpoint::end.

--- /dev/null
+++ b/iax2/src/endpoint/receive.rs
@@ -0,0 +1,242 @@
+//! What a peer's frames do: offers, probes, acknowledgements, order, and what each frame means to its leg.
+
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+
+use super::state::Phase;
+use super::{End, Endpoint, Happening, Leg, Media, Poke};
+use crate::cause;
+use crate::element::{self, Elements};
+use crate::frame::{self, Frame, Full, HIGHEST_NUMBER, Mini, control, iax, kind};
+
+impl Endpoint {
+    /// A datagram came. Anything may stand in it.
+    pub fn receive(&mut self, now: f64, peer: SocketAddr, datagram: &Bytes) {
+        match frame::read(datagram) {
+            Ok(Frame::Full(full)) => self.full(now, peer, full),
+            Ok(Frame::Mini(mini)) => self.mini(peer, mini),
+            Ok(Frame::Trunk(minis)) => minis.into_iter().for_each(|mini| self.mini(peer, mini)),
+            Ok(Frame::Video(_)) => self.counts.strays += 1,
+            Err(_) => self.counts.malformed += 1,
+        }
+    }
+
+    fn mini(&mut self, peer: SocketAddr, mini: Mini) {
+        let leg = self.theirs.get(&(peer, mini.source)).copied();
+        match leg.filter(|&leg| matches!(self.legs[leg].phase, Phase::Linked | Phase::Up)) {
+            Some(leg) => {
+                // The time nearest to the last whole one that has these low 16 bits.
+                let whole = self.legs[leg].heard_at;
+                let near = mini.timestamp.wrapping_sub(whole as u16) as i16;
+                let timestamp = whole.wrapping_add_signed(i32::from(near));
+                self.legs[leg].heard_at = timestamp;
+                let media = Media { timestamp, full: None, body: mini.body };
+                self.happenings.push_back((leg, Happening::Media(media)));
+            }
+            None => self.counts.strays += 1,
+        }
+    }
+
+    fn full(&mut self, now: f64, peer: SocketAddr, full: Full) {
+        if full.is(kind::IAX, iax::NEW) && full.dest == 0 {
+            return self.offered(now, peer, full);
+        }
+        if full.is(kind::IAX, iax::POKE) {
+            let poke = Poke { peer, source: full.source, timestamp: full.timestamp };
+            return self.happenings.push_back((Leg::default(), Happening::Poked(poke)));
+        }
+        match self.leg_of(peer, &full) {
+            Some(leg) => self.on_leg(now, leg, full),
+            None if full.is(kind::IAX, iax::PONG) && self.pokes.remove(&(peer, full.dest)).is_some() => {
+                self.ponged(peer, full);
+            }
+            None => self.stray(peer, &full),
+        }
+    }
+
+    /// The leg that a frame is for, by the number that the frame names as ours, else by the peer's own.
+    fn leg_of(&self, peer: SocketAddr, full: &Full) -> Option<Leg> {
+        if full.dest == 0 {
+            return self.theirs.get(&(peer, full.source)).copied();
+        }
+        let found = self.ours.get(&(peer, full.dest)).copied();
+        found.filter(|&leg| [0, full.source].contains(&self.legs[leg].theirs))
+    }
+
+    /// The answer to one of our probes.
+    fn ponged(&mut self, peer: SocketAddr, full: Full) {
+        let iseq = full.oseq.wrapping_add(1);
+        self.bare(peer, full.dest, full.source, full.timestamp, 1, iseq, iax::ACK, Bytes::new());
+        let elements = Elements::read(full.body).unwrap_or_default();
+        self.happenings.push_back((Leg::default(), Happening::Pong { peer, elements }));
+    }
+
+    /// A frame for no leg (RFC 5456, 6.9.2). What is outside the sequence is never answered, so that no two
+    /// ends can go on telling each other.
+    fn stray(&mut self, peer: SocketAddr, full: &Full) {
+        self.counts.strays += 1;
+        if full.counts() {
+            let iseq = full.oseq.wrapping_add(1);
+            // A source of 0 is no frame: one that was sent before it knew ours is told by another.
+            let source = if full.dest == 0 { HIGHEST_NUMBER } else { full.dest };
+            self.bare(peer, source, full.source, full.timestamp, full.iseq, iseq, iax::INVAL, Bytes::new());
+        }
+    }
+
+    fn offered(&mut self, now: f64, peer: SocketAddr, full: Full) {
+        if let Some(&leg) = self.theirs.get(&(peer, full.source)) {
+            let state = &self.legs[leg];
+            let copy = |(stamp, body): &(u32, Bytes)| *stamp == full.timestamp && *body == full.body;
+            if state.offer.as_ref().is_some_and(copy) {
+                self.counts.duplicates += 1;
+                return self.send_aside(leg, iax::ACK, full.timestamp);
+            }
+            // The peer has begun anew and uses the number again.
+            if state.phase != Phase::Over {
+                self.ended(leg, now, End::Unknown);
+            }
+            self.legs[leg].unacknowledged.clear();
+            self.theirs.remove(&(peer, full.source));
+        }
+        let read = Elements::read(full.body.clone());
+        let known = read.as_ref().is_ok_and(|e| e.u16(element::VERSION) == Some(element::PROTOCOL_VERSION));
+        let made = if known { self.begin(now, peer, full.source, Phase::Offered) } else { None };
+        let Some(leg) = made else { return self.turn_away(peer, &full, known) };
+        let state = &mut self.legs[leg];
+        state.iseq = full.oseq.wrapping_add(1);
+        state.offer = Some((full.timestamp, full.body));
+        self.send_aside(leg, iax::ACK, full.timestamp);
+        let elements = read.expect("known");
+        self.happenings.push_back((leg, Happening::Offered { peer, elements, again: full.again }));
+    }
+
+    /// Rejects a NEW without a leg for it: the same bytes are told the same again, and nothing is kept.
+    fn turn_away(&mut self, peer: SocketAddr, full: &Full, known: bool) {
+        let why = if known { cause::CONGESTION } else { cause::INVALID_NUMBER };
+        let count = if known { &mut self.counts.turned_away } else { &mut self.counts.malformed };
+        *count += 1;
+        let mut body = BytesMut::new();
+        Elements::new().with_cause(why).write(&mut body);
+        let iseq = full.oseq.wrapping_add(1);
+        let (source, dest, body) = (HIGHEST_NUMBER, full.source, body.freeze());
+        self.bare(peer, source, dest, full.timestamp, 0, iseq, iax::REJECT, body);
+    }
+
+    fn on_leg(&mut self, now: f64, leg: Leg, full: Full) {
+        let state = &mut self.legs[leg];
+        state.heard = true;
+        if state.theirs == 0 && !full.is(kind::IAX, iax::INVAL) {
+            state.theirs = full.source;
+            let key = (state.peer, full.source);
+            // An old leg that the peer had under this number is over for it.
+            let old = self.theirs.insert(key, leg);
+            if let Some(old) = old.filter(|&old| old != leg && self.legs[old].phase != Phase::Over) {
+                self.ended(old, now, End::Unknown);
+            }
+        }
+        let state = &mut self.legs[leg];
+        while let Some(sent) = state.unacknowledged.front() {
+            // Acknowledged is what lies up to half the circle behind the one awaited next.
+            if !(1..=128).contains(&full.iseq.wrapping_sub(sent.oseq)) {
+                break;
+            }
+            state.unacknowledged.pop_front();
+        }
+        if !full.counts() {
+            match full.subclass {
+                iax::INVAL if full.kind == kind::IAX && state.phase != Phase::Over => {
+                    state.unacknowledged.clear();
+                    self.ended(leg, now, End::Unknown);
+                }
+                iax::INVAL => state.unacknowledged.clear(),
+                iax::VNAK => {
+                    let all: Vec<u8> = state.unacknowledged.iter().map(|sent| sent.oseq).collect();
+                    all.into_iter().for_each(|oseq| self.resend(leg, now, oseq));
+                }
+                _ => {}
+            }
+            return self.queue(leg);
+        }
+        let ahead = full.oseq.wrapping_sub(state.iseq);
+        if ahead != 0 {
+            if ahead >= 128 {
+                self.counts.duplicates += 1;
+                self.send_aside(leg, iax::ACK, full.timestamp);
+            } else {
+                self.counts.out_of_order += 1;
+                self.send_aside(leg, iax::VNAK, full.timestamp);
+            }
+            return self.queue(leg);
+        }
+        state.iseq = state.iseq.wrapping_add(1);
+        state.heard_at = full.timestamp;
+        self.in_order(now, leg, full);
+        self.queue(leg);
+    }
+
+    fn in_order(&mut self, now: f64, leg: Leg, full: Full) {
+        let phase = self.legs[leg].phase;
+        let reply = match (full.kind, full.subclass) {
+            (kind::IAX, iax::PING) => Some(iax::PONG),
+            (kind::IAX, iax::LAGRQ) => Some(iax::LAGRP),
+            _ => None,
+        };
+        if let Some(subclass) = reply.filter(|_| phase != Phase::Over) {
+            // The reply acknowledges by its sequence numbers (RFC 5456, 6.7).
+            return self.send(leg, now, kind::IAX, subclass, Bytes::new());
+        }
+        if phase == Phase::Over {
+            // A peer that goes on, though nothing of ours is on its way to tell it, never heard of the end.
+            let ends = full.kind == kind::IAX && [iax::HANGUP, iax::REJECT].contains(&full.subclass);
+            let lost = self.legs[leg].unacknowledged.is_empty() && !ends;
+            return self.send_aside(leg, if lost { iax::INVAL } else { iax::ACK }, full.timestamp);
+        }
+        self.send_aside(leg, iax::ACK, full.timestamp);
+        let elements = |body| Elements::read(body).unwrap_or_default();
+        let tell = match (full.kind, full.subclass) {
+            (kind::IAX, iax::ACCEPT) if phase == Phase::Calling => {
+                self.legs[leg].phase = Phase::Linked;
+                Happening::Accepted(elements(full.body))
+            }
+            (kind::IAX, iax::REJECT) if phase == Phase::Calling => {
+                let end = End::Peer { rejected: true, elements: elements(full.body) };
+                return self.ended(leg, now, end);
+            }
+            (kind::IAX, iax::HANGUP) => {
+                let end = End::Peer { rejected: false, elements: elements(full.body) };
+                return self.ended(leg, now, end);
+            }
+            (kind::CONTROL, control::HANGUP | control::BUSY | control::CONGESTION) if phase != Phase::Up => {
+                let code = match full.subclass {
+                    control::BUSY => cause::USER_BUSY,
+                    control::CONGESTION => cause::CONGESTION,
+                    _ => cause::NORMAL_CLEARING,
+                };
+                let end = End::Peer { rejected: false, elements: Elements::new().with_cause(code) };
+                self.end(now, leg, &Elements::new());
+                return self.happenings.push_back((leg, Happening::Ended(end)));
+            }
+            (kind::CONTROL, control::RINGING) if phase == Phase::Linked => Happening::Ringing,
+            (kind::CONTROL, control::PROCEEDING | control::PROGRESS) if phase == Phase::Linked => {
+                Happening::Proceeding
+            }
+            (kind::CONTROL, control::ANSWER) if matches!(phase, Phase::Calling | Phase::Linked) => {
+                self.up(leg, now);
+                Happening::Answered(elements(full.body))
+            }
+            (kind::IAX, iax::PONG | iax::LAGRP | iax::UNSUPPORT) => return,
+            (kind::IAX, subclass) => {
+                // RFC 5456, 6.9.4: what is not known is told so.
+                let body = Elements::new().with(element::UNKNOWN, [subclass as u8]);
+                return self.send_elements(leg, now, kind::IAX, iax::UNSUPPORT, &body);
+            }
+            (kind, subclass) => {
+                let media =
+                    Media { timestamp: full.timestamp, full: Some((kind, subclass)), body: full.body };
+                Happening::Media(media)
+            }
+        };
+        self.happenings.push_back((leg, tell));
+    }
+}
--- /dev/null
+++ b/iax2/src/endpoint/send.rs
@@ -0,0 +1,105 @@
+//! Frames sent, and sent again.
+
+use std::net::SocketAddr;
+
+use bytes::{Bytes, BytesMut};
+
+use super::state::Unacknowledged;
+use super::{Datagram, Endpoint, Leg};
+use crate::element::Elements;
+use crate::frame::{Full, iax, kind};
+
+impl Endpoint {
+    /// Sends a frame in sequence whose body is these elements.
+    pub(super) fn send_elements(&mut self, leg: Leg, now: f64, kind: u8, subclass: u32, elements: &Elements) {
+        let mut body = BytesMut::new();
+        elements.write(&mut body);
+        self.send(leg, now, kind, subclass, body.freeze());
+    }
+
+    /// Sends a frame in sequence, stamped with the time now.
+    pub(super) fn send(&mut self, leg: Leg, now: f64, kind: u8, subclass: u32, body: Bytes) {
+        let state = &mut self.legs[leg];
+        // Times grow from frame to frame (RFC 5456, 8.1.1), however quickly these follow.
+        let timestamp = ((now - state.began).max(0.0) as u32).max(state.stamped.wrapping_add(1));
+        state.stamped = timestamp;
+        self.send_at(leg, now, timestamp, kind, subclass, body);
+    }
+
+    /// Sends a frame in sequence, and keeps it until it is acknowledged.
+    pub(super) fn send_at(
+        &mut self,
+        leg: Leg,
+        now: f64,
+        timestamp: u32,
+        kind: u8,
+        subclass: u32,
+        body: Bytes,
+    ) {
+        let resend = self.limits.resend;
+        let state = &mut self.legs[leg];
+        let full = Full {
+            source: state.ours,
+            dest: state.theirs,
+            again: false,
+            timestamp,
+            oseq: state.oseq,
+            iseq: state.iseq,
+            kind,
+            subclass,
+            body,
+        };
+        let bytes = full.write();
+        state.unacknowledged.push_back(Unacknowledged {
+            oseq: state.oseq,
+            bytes: bytes.clone(),
+            due: now + resend,
+            gap: resend,
+            resends: 0,
+        });
+        state.oseq = state.oseq.wrapping_add(1);
+        self.datagrams.push_back(Datagram { peer: state.peer, bytes: bytes.freeze() });
+        self.queue(leg);
+    }
+
+    /// ACK and the like: outside the sequence, never sent again.
+    pub(super) fn send_aside(&mut self, leg: Leg, subclass: u32, timestamp: u32) {
+        let s = &self.legs[leg];
+        self.bare(s.peer, s.ours, s.theirs, timestamp, s.oseq, s.iseq, subclass, Bytes::new());
+    }
+
+    /// Sends an IAX frame of these fields and keeps nothing of it.
+    #[allow(clippy::too_many_arguments)] // the fields of the header, in its order
+    pub(super) fn bare(
+        &mut self,
+        peer: SocketAddr,
+        source: u16,
+        dest: u16,
+        timestamp: u32,
+        oseq: u8,
+        iseq: u8,
+        subclass: u32,
+        body: Bytes,
+    ) {
+        let full =
+            Full { source, dest, again: false, timestamp, oseq, iseq, kind: kind::IAX, subclass, body };
+        self.datagrams.push_back(Datagram { peer, bytes: full.write().freeze() });
+    }
+
+    /// Sends an unacknowledged frame again, its next wait twice as long.
+    pub(super) fn resend(&mut self, leg: Leg, now: f64, oseq: u8) {
+        let state = &mut self.legs[leg];
+        let Some(sent) = state.unacknowledged.iter_mut().find(|sent| sent.oseq == oseq) else { return };
+        sent.resends += 1;
+        sent.gap *= 2.0;
+        sent.due = now + sent.gap;
+        // What the peer has sent meanwhile is acknowledged with it; its number may be known by now.
+        sent.bytes[9] = state.iseq;
+        let is_new = sent.bytes[10] == kind::IAX && u32::from(sent.bytes[11]) == iax::NEW;
+        let dest = if is_new { [0, 0] } else { state.theirs.to_be_bytes() };
+        (sent.bytes[2], sent.bytes[3]) = (0x80 | dest[0], dest[1]);
+        let bytes = Bytes::copy_from_slice(&sent.bytes);
+        self.datagrams.push_back(Datagram { peer: state.peer, bytes });
+        self.counts.resent += 1;
+    }
+}
