--- /dev/null
+++ b/lab/src/commands/scale.rs
@@ -0,0 +1,83 @@
+//! `frostthread-lab scale`: thousands of hollow border proxies, judged against the limits of the target.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use clap::Args;
+use lab::scale::layout::LayoutTerms;
+use lab::scale::report::Report;
+use lab::scale::script::Script;
+use lab::scale::virtual_run::VirtualRun;
+
+/// Hollow proxies of a quick run and of a full one, where none are asked for.
+const QUICK_PROXIES: usize = 1_000;
+const FULL_PROXIES: usize = 3_000;
+/// A run is broken off after so long; a quick one sooner.
+const MOST: Duration = Duration::from_secs(1_800);
+const QUICK_MOST: Duration = Duration::from_secs(220);
+
+/// The arguments of `scale`.
+#[derive(Args)]
+pub struct ScaleLine {
+    /// Hollow proxies; 1000 with --quick, 3000 without
+    #[arg(long)]
+    proxies: Option<usize>,
+    /// calm, loss, control-dead, region-cut, zone-back, bad-day or a file; all built-in ones with "all"
+    #[arg(long, default_value = "calm")]
+    script: String,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Under a virtual clock, in this process
+    #[arg(long = "virtual")]
+    simulated: bool,
+    /// Without control machines: everybody gossips with everybody
+    #[arg(long)]
+    flat: bool,
+    /// Threads of a virtual run; half of the processor's cores where not given
+    #[arg(long)]
+    threads: Option<usize>,
+    /// Under four minutes
+    #[arg(long)]
+    quick: bool,
+    /// One JSON object in place of a table
+    #[arg(long)]
+    json: bool,
+    /// Write the JSON object to this file too
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
+/// Plays the runs that are asked for; exit code 1 if a limit was not kept.
+pub fn scale(line: &ScaleLine) -> Result<ExitCode> {
+    let report = play(line)?;
+    let json = serde_json::to_string_pretty(&report)?;
+    if let Some(file) = &line.out {
+        std::fs::write(file, format!("{json}\n")).with_context(|| file.display().to_string())?;
+    }
+    if line.json {
+        println!("{json}")
+    } else {
+        print!("{report}")
+    }
+    let Some(first) = report.misses.first() else { return Ok(ExitCode::SUCCESS) };
+    eprintln!("missed: {first}");
+    Ok(ExitCode::FAILURE)
+}
+
+fn play(line: &ScaleLine) -> Result<Report> {
+    anyhow::ensure!(line.simulated, "only --virtual so far");
+    let proxies = line.proxies.unwrap_or(if line.quick { QUICK_PROXIES } else { FULL_PROXIES });
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    let run = VirtualRun {
+        layout: LayoutTerms { proxies, ..LayoutTerms::default() },
+        script: Script::named(&line.script)?,
+        seed: line.seed,
+        threads: line.threads.unwrap_or(cores.div_ceil(2)),
+        flat: line.flat,
+        most: if line.quick { QUICK_MOST } else { MOST },
+    };
+    let end = run.script.end() / 1000.0;
+    run.play(&|reached| eprintln!("{:>5.0} of {end:.0} s", reached / 1000.0))
+}
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod platform;
 pub mod release;
 pub mod report;
+pub mod scale;
 pub mod simulated;
 pub mod sockets;
 pub mod witness;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -1,6 +1,10 @@
 //! `frostthread-lab`: plays drills against border proxies, on sockets or under a virtual clock, and judges
 //! the rules from what passed.
 
+mod commands {
+    pub mod scale;
+}
+
 use std::fs::{self, File};
 use std::io::BufWriter;
 use std::net::SocketAddr;
@@ -9,6 +13,7 @@
 
 use anyhow::{Context, Result, ensure};
 use clap::{Args, Parser, Subcommand, ValueEnum};
+use commands::scale::ScaleLine;
 use lab::alone::{self, ServerPlay};
 use lab::baseline::{Broken, Plain, Routing};
 use lab::drill::{Drill, LinkFaults, Tenant};
@@ -72,6 +77,8 @@
         #[arg(long, value_enum, num_args = 1..)]
         fault: Vec<Fault>,
     },
+    /// Play thousands of hollow proxies; exit code 1 and the first miss if a limit was not kept
+    Scale(ScaleLine),
     /// Run a stand-in central server; prints its entry for the pool list, then serves
     Server(ServerLine),
     /// Serve a pool list from a file of entries, one JSON object a line, and its changes as they are made
@@ -253,6 +260,7 @@
             let cases = cases.flat_map(|(load, fault)| way.iter().map(move |&way| case(load, fault, way)));
             Ok(limits(cases, seeds))
         }
+        Command::Scale(line) => commands::scale::scale(&line),
         Command::Server(line) => server(line),
         Command::List { file, listen, late, seconds } => {
             block_on(alone::list(listen, &file, late, seconds)).map(|()| ExitCode::SUCCESS)
--- /dev/null
+++ b/lab/src/scale/book.rs
@@ -0,0 +1,71 @@
+//! The machine that decided changes are given to in a scale run: a value by scope and key.
+//!
+//! It stands for whatever a fleet decides, so that changes of every scope can be played; the drains of
+//! `outs/` belong to services alone.
+
+use std::collections::BTreeMap;
+
+use agree::{Index, Machine, Unknown};
+use serde::{Deserialize, Serialize};
+
+use super::layout::Scope;
+use super::node::{NewValue, Version};
+
+/// The part of the agreement that changes are.
+pub const PART: u8 = 9;
+
+#[derive(Serialize, Deserialize)]
+struct Command {
+    scope: Scope,
+    key: String,
+    value: Vec<u8>,
+}
+
+/// A change as a command of the agreement.
+pub fn command(change: &NewValue) -> Vec<u8> {
+    let NewValue { scope, key, value } = change.clone();
+    postcard::to_stdvec(&Command { scope, key, value }).expect("plain data")
+}
+
+/// All values, with the versions that they were decided at.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Book {
+    /// The last decision that was carried out.
+    newest: Version,
+    values: BTreeMap<(Scope, String), (Version, Vec<u8>)>,
+}
+
+impl Book {
+    pub fn newest(&self) -> Version {
+        self.newest
+    }
+
+    pub fn get(&self, scope: Scope, key: &str) -> Option<(Version, &[u8])> {
+        let (version, value) = self.values.get(&(scope, key.to_owned()))?;
+        Some((*version, value))
+    }
+}
+
+impl Machine for Book {
+    fn decide(&mut self, index: Index, part: u8, command: &[u8]) -> Result<Vec<u8>, Unknown> {
+        let unknown = |what: &str| Unknown { index, part, what: what.to_owned() };
+        if part != PART {
+            return Err(unknown("no part of a scale run"));
+        }
+        let command: Command = postcard::from_bytes(command).map_err(|_| unknown("no change"))?;
+        self.newest = index;
+        self.values.insert((command.scope, command.key), (index, command.value));
+        Ok(Vec::new())
+    }
+
+    fn state(&self) -> Vec<u8> {
+        postcard::to_stdvec(&self.values).expect("plain data")
+    }
+
+    fn restore(&mut self, index: Index, state: &[u8]) -> Result<(), Unknown> {
+        let unread = |_| Unknown { index, part: PART, what: "no state of a scale run".to_owned() };
+        self.values = postcard::from_bytes(state).map_err(unread)?;
+        self.newest = index;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/lab/src/scale/council.rs
@@ -0,0 +1,164 @@
+//! The agreement as a node of a scale run has it: over gossip, with a disk that writes at once, and the
+//! changes that were proposed here.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use agree::{AgreeTerms, Agreement, Id, Machine, Outcome};
+use gossip::keys::Roster;
+use gossip::wire::{Part, Standing};
+use gossip::{GossipTerms, Node as Member};
+
+use super::book;
+use super::keys::{self, SharedKeys};
+use super::layout::{Layout, NodeId};
+use super::node::{NewValue, NotNow, Version};
+
+/// Bytes a second that a member's gossip may send, and how often it looks at others and the leader speaks, in
+/// milliseconds: the values that the example settings have.
+const CAP: f64 = 16_000.0;
+const PROBE_INTERVAL: f64 = 200.0;
+const HEARTBEAT: f64 = 200.0;
+const LEASE: f64 = 10_000.0;
+const LIARS: usize = 2;
+const RESEND: f64 = 500.0;
+/// The wall clock at the start of every run, in Unix milliseconds.
+const EPOCH: f64 = 1.7e12;
+
+/// What the nodes that gossip have in common.
+pub struct Terms {
+    /// Those who gossip.
+    pub roster: Arc<Roster>,
+    pub voters: Vec<NodeId>,
+    /// Bytes a second that gossip may send.
+    pub cap: f64,
+    /// Milliseconds between a leader's messages.
+    pub heartbeat: f64,
+}
+
+impl Terms {
+    pub fn new(roster: Roster, voters: Vec<NodeId>) -> Self {
+        Self { roster: Arc::new(roster), voters, cap: CAP, heartbeat: HEARTBEAT }
+    }
+}
+
+/// One node's gossip and agreement.
+pub struct CouncilNode<M> {
+    member: Member,
+    agreement: Agreement<M, SharedKeys>,
+    file: Vec<u8>,
+    /// Changes that were proposed here, by the agreement's request.
+    requests: BTreeMap<u64, (usize, NewValue)>,
+    decided: VecDeque<(usize, Version)>,
+}
+
+impl<M: Machine> CouncilNode<M> {
+    pub fn start(terms: &Terms, node: NodeId, life: u32, machine: M, disk: &[u8], now: f64) -> Self {
+        let secrets = keys::secrets(node);
+        let gossip = GossipTerms {
+            address: Layout::address(node),
+            seeds: terms.voters.iter().copied().map(Layout::address).collect(),
+            cap: terms.cap,
+            beat: PROBE_INTERVAL,
+            liars: LIARS,
+            resend: RESEND,
+        };
+        let seed = node as u64 ^ u64::from(life) << 32;
+        let member = Member::new(gossip, secrets.clone(), (*terms.roster).clone(), seed, now, EPOCH + now);
+        let founders = terms.voters.iter().map(|&voter| keys::secrets(voter).id()).collect();
+        let agreed = AgreeTerms { founders, beat: terms.heartbeat, lease: LEASE };
+        let signs = SharedKeys { secrets, roster: terms.roster.clone() };
+        let file = agree::disk::recover(disk);
+        let agreement = Agreement::new(member.id(), agreed, signs, machine, file, seed, now);
+        let agreement = agreement.expect("a snapshot of its own");
+        let (requests, decided) = (BTreeMap::new(), VecDeque::new());
+        Self { member, agreement, file: disk.to_vec(), requests, decided }
+    }
+
+    pub fn machine(&self) -> &M {
+        self.agreement.machine()
+    }
+
+    pub fn agreement(&mut self) -> &mut Agreement<M, SharedKeys> {
+        &mut self.agreement
+    }
+
+    pub fn receive(&mut self, now: f64, from: std::net::SocketAddr, datagram: &[u8]) {
+        self.member.receive(now, from, datagram);
+    }
+
+    pub fn turn(&mut self, now: f64) {
+        if self.member.due() <= now {
+            self.member.turn(now);
+        }
+        while let Some((from, bytes)) = self.member.said_to(Part::Agreement) {
+            self.agreement.receive(now, from, &bytes);
+        }
+        if self.agreement.due() <= now {
+            let alive = self.member.members.all().filter(|(_, member)| member.standing != Standing::Dead);
+            self.agreement.set_peers(alive.map(|(id, _)| id).collect::<Vec<Id>>());
+            self.agreement.turn(now);
+        }
+        self.write(now);
+        while let Some(out) = self.agreement.outgoing() {
+            // What the cap forbids is lost, as on the network: it is said again.
+            self.member.say_to(now, out.to, Part::Agreement, out.bytes);
+        }
+        self.take_outcomes(now);
+    }
+
+    fn write(&mut self, now: f64) {
+        while let Some(write) = self.agreement.to_write(now) {
+            if write.anew {
+                self.file.clear();
+            }
+            self.file.extend(write.bytes);
+            self.agreement.written(now);
+        }
+    }
+
+    fn take_outcomes(&mut self, now: f64) {
+        while let Some((request, outcome)) = self.agreement.outcome() {
+            let Some((number, change)) = self.requests.remove(&request) else { continue };
+            match outcome {
+                Outcome::Decided { index, .. } => self.decided.push_back((number, index)),
+                Outcome::Done { by } => self.decided.push_back((number, by)),
+                // Asked for again, as an operator would.
+                Outcome::Refused(_) => drop(self.propose(now, number, &change)),
+            }
+        }
+    }
+
+    pub fn propose(&mut self, now: f64, number: usize, change: &NewValue) -> Result<(), NotNow> {
+        let asked = self.agreement.propose(now, book::PART, book::command(change));
+        let request = asked.map_err(|_| NotNow)?;
+        self.requests.insert(request, (number, change.clone()));
+        Ok(())
+    }
+
+    pub fn decided(&mut self) -> Option<(usize, Version)> {
+        self.decided.pop_front()
+    }
+
+    pub fn due(&self) -> f64 {
+        self.member.due().min(self.agreement.due())
+    }
+
+    pub fn outgoing(&mut self) -> Option<(std::net::SocketAddr, Vec<u8>)> {
+        self.member.outgoing().map(|out| (out.peer, out.bytes))
+    }
+
+    pub fn disk(&self) -> &[u8] {
+        &self.file
+    }
+
+    /// Bytes of what it knows of members and of decisions, written out.
+    pub fn state_bytes(&self) -> usize {
+        let of = |statement| postcard::to_stdvec(statement).expect("plain data").len();
+        let statements: usize = self.member.statements().map(of).sum();
+        statements + self.member.members.all().count() * MEMBER_BYTES + self.agreement.machine().state().len()
+    }
+}
+
+/// Id, address, incarnation and standing of a member.
+const MEMBER_BYTES: usize = 8 + 18 + 8 + 1;
--- /dev/null
+++ b/lab/src/scale/flat.rs
@@ -0,0 +1,71 @@
+//! The fleet without control machines: every node gossips with every other and follows the log. The baseline
+//! that the check is to catch.
+
+use std::net::SocketAddr;
+
+use super::book::Book;
+use super::council::{CouncilNode, Terms};
+use super::keys;
+use super::layout::{Layout, NodeId, Scope};
+use super::node::{Fleet, NewValue, Node, NotNow, Version};
+
+/// What the nodes have in common.
+pub struct FlatFleet {
+    terms: Terms,
+}
+
+impl FlatFleet {
+    pub fn new(layout: &Layout) -> Self {
+        Self { terms: Terms::new(keys::roster(0..layout.nodes()), layout.voters()) }
+    }
+}
+
+impl Fleet for FlatFleet {
+    type Node = FlatNode;
+
+    fn start(&self, node: NodeId, life: u32, disk: &[u8], now: f64) -> FlatNode {
+        FlatNode(CouncilNode::start(&self.terms, node, life, Book::default(), disk, now))
+    }
+}
+
+/// One member of it.
+pub struct FlatNode(CouncilNode<Book>);
+
+impl Node for FlatNode {
+    fn receive(&mut self, now: f64, from: SocketAddr, datagram: &[u8]) {
+        self.0.receive(now, from, datagram);
+    }
+
+    fn turn(&mut self, now: f64) {
+        self.0.turn(now);
+    }
+
+    fn due(&self) -> f64 {
+        self.0.due()
+    }
+
+    fn outgoing(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.0.outgoing()
+    }
+
+    /// Every decision concerns all.
+    fn in_force(&self, _: Scope) -> Version {
+        self.0.machine().newest()
+    }
+
+    fn propose(&mut self, now: f64, number: usize, change: &NewValue) -> Result<(), NotNow> {
+        self.0.propose(now, number, change)
+    }
+
+    fn decided(&mut self) -> Option<(usize, Version)> {
+        self.0.decided()
+    }
+
+    fn disk(&self) -> Vec<u8> {
+        self.0.disk().to_vec()
+    }
+
+    fn state_bytes(&self) -> usize {
+        self.0.state_bytes()
+    }
+}
--- /dev/null
+++ b/lab/src/scale/keys.rs
@@ -0,0 +1,48 @@
+//! Keys of the nodes of a scale run: made up from their numbers, and known to all.
+
+use std::sync::Arc;
+
+use agree::{Id, Signs};
+use gossip::keys::{Roster, SIGNATURE, Secrets};
+
+use super::layout::NodeId;
+use crate::peers::FLEET_KEY;
+
+/// A node's own secret key.
+pub fn own_key(node: NodeId) -> [u8; 32] {
+    let mut own = [0x5c; 32];
+    own[..8].copy_from_slice(&(node as u64).to_le_bytes());
+    own
+}
+
+pub fn secrets(node: NodeId) -> Secrets {
+    Secrets::new(own_key(node), vec![FLEET_KEY]).expect("a fleet key")
+}
+
+pub fn name(node: NodeId) -> String {
+    format!("n{node}")
+}
+
+/// The names and public keys of some nodes.
+pub fn roster(nodes: impl IntoIterator<Item = NodeId>) -> Roster {
+    let members: Vec<_> = nodes.into_iter().map(|node| (name(node), secrets(node).public())).collect();
+    let members = members.iter().map(|(name, key)| (name.as_str(), *key));
+    Roster::new(members).expect("keys of their own")
+}
+
+/// Signs as one node, with a roster that all nodes of this process share.
+#[derive(Clone)]
+pub struct SharedKeys {
+    pub secrets: Secrets,
+    pub roster: Arc<Roster>,
+}
+
+impl Signs for SharedKeys {
+    fn sign(&self, bytes: &[u8]) -> [u8; SIGNATURE] {
+        self.secrets.sign(bytes)
+    }
+
+    fn said(&self, by: Id, bytes: &[u8], signature: &[u8; SIGNATURE]) -> bool {
+        self.roster.said(by, bytes, signature)
+    }
+}
--- /dev/null
+++ b/lab/src/scale/layout.rs
@@ -0,0 +1,289 @@
+//! Who is where: regions, zones, services of uneven size, control machines, and what each proxy subscribes to.
+//!
+//! Everything follows from [`LayoutTerms`] and a seed. Nodes are numbered: control machines first, then border
+//! proxies, so that a number below [`Layout::controls`] is a control machine's.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use anyhow::{Result, ensure};
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+
+/// A node, by its number in the layout.
+pub type NodeId = usize;
+
+/// What a change concerns. The region, zone or service is given by its number.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Scope {
+    All,
+    Region(u16),
+    Zone(u16),
+    Service(u32),
+}
+
+/// The operators' target, to which services scale.
+pub const TARGET_PROXIES: usize = 33_000;
+const TARGET_SERVICES: usize = 1_300;
+const TARGET_LARGEST: usize = 2_000;
+/// The steepest power law that sizes of services may follow.
+const STEEPEST: f64 = 8.0;
+/// The port of every node under the virtual clock.
+const PORT: u16 = 7000;
+
+/// How large a fleet is, and how it is spread.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LayoutTerms {
+    pub proxies: usize,
+    pub regions: usize,
+    /// Zones over all regions.
+    pub zones: usize,
+    pub controls_per_region: usize,
+    /// Control machines that vote; at most one a region while there are regions.
+    pub voters: usize,
+    /// Other services that each service calls: assumed, not given by the operators.
+    pub fan_out: usize,
+    /// Milliseconds one way within a zone, and between zones of a region.
+    pub zone_delay: f64,
+    pub region_delay: f64,
+    /// The range of one-way delays between regions, in milliseconds.
+    pub far_delay: [f64; 2],
+    /// The part by which a delay is longer at the most, by chance.
+    pub jitter: f64,
+}
+
+impl Default for LayoutTerms {
+    fn default() -> Self {
+        Self {
+            proxies: TARGET_PROXIES,
+            regions: 6,
+            zones: 16,
+            controls_per_region: 3,
+            voters: 5,
+            fan_out: 4,
+            zone_delay: 0.3,
+            region_delay: 1.0,
+            far_delay: [20.0, 120.0],
+            jitter: 0.2,
+        }
+    }
+}
+
+impl LayoutTerms {
+    fn check(&self) -> Result<()> {
+        ensure!(self.proxies > 0, "layout: no proxies");
+        ensure!(self.regions > 0 && self.zones >= self.regions, "layout: a region without a zone");
+        ensure!(self.controls_per_region > 0, "layout: a region without a control machine");
+        let controls = self.regions * self.controls_per_region;
+        ensure!((1..=controls).contains(&self.voters), "layout: voters are not 1 to {controls}");
+        let [near, far] = self.far_delay;
+        let ordered = 0.0 < self.zone_delay && self.zone_delay <= self.region_delay;
+        ensure!(ordered && self.region_delay <= near && near <= far, "layout: delays are not in order");
+        ensure!(self.jitter >= 0.0, "layout: a negative jitter");
+        Ok(())
+    }
+}
+
+/// Where a node is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Site {
+    pub region: usize,
+    pub zone: usize,
+}
+
+/// A fleet laid out.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    pub terms: LayoutTerms,
+    /// Control machines, which have the first numbers.
+    pub controls: usize,
+    sites: Vec<Site>,
+    /// The region of each zone.
+    zone_regions: Vec<usize>,
+    /// The service of each proxy, and the services that each service calls.
+    services: Vec<usize>,
+    called: Vec<Vec<usize>>,
+    sizes: Vec<usize>,
+    /// One-way delays between regions, in milliseconds.
+    far: Vec<Vec<f64>>,
+}
+
+impl Layout {
+    /// Lays a fleet out; the same terms and seed give the same layout.
+    ///
+    /// # Errors
+    ///
+    /// When the terms contradict each other.
+    pub fn new(terms: LayoutTerms, seed: u64) -> Result<Self> {
+        terms.check()?;
+        let mut chance = Pcg64Mcg::seed_from_u64(seed);
+        let zone_regions: Vec<usize> =
+            (0..terms.zones).map(|zone| zone * terms.regions / terms.zones).collect();
+        let sizes = service_sizes(terms.proxies);
+        let mut services: Vec<usize> =
+            sizes.iter().enumerate().flat_map(|(service, &size)| vec![service; size]).collect();
+        services.shuffle(&mut chance);
+        let called = (0..sizes.len()).map(|own| called(own, &services, terms.fan_out, &mut chance)).collect();
+        let controls = terms.regions * terms.controls_per_region;
+        let mut layout = Self {
+            controls,
+            sites: Vec::new(),
+            zone_regions,
+            services,
+            called,
+            sizes,
+            far: far_delays(&terms, &mut chance),
+            terms,
+        };
+        let controls = (0..controls).map(|control| layout.control_site(control));
+        let proxies = (0..terms.proxies).map(|proxy| layout.site_in(proxy % terms.zones));
+        layout.sites = controls.chain(proxies).collect();
+        Ok(layout)
+    }
+
+    fn site_in(&self, zone: usize) -> Site {
+        Site { region: self.zone_regions[zone], zone }
+    }
+
+    /// A region's control machines are spread over its zones.
+    fn control_site(&self, control: usize) -> Site {
+        let region = control / self.terms.controls_per_region;
+        let zones = self.zones_of(region);
+        self.site_in(zones[control % self.terms.controls_per_region % zones.len()])
+    }
+
+    pub fn zones_of(&self, region: usize) -> Vec<usize> {
+        (0..self.terms.zones).filter(|&zone| self.zone_regions[zone] == region).collect()
+    }
+
+    /// All nodes: control machines and proxies.
+    pub fn nodes(&self) -> usize {
+        self.sites.len()
+    }
+
+    pub fn is_control(&self, node: NodeId) -> bool {
+        node < self.controls
+    }
+
+    pub fn site(&self, node: NodeId) -> Site {
+        self.sites[node]
+    }
+
+    pub fn in_zone(&self, zone: usize) -> Vec<NodeId> {
+        (0..self.nodes()).filter(|&node| self.sites[node].zone == zone).collect()
+    }
+
+    /// The control machines that vote: the first of each region, then the second ones.
+    pub fn voters(&self) -> Vec<NodeId> {
+        let (regions, each) = (self.terms.regions, self.terms.controls_per_region);
+        (0..self.terms.voters).map(|place| place % regions * each + place / regions).collect()
+    }
+
+    /// The sizes of the services in proxies, the largest first.
+    pub fn service_sizes(&self) -> &[usize] {
+        &self.sizes
+    }
+
+    /// What a proxy subscribes to: the whole fleet, its region, its zone, its own service, and those that this
+    /// service calls. A control machine subscribes to nothing.
+    pub fn scopes(&self, node: NodeId) -> Vec<Scope> {
+        if self.is_control(node) {
+            return Vec::new();
+        }
+        let (site, own) = (self.sites[node], self.services[node - self.controls]);
+        let mut scopes = vec![Scope::All, Scope::Region(site.region as u16), Scope::Zone(site.zone as u16)];
+        scopes.push(Scope::Service(own as u32));
+        scopes.extend(self.called[own].iter().map(|&service| Scope::Service(service as u32)));
+        scopes
+    }
+
+    /// The one-way delay between two nodes without jitter, in milliseconds.
+    pub fn delay(&self, from: NodeId, to: NodeId) -> f64 {
+        self.delay_between(self.sites[from], self.sites[to])
+    }
+
+    fn delay_between(&self, from: Site, to: Site) -> f64 {
+        if from.zone == to.zone {
+            self.terms.zone_delay
+        } else if from.region == to.region {
+            self.terms.region_delay
+        } else {
+            self.far[from.region][to.region]
+        }
+    }
+
+    /// The shortest delay between two zones, or none where there is only one.
+    pub fn shortest_between_zones(&self) -> Option<f64> {
+        let pairs = (0..self.terms.zones).flat_map(|one| (0..one).map(move |other| (one, other)));
+        let delays = pairs.map(|(one, other)| self.delay_between(self.site_in(one), self.site_in(other)));
+        delays.min_by(f64::total_cmp)
+    }
+
+    /// The address of a node under the virtual clock.
+    pub fn address(node: NodeId) -> SocketAddr {
+        let address = Ipv4Addr::new(10, (node >> 16) as u8, (node >> 8) as u8, node as u8);
+        SocketAddr::from((address, PORT))
+    }
+
+    /// The node of an address that [`Layout::address`] gave.
+    pub fn node_at(&self, address: SocketAddr) -> Option<NodeId> {
+        let SocketAddr::V4(address) = address else { return None };
+        let [ten, high, middle, low] = address.ip().octets();
+        let node = usize::from(high) << 16 | usize::from(middle) << 8 | usize::from(low);
+        (ten == 10 && node < self.nodes()).then_some(node)
+    }
+}
+
+/// Sizes by a power law whose exponent is set so that the largest service and the sum are those of the
+/// target, scaled to the fleet. In a small fleet the largest is twice the average at least.
+fn service_sizes(proxies: usize) -> Vec<usize> {
+    let scaled = |of: usize| (of * proxies).div_ceil(TARGET_PROXIES);
+    let services = scaled(TARGET_SERVICES);
+    let average = proxies.div_ceil(services);
+    let largest = scaled(TARGET_LARGEST).max(2 * average).min(proxies - (services - 1));
+    let size = |rank: usize, exponent: f64| {
+        ((largest as f64 * (rank as f64 + 1.0).powf(-exponent)) as usize).clamp(1, largest)
+    };
+    let sum = |exponent: f64| (0..services).map(|rank| size(rank, exponent)).sum::<usize>();
+    let (mut low, mut high) = (0.0, STEEPEST);
+    for _ in 0..60 {
+        let middle = (low + high) / 2.0;
+        if sum(middle) > proxies { low = middle } else { high = middle }
+    }
+    let mut sizes: Vec<usize> = (0..services).map(|rank| size(rank, high)).collect();
+    // What rounding leaves over goes to the smaller ones in turn.
+    let left = proxies - sizes.iter().sum::<usize>();
+    for rank in (1..services.max(2)).rev().cycle().take(left) {
+        sizes[rank.min(services - 1)] += 1;
+    }
+    sizes.sort_unstable_by(|a, b| b.cmp(a));
+    sizes
+}
+
+/// Other services that a service calls, the larger ones likelier.
+fn called(own: usize, services: &[usize], fan_out: usize, chance: &mut Pcg64Mcg) -> Vec<usize> {
+    let others = services.iter().collect::<std::collections::BTreeSet<_>>().len().saturating_sub(1);
+    let mut called = Vec::new();
+    while called.len() < fan_out.min(others) {
+        let service = services[chance.random_range(0..services.len())];
+        if service != own && !called.contains(&service) {
+            called.push(service);
+        }
+    }
+    called.sort_unstable();
+    called
+}
+
+fn far_delays(terms: &LayoutTerms, chance: &mut Pcg64Mcg) -> Vec<Vec<f64>> {
+    let [near, far] = terms.far_delay;
+    let mut delays = vec![vec![terms.region_delay; terms.regions]; terms.regions];
+    let pairs = (0..terms.regions).flat_map(|one| (0..one).map(move |other| (one, other)));
+    for (one, other) in pairs {
+        let delay = near + (far - near) * chance.random::<f64>();
+        delays[one][other] = delay;
+        delays[other][one] = delay;
+    }
+    delays
+}
--- /dev/null
+++ b/lab/src/scale/meter.rs
@@ -0,0 +1,140 @@
+//! What a node costs: bytes and messages in every second, processor time, and versions as they come into
+//! force.
+
+use std::collections::VecDeque;
+
+use nix::time::{ClockId, clock_gettime};
+use serde::Serialize;
+
+use super::node::Version;
+
+const SECOND: f64 = 1000.0;
+
+/// Processor time of this thread in nanoseconds; 0 where the system does not tell.
+pub fn thread_time() -> u64 {
+    let told = clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID);
+    told.map_or(0, |time| time.tv_sec() as u64 * 1_000_000_000 + time.tv_nsec() as u64)
+}
+
+/// A sum over any second, wherever it begins, and the most that it came to.
+#[derive(Clone, Debug, Default)]
+pub struct Sliding {
+    items: VecDeque<(f64, u32)>,
+    sum: u64,
+    pub worst: u64,
+    pub total: u64,
+}
+
+impl Sliding {
+    pub fn add(&mut self, now: f64, amount: u32) {
+        while let Some((_, old)) = self.items.pop_front_if(|(at, _)| *at <= now - SECOND) {
+            self.sum -= u64::from(old);
+        }
+        self.items.push_back((now, amount));
+        self.sum += u64::from(amount);
+        self.total += u64::from(amount);
+        self.worst = self.worst.max(self.sum);
+    }
+}
+
+/// A sum over each second of the clock, and the most that it came to.
+#[derive(Clone, Copy, Debug, Default)]
+struct Stepped {
+    second: u64,
+    sum: u64,
+    worst: u64,
+    total: u64,
+}
+
+impl Stepped {
+    fn add(&mut self, now: f64, amount: u64) {
+        let second = (now / SECOND) as u64;
+        if second != self.second {
+            (self.second, self.sum) = (second, 0);
+        }
+        self.sum += amount;
+        self.total += amount;
+        self.worst = self.worst.max(self.sum);
+    }
+}
+
+/// A version of a scope that came into force.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CameIntoForce {
+    pub at: f64,
+    /// The scope's place among those that the node subscribes to.
+    pub slot: u16,
+    pub version: Version,
+}
+
+/// One node's account.
+#[derive(Clone, Debug, Default)]
+pub struct Meter {
+    /// Nothing is counted before.
+    from: f64,
+    both_ways: Sliding,
+    sent: u64,
+    received: u64,
+    messages: u64,
+    processor: Stepped,
+    pub came: Vec<CameIntoForce>,
+    /// Times that a scope's version in force went back.
+    pub went_back: u64,
+}
+
+/// What a node cost over the time measured.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Cost {
+    /// Bytes of datagrams without what the network adds, both ways together.
+    pub bytes: u64,
+    pub worst_second_bytes: u64,
+    pub sent_bytes: u64,
+    pub received_bytes: u64,
+    /// Sent and received.
+    pub messages: u64,
+    pub processor_ns: u64,
+    pub worst_second_processor_ns: u64,
+}
+
+impl Meter {
+    pub fn new(from: f64) -> Self {
+        Self { from, ..Self::default() }
+    }
+
+    pub fn sent(&mut self, now: f64, bytes: usize) {
+        if now >= self.from {
+            self.sent += bytes as u64;
+            self.count(now, bytes);
+        }
+    }
+
+    pub fn received(&mut self, now: f64, bytes: usize) {
+        if now >= self.from {
+            self.received += bytes as u64;
+            self.count(now, bytes);
+        }
+    }
+
+    fn count(&mut self, now: f64, bytes: usize) {
+        self.messages += 1;
+        self.both_ways.add(now, bytes as u32);
+    }
+
+    pub fn worked(&mut self, now: f64, nanoseconds: u64) {
+        if now >= self.from {
+            self.processor.add(now, nanoseconds);
+        }
+    }
+
+    pub fn cost(&self) -> Cost {
+        Cost {
+            bytes: self.both_ways.total,
+            worst_second_bytes: self.both_ways.worst,
+            sent_bytes: self.sent,
+            received_bytes: self.received,
+            messages: self.messages,
+            processor_ns: self.processor.total,
+            worst_second_processor_ns: self.processor.worst,
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/scale/virtual_run.rs
@@ -0,0 +1,102 @@
+//! Plays a scale run under the virtual clock and judges it.
+
+use std::time::Duration;
+
+use anyhow::{Result, ensure};
+
+use super::engine::{self, Plan, Played};
+use super::flat::FlatFleet;
+use super::judge::{self, RoleCost};
+use super::layout::{Layout, LayoutTerms};
+use super::node::Fleet;
+use super::proposals;
+use super::report::Report;
+use super::resources::{self, Free, Need};
+use super::script::Script;
+
+/// Bytes that a member of a flat fleet holds of each other member, and that any node holds of itself.
+const FLAT_BYTES_PER_PAIR: f64 = 900.0;
+const BYTES_PER_NODE: f64 = 200_000.0;
+
+/// What is to be played.
+#[derive(Clone, Debug)]
+pub struct VirtualRun {
+    pub layout: LayoutTerms,
+    pub script: Script,
+    pub seed: u64,
+    pub threads: usize,
+    /// Everybody gossips with everybody, without control machines.
+    pub flat: bool,
+    /// The run is broken off when it has taken so long by the wall clock.
+    pub most: Duration,
+}
+
+impl VirtualRun {
+    /// What it will take of this machine.
+    pub fn need(&self) -> Need {
+        let controls = self.layout.regions * self.layout.controls_per_region;
+        let nodes = (self.layout.proxies + controls) as f64;
+        let pairs = if self.flat { nodes * nodes } else { nodes * controls as f64 };
+        let memory = pairs * FLAT_BYTES_PER_PAIR + nodes * BYTES_PER_NODE;
+        Need { memory, processes: 1, descriptors: 0 }
+    }
+
+    /// Plays it; `progress` is told the virtual time in milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// When the machine does not bear it, the layout or the script is not sound, or the time is over first.
+    pub fn play(&self, progress: &(dyn Fn(f64) + Sync)) -> Result<Report> {
+        resources::check(&self.need(), &Free::now())?;
+        let layout = Layout::new(self.layout, self.seed)?;
+        self.script.check(&layout)?;
+        ensure!(self.flat, "without --flat there is nothing to play yet");
+        self.play_fleet(&FlatFleet::new(&layout), &layout, progress)
+    }
+
+    fn play_fleet<F: Fleet>(
+        &self,
+        fleet: &F,
+        layout: &Layout,
+        progress: &(dyn Fn(f64) + Sync),
+    ) -> Result<Report> {
+        let (proposals, bursts) = proposals::plan(layout, &self.script, self.seed);
+        let plan = Plan {
+            layout,
+            script: &self.script,
+            proposals: &proposals,
+            seed: self.seed,
+            threads: self.threads,
+            most: self.most,
+        };
+        let played = engine::play(fleet, &plan, progress);
+        let (reached, end) = (played.reached / 1000.0, self.script.end() / 1000.0);
+        ensure!(reached >= end, "broken off after {:?} at {reached:.1} of {end:.1} s", self.most);
+        let in_force = judge::in_force(layout, &self.script, self.seed, (&proposals, &bursts), &played);
+        Ok(self.report(layout, in_force, &played))
+    }
+
+    fn report(&self, layout: &Layout, in_force: judge::InForce, played: &Played) -> Report {
+        let seconds = self.script.seconds;
+        let (controls, proxies) = played.nodes.split_at(layout.controls);
+        let proxy = RoleCost::of(proxies.iter(), seconds);
+        Report {
+            script: self.script.name.clone(),
+            seed: self.seed,
+            simulated: true,
+            flat: self.flat,
+            layout: self.layout,
+            controls: layout.controls,
+            seconds,
+            misses: judge::misses(&in_force, &proxy),
+            in_force,
+            control: RoleCost::of(controls.iter(), seconds),
+            proxy,
+            resident_per_node: played.resident / layout.nodes() as f64,
+            messages_arrived: played.arrived,
+            digest: played.digest.clone(),
+            threads: self.threads,
+            wall_seconds: played.took.as_secs_f64(),
+        }
+    }
+}
--- /dev/null
+++ b/lab/tests/scale/flat.rs
@@ -0,0 +1,31 @@
+//! The fleet without control machines, with its real parts: the same bytes for any number of threads, and
+//! changes in force everywhere while it is small.
+
+use std::time::Duration;
+
+use lab::scale::layout::LayoutTerms;
+use lab::scale::report::Report;
+use lab::scale::script::Script;
+use lab::scale::virtual_run::VirtualRun;
+
+fn play(threads: usize) -> Report {
+    let script = "name = \"short\"\nwarm_up = 12.0\nseconds = 8.0\n[changes]\nevery = 1.0\nuntil = 4.0\n";
+    let run = VirtualRun {
+        layout: LayoutTerms { proxies: 12, ..LayoutTerms::default() },
+        script: Script::read(script).expect("sound"),
+        seed: 3,
+        threads,
+        flat: true,
+        most: Duration::from_secs(120),
+    };
+    run.play(&|_| {}).expect("played")
+}
+
+#[test]
+fn a_small_flat_fleet_has_all_changes_and_one_course() {
+    let (first, again) = (play(1), play(4));
+    assert_eq!(first.digest, again.digest);
+    assert_eq!((first.in_force.changes, first.in_force.decided, first.in_force.never), (5, 5, 0));
+    assert_eq!(first.in_force.went_back, 0);
+    assert!(first.proxy.bytes_per_second.median > 100.0, "{first}");
+}
--- /dev/null
+++ b/lab/tests/scale/resources.rs
@@ -0,0 +1,39 @@
+//! A run that the machine does not bear is refused with a plain line.
+
+use lab::scale::resources::{self, Free, Need, available, check, open_files};
+use rstest::rstest;
+
+const FREE: Free = Free { memory: 8.0 * 1024.0 * 1024.0 * 1024.0, descriptors: 1024 };
+
+#[rstest]
+#[case::memory(Need { memory: 5.0 * 1024.0 * 1024.0 * 1024.0, ..Need::default() },
+    "refused: about 5120 MiB, half of what is free is 4096 MiB")]
+#[case::processes(Need { processes: 301, ..Need::default() }, "refused: 301 processes, 300 at the most")]
+#[case::descriptors(Need { descriptors: 513, ..Need::default() },
+    "refused: 513 descriptors, half of 1024 may be held")]
+fn what_does_not_fit_is_refused(#[case] need: Need, #[case] line: &str) {
+    assert_eq!(check(&need, &FREE).expect_err("too much").to_string(), line);
+}
+
+#[test]
+fn what_takes_half_of_all_is_let_through() {
+    check(&Need { memory: FREE.memory / 2.0, processes: 300, descriptors: 512 }, &FREE).expect("fits");
+}
+
+#[test]
+fn what_the_system_says_is_read() {
+    assert_eq!(available("MemTotal: 9 kB\nMemAvailable:   2048 kB\n"), 2048.0 * 1024.0);
+    assert_eq!(available("MemTotal: 9 kB\n"), 0.0);
+    assert_eq!(
+        open_files("Max open files            1024                 4096                 files\n"),
+        1024
+    );
+    assert_eq!(open_files(""), 0);
+}
+
+#[test]
+fn this_machine_says_what_is_free_and_what_this_process_holds() {
+    let free = Free::now();
+    assert!(free.memory > 0.0 && free.descriptors > 0, "{free:?}");
+    assert!(resources::resident() > 0.0);
+}
--- /dev/null
+++ b/lab/tests/scale/script.rs
@@ -0,0 +1,59 @@
+//! Scripts are read strictly, and befall whom they say.
+
+use lab::scale::layout::{Layout, LayoutTerms};
+use lab::scale::script::{FaultKind, Script};
+use rstest::rstest;
+
+const SOUND: &str = "name = \"x\"\nwarm_up = 1.0\nseconds = 9.0\n[changes]\nevery = 1.0\nuntil = 8.0\n";
+
+fn layout() -> Layout {
+    Layout::new(LayoutTerms { proxies: 320, ..LayoutTerms::default() }, 1).expect("sound terms")
+}
+
+#[rstest]
+fn built_in_scripts_fit_the_target(
+    #[values("calm", "loss", "control-dead", "region-cut", "zone-back", "bad-day")] name: &str,
+) {
+    let script = Script::named(name).expect("sound");
+    assert_eq!(script.name, name);
+    script.check(&layout()).expect("fits");
+}
+
+#[rstest]
+#[case::unknown_key("[[fault]]\nat = 1.0\nkind = \"kill_zone\"\nzone = 1\nzones = 2\n")]
+#[case::unknown_kind("[[fault]]\nat = 1.0\nkind = \"flood\"\n")]
+#[case::ends_too_late("[[fault]]\nat = 8.0\nfor = 2.0\nkind = \"kill_zone\"\nzone = 1\n")]
+#[case::no_part("[[fault]]\nat = 1.0\nfor = 1.0\nkind = \"kill_proxies\"\npart = 1.5\n")]
+fn what_is_not_sound_is_refused(#[case] fault: &str) {
+    Script::read(SOUND).expect("sound without it");
+    assert!(Script::read(&format!("{SOUND}{fault}")).is_err());
+}
+
+#[test]
+fn what_is_not_in_the_layout_is_refused_by_name() {
+    let fault = "[[fault]]\nat = 1.0\nkind = \"kill_zone\"\nzone = 16\n";
+    let script = Script::read(&format!("{SOUND}{fault}")).expect("sound in itself");
+    let refused = script.check(&layout()).expect_err("16 zones are numbered to 15");
+    assert_eq!(refused.to_string(), "zone 16 is not there: the layout has 16");
+}
+
+#[test]
+fn a_script_that_is_not_there_is_told_with_those_that_are() {
+    let told = format!("{:#}", Script::named("no-such").expect_err("none"));
+    assert!(told.contains("built in are calm, loss"), "{told}");
+}
+
+#[rstest]
+#[case::zone("kind = \"kill_zone\"\nzone = 3", 21)]
+#[case::control("kind = \"kill_control\"\ncontrol = 4", 1)]
+#[case::part("kind = \"pause_proxies\"\npart = 0.1", 32)]
+#[case::burst("kind = \"burst\"\nchanges = 50", 0)]
+fn a_fault_befalls_whom_it_names(#[case] kind: &str, #[case] count: usize) {
+    let fault = format!("[[fault]]\nat = 1.0\nfor = 1.0\n{kind}\n");
+    let script = Script::read(&format!("{SOUND}{fault}")).expect("sound");
+    let nodes = script.faults[0].nodes(&layout(), 0, 7);
+    assert_eq!(nodes.len(), count, "{nodes:?}");
+    if let FaultKind::PauseProxies { .. } = script.faults[0].kind {
+        assert!(nodes.iter().all(|&node| !layout().is_control(node)));
+    }
+}
