--- a/lab/src/commands/scale.rs
+++ b/lab/src/commands/scale.rs
@@ -1,4 +1,4 @@
-//! `frostthread-lab scale`: thousands of hollow border proxies, judged against the limits of the target.
+//! `scale`: thousands of hollow border proxies, judged against the limits of the target.
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -20,7 +20,7 @@
 
 /// The arguments of `scale`.
 #[derive(Args)]
-pub struct ScaleLine {
+pub struct ScaleArguments {
     /// Hollow proxies; 1000 with --quick, 3000 without
     #[arg(long)]
     proxies: Option<usize>,
@@ -50,13 +50,13 @@
 }
 
 /// Plays the runs that are asked for; exit code 1 if a limit was not kept.
-pub fn scale(line: &ScaleLine) -> Result<ExitCode> {
-    let report = play(line)?;
+pub fn run(arguments: &ScaleArguments) -> Result<ExitCode> {
+    let report = play(arguments)?;
     let json = serde_json::to_string_pretty(&report)?;
-    if let Some(file) = &line.out {
+    if let Some(file) = &arguments.out {
         std::fs::write(file, format!("{json}\n")).with_context(|| file.display().to_string())?;
     }
-    if line.json {
+    if arguments.json {
         println!("{json}")
     } else {
         print!("{report}")
@@ -66,17 +66,17 @@
     Ok(ExitCode::FAILURE)
 }
 
-fn play(line: &ScaleLine) -> Result<Report> {
-    anyhow::ensure!(line.simulated, "only --virtual so far");
-    let proxies = line.proxies.unwrap_or(if line.quick { QUICK_PROXIES } else { FULL_PROXIES });
+fn play(arguments: &ScaleArguments) -> Result<Report> {
+    anyhow::ensure!(arguments.simulated, "only --virtual so far");
+    let proxies = arguments.proxies.unwrap_or(if arguments.quick { QUICK_PROXIES } else { FULL_PROXIES });
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
     let run = VirtualRun {
         layout: LayoutTerms { proxies, ..LayoutTerms::default() },
-        script: Script::named(&line.script)?,
-        seed: line.seed,
-        threads: line.threads.unwrap_or(cores.div_ceil(2)),
-        flat: line.flat,
-        most: if line.quick { QUICK_MOST } else { MOST },
+        script: Script::named(&arguments.script)?,
+        seed: arguments.seed,
+        threads: arguments.threads.unwrap_or(cores.div_ceil(2)),
+        flat: arguments.flat,
+        most: if arguments.quick { QUICK_MOST } else { MOST },
     };
     let end = run.script.end() / 1000.0;
     run.play(&|reached| eprintln!("{:>5.0} of {end:.0} s", reached / 1000.0))
--- a/lab/src/scale/keys.rs
+++ b/lab/src/scale/keys.rs
@@ -6,7 +6,7 @@
 use gossip::keys::{Roster, SIGNATURE, Secrets};
 
 use super::layout::NodeId;
-use crate::peers::FLEET_KEY;
+use crate::stand_ins::peers::FLEET_KEY;
 
 /// A node's own secret key.
 pub fn own_key(node: NodeId) -> [u8; 32] {
--- a/lab/src/scale/layout.rs
+++ b/lab/src/scale/layout.rs
@@ -1,7 +1,8 @@
-//! Who is where: regions, zones, services of uneven size, control machines, and what each proxy subscribes to.
+//! Who is where: regions, zones, services of uneven size, control machines, and what each proxy subscribes
+//! to.
 //!
-//! Everything follows from [`LayoutTerms`] and a seed. Nodes are numbered: control machines first, then border
-//! proxies, so that a number below [`Layout::controls`] is a control machine's.
+//! Everything follows from [`LayoutTerms`] and a seed. Nodes are numbered: control machines first, then
+//! border proxies, so that a number below [`Layout::controls`] is a control machine's.
 
 use std::net::{Ipv4Addr, SocketAddr};
 
@@ -186,8 +187,8 @@
         &self.sizes
     }
 
-    /// What a proxy subscribes to: the whole fleet, its region, its zone, its own service, and those that this
-    /// service calls. A control machine subscribes to nothing.
+    /// What a proxy subscribes to: the whole fleet, its region, its zone, its own service, and those that
+    /// this service calls. A control machine subscribes to nothing.
     pub fn scopes(&self, node: NodeId) -> Vec<Scope> {
         if self.is_control(node) {
             return Vec::new();
