--- a/lab/src/scale/council.rs
+++ b/lab/src/scale/council.rs
@@ -23,7 +23,7 @@
 const LIARS: usize = 2;
 const RESEND: f64 = 500.0;
 /// The wall clock at the start of every run, in Unix milliseconds.
-const EPOCH: f64 = 1.7e12;
+pub const EPOCH: f64 = 1.7e12;
 
 /// What the nodes that gossip have in common.
 pub struct Terms {
--- /dev/null
+++ b/lab/src/scale/scoped_book.rs
@@ -0,0 +1,65 @@
+//! The machine of control machines in a scale run: changes by scope, as they are served.
+
+use agree::{Hash, Index, Machine, Unknown};
+use distribution::{Change, Key, ScopedState};
+
+use super::book::{Command, PART};
+use super::node::Version;
+
+/// The state of all scopes, and what has changed since it was last asked for.
+#[derive(Clone, Debug, Default)]
+pub struct ScopedBook {
+    newest: Version,
+    state: ScopedState,
+    changes: Vec<Change>,
+    /// The state was put in place as a whole.
+    anew: bool,
+}
+
+impl ScopedBook {
+    pub fn newest(&self) -> Version {
+        self.newest
+    }
+
+    pub fn state(&self) -> &ScopedState {
+        &self.state
+    }
+
+    /// What has changed since this was last asked for; none where the state was put in place as a whole.
+    pub fn take_changes(&mut self) -> Option<Vec<Change>> {
+        let changes = std::mem::take(&mut self.changes);
+        (!std::mem::take(&mut self.anew)).then_some(changes)
+    }
+}
+
+impl Machine for ScopedBook {
+    fn decide(&mut self, index: Index, part: u8, command: &[u8]) -> Result<Vec<u8>, Unknown> {
+        let unknown = |what: &str| Unknown { index, part, what: what.to_owned() };
+        if part != PART {
+            return Err(unknown("no part of a scale run"));
+        }
+        let command: Command = postcard::from_bytes(command).map_err(|_| unknown("no change"))?;
+        let key = Key::new(command.key).map_err(|_| unknown("no key"))?;
+        let change = Change { scope: command.scope, key, version: index, value: Some(command.value) };
+        self.state.apply(change.clone()).map_err(|_| unknown("out of order"))?;
+        self.changes.push(change);
+        self.newest = index;
+        Ok(Vec::new())
+    }
+
+    fn state(&self) -> Vec<u8> {
+        postcard::to_stdvec(&(self.newest, &self.state)).expect("plain data")
+    }
+
+    fn restore(&mut self, index: Index, state: &[u8]) -> Result<(), Unknown> {
+        let unread = |_| Unknown { index, part: PART, what: "no state of a scale run".to_owned() };
+        (self.newest, self.state) = postcard::from_bytes(state).map_err(unread)?;
+        self.changes.clear();
+        self.anew = true;
+        Ok(())
+    }
+
+    fn root(&self) -> Hash {
+        self.state.root()
+    }
+}
--- /dev/null
+++ b/lab/src/scale/tier.rs
@@ -0,0 +1,332 @@
+//! The fleet over control machines: these decide among themselves and serve subscribers by scope; a border
+//! proxy subscribes to what it uses and neither gossips nor follows the log.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use agree::Id;
+use distribution::placement::ControlMachine;
+use distribution::{Control, ControlTerms, Subscriber, SubscriberTerms};
+use gossip::channel::Channel;
+use gossip::keys::Roster;
+use gossip::wire::Part;
+
+use super::council::{CouncilNode, EPOCH, Terms};
+use super::keys::{self, SharedKeys};
+use super::layout::{Layout, NodeId, Scope};
+use super::node::{Fleet, NewValue, Node, NotNow, Version};
+use super::scoped_book::ScopedBook;
+
+/// How often subscribers poll, and the age that their state may have, in milliseconds.
+const HEARTBEAT: f64 = 1_000.0;
+const LEASE: f64 = 10_000.0;
+/// Bounds of a control machine: subscribers, bytes a second to all and to each, snapshots at once.
+const MOST_SUBSCRIBERS: usize = 4_000;
+const BYTES_PER_SECOND: f64 = 8e6;
+const SUBSCRIBER_BYTES_PER_SECOND: f64 = 6_000.0;
+const SNAPSHOTS_AT_ONCE: usize = 128;
+/// Bytes of the largest scope that a subscriber takes.
+const MOST_SCOPE_BYTES: usize = 1 << 20;
+
+/// What the nodes have in common.
+pub struct TierFleet {
+    layout: Layout,
+    council: Terms,
+    /// All nodes, as a control machine knows them.
+    everybody: Roster,
+    controls: Vec<ControlMachine>,
+    addresses: Arc<BTreeMap<Id, SocketAddr>>,
+    seed: u64,
+}
+
+impl TierFleet {
+    pub fn new(layout: &Layout, seed: u64) -> Self {
+        let machines = keys::roster(0..layout.controls);
+        let id = |control| keys::secrets(control).id();
+        let control = |control| {
+            ControlMachine { id: id(control), region: layout.site(control).region as u16 }
+        };
+        Self {
+            council: Terms::new(machines, layout.voters()),
+            everybody: keys::roster(0..layout.nodes()),
+            controls: (0..layout.controls).map(control).collect(),
+            addresses: Arc::new((0..layout.controls).map(|of| (id(of), Layout::address(of))).collect()),
+            layout: layout.clone(),
+            seed,
+        }
+    }
+}
+
+impl Fleet for TierFleet {
+    type Node = TierNode;
+
+    fn start(&self, node: NodeId, life: u32, disk: &[u8], now: f64) -> TierNode {
+        let seed = self.seed ^ node as u64 ^ u64::from(life) << 32;
+        if self.layout.is_control(node) {
+            TierNode::Control(Box::new(ControlNode::start(self, node, life, disk, (seed, now))))
+        } else {
+            TierNode::Subscriber(Box::new(SubscriberNode::start(self, node, disk, (seed, now))))
+        }
+    }
+}
+
+/// A border proxy: it holds its scopes.
+pub struct SubscriberNode {
+    channel: Channel,
+    subscriber: Subscriber<SharedKeys>,
+    controls: Arc<BTreeMap<Id, SocketAddr>>,
+    /// The version of the newest entry in force, by scope.
+    versions: BTreeMap<Scope, Version>,
+    disk: Vec<u8>,
+}
+
+impl SubscriberNode {
+    fn start(fleet: &TierFleet, node: NodeId, disk: &[u8], (seed, now): (u64, f64)) -> Self {
+        let (secrets, roster) = (keys::secrets(node), fleet.council.roster.clone());
+        let terms = SubscriberTerms {
+            id: secrets.id(),
+            region: fleet.layout.site(node).region as u16,
+            controls: fleet.controls.clone(),
+            founders: fleet.council.voters.iter().map(|&voter| keys::secrets(voter).id()).collect(),
+            heartbeat: HEARTBEAT,
+            lease: LEASE,
+            most_scope_bytes: MOST_SCOPE_BYTES,
+        };
+        let channel = Channel::new(secrets.clone(), (*roster).clone(), EPOCH + now);
+        let mut subscriber = Subscriber::new(terms, SharedKeys { secrets, roster }, seed, now);
+        fleet.layout.scopes(node).into_iter().for_each(|scope| subscriber.subscribe(scope, now));
+        if !disk.is_empty() {
+            subscriber.restore(disk);
+        }
+        let controls = fleet.addresses.clone();
+        let mut started = Self { channel, subscriber, controls, versions: BTreeMap::new(), disk: disk.to_vec() };
+        started.take_over();
+        started
+    }
+
+    /// Looks at what has come into force, and keeps what is to be kept.
+    fn take_over(&mut self) {
+        while let Some(scope) = self.subscriber.changed() {
+            let newest = self.subscriber.content(scope).and_then(|of| of.iter().map(|entry| entry.1).max());
+            self.versions.insert(scope, newest.unwrap_or(0));
+        }
+        if let Some(saved) = self.subscriber.saved() {
+            self.disk = saved;
+        }
+    }
+}
+
+impl Node for SubscriberNode {
+    fn receive(&mut self, now: f64, _: SocketAddr, datagram: &[u8]) {
+        if let Some(received) = self.channel.open(datagram).filter(|received| received.part == Part::State) {
+            self.subscriber.receive(now, received.from, &received.bytes);
+        }
+    }
+
+    fn turn(&mut self, now: f64) {
+        if self.subscriber.due() <= now {
+            self.subscriber.turn(now);
+        }
+        self.take_over();
+    }
+
+    fn due(&self) -> f64 {
+        self.subscriber.due()
+    }
+
+    fn outgoing(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        let out = self.subscriber.outgoing()?;
+        let to = *self.controls.get(&out.to)?;
+        Some((to, self.channel.seal(Part::State, out.bytes)?))
+    }
+
+    fn in_force(&self, scope: Scope) -> Version {
+        self.versions.get(&scope).copied().unwrap_or(0)
+    }
+
+    /// A border proxy decides nothing.
+    fn propose(&mut self, _: f64, _: usize, _: &NewValue) -> Result<(), NotNow> {
+        Err(NotNow)
+    }
+
+    fn decided(&mut self) -> Option<(usize, Version)> {
+        None
+    }
+
+    fn disk(&self) -> Vec<u8> {
+        self.disk.clone()
+    }
+
+    fn state_bytes(&self) -> usize {
+        self.disk.len()
+    }
+}
+
+/// A control machine: it follows the log and serves subscribers.
+pub struct ControlNode {
+    council: CouncilNode<ScopedBook>,
+    channel: Channel,
+    control: Control,
+    /// Where each subscriber was last heard.
+    addresses: HashMap<Id, SocketAddr>,
+    members: Arc<Roster>,
+    sealed: Version,
+}
+
+impl ControlNode {
+    fn start(fleet: &TierFleet, node: NodeId, life: u32, disk: &[u8], (seed, now): (u64, f64)) -> Self {
+        let terms = ControlTerms {
+            heartbeat: HEARTBEAT,
+            most_subscribers: MOST_SUBSCRIBERS,
+            bytes_per_second: BYTES_PER_SECOND,
+            subscriber_bytes_per_second: SUBSCRIBER_BYTES_PER_SECOND,
+            snapshots_at_once: SNAPSHOTS_AT_ONCE,
+        };
+        Self {
+            council: CouncilNode::start(&fleet.council, node, life, ScopedBook::default(), disk, now),
+            channel: Channel::new(keys::secrets(node), fleet.everybody.clone(), EPOCH + now),
+            control: Control::new(terms, seed, now),
+            addresses: HashMap::new(),
+            members: fleet.council.roster.clone(),
+            sealed: 0,
+        }
+    }
+
+    /// Hands what was decided to those who are served, and asks the council for them.
+    fn exchange(&mut self, now: f64) {
+        let agreement = self.council.agreement();
+        let applied = agreement.applied();
+        if let Some(changes) = agreement.machine_mut().take_changes() {
+            self.control.decided(applied, changes);
+        } else {
+            self.control.restore(applied, agreement.machine().state().clone());
+        }
+        if self.control.wants_state() {
+            self.control.restore(applied, agreement.machine().state().clone());
+        }
+        if let Some(seal) = agreement.seal().filter(|seal| seal.statement.index > self.sealed) {
+            self.sealed = seal.statement.index;
+            self.control.sealed(seal, agreement.links());
+        }
+        while let Some(proof) = agreement.freshness() {
+            self.control.fresh(now, proof);
+        }
+        if self.control.due() <= now {
+            self.control.turn(now);
+        }
+        while let Some(nonce) = self.control.ask() {
+            agreement.ask_freshness(nonce);
+        }
+    }
+}
+
+impl Node for ControlNode {
+    fn receive(&mut self, now: f64, from: SocketAddr, datagram: &[u8]) {
+        if Channel::sender(datagram).is_some_and(|sender| self.members.contains(sender)) {
+            return self.council.receive(now, from, datagram);
+        }
+        if let Some(received) = self.channel.open(datagram).filter(|received| received.part == Part::State) {
+            self.addresses.insert(received.from, from);
+            self.control.receive(now, received.from, &received.bytes);
+        }
+    }
+
+    fn turn(&mut self, now: f64) {
+        self.council.turn(now);
+        self.exchange(now);
+    }
+
+    fn due(&self) -> f64 {
+        self.council.due().min(self.control.due())
+    }
+
+    fn outgoing(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        if let Some(out) = self.council.outgoing() {
+            return Some(out);
+        }
+        let out = self.control.outgoing()?;
+        let to = *self.addresses.get(&out.to)?;
+        Some((to, self.channel.seal(Part::State, out.bytes)?))
+    }
+
+    fn in_force(&self, _: Scope) -> Version {
+        self.council.machine().newest()
+    }
+
+    fn propose(&mut self, now: f64, number: usize, change: &NewValue) -> Result<(), NotNow> {
+        self.council.propose(now, number, change)
+    }
+
+    fn decided(&mut self) -> Option<(usize, Version)> {
+        self.council.decided()
+    }
+
+    fn disk(&self) -> Vec<u8> {
+        self.council.disk().to_vec()
+    }
+
+    fn state_bytes(&self) -> usize {
+        self.council.state_bytes()
+    }
+}
+
+/// Either of them.
+pub enum TierNode {
+    Subscriber(Box<SubscriberNode>),
+    Control(Box<ControlNode>),
+}
+
+impl TierNode {
+    fn node(&self) -> &dyn Node {
+        match self {
+            Self::Subscriber(node) => &**node,
+            Self::Control(node) => &**node,
+        }
+    }
+
+    fn node_mut(&mut self) -> &mut dyn Node {
+        match self {
+            Self::Subscriber(node) => &mut **node,
+            Self::Control(node) => &mut **node,
+        }
+    }
+}
+
+impl Node for TierNode {
+    fn receive(&mut self, now: f64, from: SocketAddr, datagram: &[u8]) {
+        self.node_mut().receive(now, from, datagram);
+    }
+
+    fn turn(&mut self, now: f64) {
+        self.node_mut().turn(now);
+    }
+
+    fn due(&self) -> f64 {
+        self.node().due()
+    }
+
+    fn outgoing(&mut self) -> Option<(SocketAddr, Vec<u8>)> {
+        self.node_mut().outgoing()
+    }
+
+    fn in_force(&self, scope: Scope) -> Version {
+        self.node().in_force(scope)
+    }
+
+    fn propose(&mut self, now: f64, number: usize, change: &NewValue) -> Result<(), NotNow> {
+        self.node_mut().propose(now, number, change)
+    }
+
+    fn decided(&mut self) -> Option<(usize, Version)> {
+        self.node_mut().decided()
+    }
+
+    fn disk(&self) -> Vec<u8> {
+        self.node().disk()
+    }
+
+    fn state_bytes(&self) -> usize {
+        self.node().state_bytes()
+    }
+}
