--- a/lab/src/commands/mod.rs
+++ b/lab/src/commands/mod.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 pub mod proxy;
 pub mod relay;
+pub mod scale;
 pub mod server;
 pub mod sizes;
 
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,7 +8,7 @@
 use anyhow::Result;
 use clap::{Parser, Subcommand};
 
-use commands::{caller, drill, limits, list, load, platform, proxy, relay, server, sizes};
+use commands::{caller, drill, limits, list, load, platform, proxy, relay, scale, server, sizes};
 
 #[derive(Parser)]
 #[command(
@@ -31,6 +31,8 @@
     Sizes(sizes::SizesArguments),
     /// Play one limit of a whole fleet under faults, virtual; exit code 1 if a window had more than the limit
     Limits(limits::LimitsArguments),
+    /// Play thousands of hollow proxies; exit code 1 and the first miss if a limit was not kept
+    Scale(scale::ScaleArguments),
     /// Run a stand-in central server; prints its entry for the pool list, then serves
     Server(server::ServerArguments),
     /// Serve a pool list from a file of entries, one JSON object a line, and its changes as they are made
@@ -63,6 +65,7 @@
         Command::Load(arguments) => load::run(&arguments),
         Command::Sizes(arguments) => sizes::run(&arguments),
         Command::Limits(arguments) => Ok(limits::run(&arguments)),
+        Command::Scale(arguments) => scale::run(&arguments),
         Command::Server(arguments) => server::run(arguments),
         Command::List(arguments) => list::run(&arguments),
         Command::Caller(arguments) => caller::run(arguments),
