--- a/agree/src/wire.rs
+++ b/agree/src/wire.rs
@@ -45,7 +45,7 @@
         stage: Stage,
         life: u64,
     },
-    /// Known of the one asked by: the latest term it spoke in, and up to where it said that it has the log.
+    /// Known of the life that asked: the latest term it spoke in, and up to where it said that it has the log.
     Known {
         nonce: u64,
         stage: Stage,
@@ -56,6 +56,7 @@
     Ask {
         term: Term,
         trial: bool,
+        life: u64,
         index: Index,
         of: Term,
     },
@@ -69,6 +70,7 @@
     Append {
         term: Term,
         round: u64,
+        life: u64,
         prev: Index,
         hash: Hash,
         entries: Vec<Entry>,
