Lab: sockets.rs in files by concern; no behaviour changes

Change: drills/sockets/ with mod.rs (the run and its loop, 401 lines), processes (start, signals, costs), gossip (the switch, settings, what is believed), releasing and datagrams.

Checked: the lines of the old file and of the new ones are the same but for imports, visibility, four doc comments and the three more `impl Run`.

--- /dev/null
+++ b/lab/src/drills/sockets/gossip.rs
@@ -0,0 +1,134 @@
+//! Gossip between the proxies of a drill, through a switch that loses messages, and what they believe.
+
+use std::fs::{self, File};
+use std::io;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Result;
+use border::status::SuspicionStatus;
+use bytes::Bytes;
+use gossip::Node;
+use rand::Rng;
+use tokio::sync::mpsc;
+
+use super::datagrams::{bind, loopback, read};
+use super::{Come, Run, Seat, unix};
+use crate::drills::release;
+use crate::stand_ins::peers::{self, Liars};
+
+/// How often proxies are asked which servers they believe silent.
+const ASK_EVERY: Duration = Duration::from_millis(250);
+
+impl Run {
+    /// A socket for each member, which the others know it by.
+    pub(super) fn open_switch(&mut self) -> Result<()> {
+        let members = self.world.drill.members();
+        for member in 0..members {
+            let socket = Arc::new(bind(loopback())?);
+            self.switched.push(socket.local_addr()?);
+            let come = self.come.clone();
+            tokio::spawn(read(socket.clone(), move |from, bytes| {
+                come.send(Come::Gossip(member, from, bytes)).is_ok()
+            }));
+            self.switch.push(socket);
+        }
+        let folder = self._folder.path();
+        write_key(&folder.join("fleet.key"), &peers::FLEET_KEY)?;
+        let line = |member| {
+            format!("{} = \"{}\"\n", peers::name(member), hex::encode(peers::secrets(member).public()))
+        };
+        fs::write(folder.join("roster.toml"), (0..members).map(line).collect::<String>())?;
+        let (proxies, roster) = (self.world.drill.fleet.proxies, peers::roster(members));
+        let now = self.now();
+        let mut liars = Vec::new();
+        for member in proxies..members {
+            let terms = peers::terms(&self.world.drill.gossip, member, &self.switched);
+            let seed = self.chance.random();
+            liars.push(Node::new(terms, peers::secrets(member), roster.clone(), seed, now, unix()?));
+        }
+        self.liars = Liars::new(proxies, liars);
+        Ok(())
+    }
+
+    /// What a proxy's settings say of gossip.
+    pub(super) fn gossip_settings(&self, proxy: usize) -> Result<String> {
+        let play = &self.world.drill.gossip;
+        if !play.on {
+            return Ok(String::new());
+        }
+        let folder = self._folder.path();
+        let key = self.seats[proxy].state.join("own.key");
+        if !key.exists() {
+            write_key(&key, &peers::own_key(proxy))?;
+        }
+        let terms = peers::terms(play, proxy, &self.switched);
+        let seeds: Vec<String> = terms.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+        Ok(format!(
+            "\n[gossip]\nlisten = \"127.0.0.1:0\"\naddress = \"{}\"\nseeds = [{}]\nkey = {key:?}\nfleet_keys = [{:?}]\n\
+             roster = {:?}\ncap = {}\nbeat = \"{} ms\"\nliars = {}\n{}",
+            terms.address,
+            seeds.join(", "),
+            folder.join("fleet.key"),
+            folder.join("roster.toml"),
+            terms.cap,
+            terms.beat,
+            terms.liars,
+            self.world.drill.limit_settings()
+                + &self.world.drill.release.map_or(String::new(), |play| release::settings(&play)),
+        ))
+    }
+
+    /// Passes a message on between members, or loses it.
+    pub(super) fn pass(&mut self, from: usize, to: usize, bytes: &Bytes) {
+        let now = self.now();
+        for late in self.world.drill.peer_copies(now, from, to, &mut self.chance) {
+            match self.seats.get(to) {
+                // The other one sees it come from the address that it knows the sender by.
+                Some(Seat { peers: Some(peer), .. }) => {
+                    let (socket, peer, bytes) = (self.switch[from].clone(), *peer, bytes.clone());
+                    tokio::spawn(async move {
+                        tokio::time::sleep(Duration::from_secs_f64(late / 1000.0)).await;
+                        let _ = socket.try_send_to(&bytes, peer);
+                    });
+                }
+                Some(_) => {}
+                None => {
+                    self.liars.receive(now, to, self.switched[from], bytes);
+                    self.hear_liars();
+                }
+            }
+        }
+    }
+
+    pub(super) fn hear_liars(&mut self) {
+        while let Some((from, to, bytes)) = self.liars.outgoing() {
+            if let Some(to) = self.switched.iter().position(|address| *address == to) {
+                self.pass(from, to, &bytes.into());
+            }
+        }
+    }
+}
+
+fn write_key(file: &Path, key: &[u8; 32]) -> Result<()> {
+    let mut to = File::options().write(true).create_new(true).mode(0o600).open(file)?;
+    Ok(io::Write::write_all(&mut to, hex::encode(key).as_bytes())?)
+}
+
+/// Asks every proxy in turn which servers it believes silent.
+pub(super) async fn ask_around(controls: Vec<PathBuf>, come: mpsc::UnboundedSender<Come>) {
+    loop {
+        for (proxy, control) in controls.iter().enumerate() {
+            tokio::time::sleep(ASK_EVERY / controls.len() as u32).await;
+            let asked = daemon::control::ask::<Vec<SuspicionStatus>>(control, "suspicions");
+            // One that is down or stands still has nothing to say.
+            let Ok(Ok(suspicions)) = tokio::time::timeout(ASK_EVERY, asked).await else { continue };
+            let believed = suspicions.into_iter().filter(|s| s.believed).map(|s| s.server).collect();
+            if come.send(Come::Believed(proxy, believed)).is_err() {
+                return;
+            }
+        }
+    }
+}
--- a/lab/src/drills/sockets.rs
+++ b/lab/src/drills/sockets/mod.rs
@@ -1,51 +1,50 @@
 //! Plays a drill on sockets: border proxies as processes of their own, stand-ins, callers and list feed in
 //! this one, all on the loopback address with ports from the kernel.
 
+mod datagrams;
+mod gossip;
+mod processes;
+mod releasing;
+
 use std::collections::HashMap;
-use std::fs::{self, File};
-use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
-use std::os::unix::fs::OpenOptionsExt;
-use std::path::{Path, PathBuf};
-use std::process::Stdio;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 
-use anyhow::{Context, Result, bail, ensure};
-use border::status::SuspicionStatus;
-use bytes::{Bytes, BytesMut};
-use gossip::Node;
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
-use rand::{Rng, SeedableRng};
+use anyhow::{Result, bail, ensure};
+use bytes::Bytes;
+use nix::sys::signal::Signal;
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use serde::Deserialize;
-use socket2::{Domain, Protocol, Socket, Type};
 use tempfile::TempDir;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::process::{Child, Command};
+use tokio::process::Child;
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
-use crate::drill::{By, Drill};
-use crate::drills::release::{self, AwayWitness};
+use crate::drill::Drill;
+use crate::drills::release;
 use crate::drills::world::{Out, Place, World};
 use crate::stand_ins::baseline::Routing;
-use crate::stand_ins::peers::{self, Liars};
+use crate::stand_ins::peers::Liars;
 use crate::witness::events::Events;
 
+use self::gossip::ask_around;
+use datagrams::read;
+pub use datagrams::{LARGEST, bind, loopback};
+pub use processes::Cost;
+use processes::{Ready, cost};
+
 /// How far the clock at which a datagram is read may lie from when it passed.
 pub const SLACK: f64 = 20.0;
-const RECEIVE_BUFFER: usize = 4 << 20;
 /// A proxy that is not ready by then fails the drill.
 const READY_WAIT: Duration = Duration::from_secs(15);
 /// A proxy that has not stopped by then is killed.
 const STOP_WAIT: Duration = Duration::from_secs(6);
-/// How often proxies are asked which servers they believe silent.
-const ASK_EVERY: Duration = Duration::from_millis(250);
-pub const LARGEST: usize = 65_536;
 
 enum Come {
     Datagram(Place, SocketAddr, Bytes),
@@ -61,12 +60,6 @@
     Believed(usize, Vec<String>),
 }
 
-#[derive(Deserialize)]
-struct Ready {
-    callers: SocketAddr,
-    peers: Option<SocketAddr>,
-}
-
 struct Listening {
     socket: Arc<UdpSocket>,
     reader: JoinHandle<()>,
@@ -103,29 +96,6 @@
     _folder: TempDir,
 }
 
-pub fn bind(address: SocketAddr) -> io::Result<UdpSocket> {
-    let socket = Socket::new(Domain::IPV4, Type::DGRAM, Some(Protocol::UDP))?;
-    let _ = socket.set_recv_buffer_size(RECEIVE_BUFFER);
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    UdpSocket::from_std(socket.into())
-}
-
-pub fn loopback() -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
-}
-
-/// What a proxy's process has cost, as the system tells it.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Cost {
-    /// The proxy's process, by id.
-    pub process: Option<u32>,
-    /// Processor time in milliseconds.
-    pub cpu: f64,
-    /// Resident memory in bytes, when the day began and when it ended.
-    pub memory: [f64; 2],
-}
-
 /// A drill that was played.
 pub struct Played {
     pub world: World,
@@ -145,25 +115,6 @@
     })
 }
 
-/// Processor time and resident memory of a process; 0 where the system does not tell.
-fn cost(id: u32) -> (f64, f64) {
-    // The kernel counts in hundredths of a second and in pages of 4 KiB on the machines that this runs on.
-    let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
-    let fields: Vec<f64> =
-        stat.rsplit(") ").next().unwrap_or_default().split(' ').map(|f| f.parse().unwrap_or(0.0)).collect();
-    let field = |i: usize| fields.get(i).copied().unwrap_or(0.0);
-    ((field(11) + field(12)) * 10.0, field(21) * 4096.0)
-}
-
-/// The program that runs a border proxy, beside this one.
-fn program() -> Result<PathBuf> {
-    let own = std::env::current_exe()?;
-    let folder = own.parent().context("this program has no folder")?;
-    // A test's program lies one folder deeper than the binaries.
-    let found = [folder, folder.parent().unwrap_or(folder)].map(|f| f.join("frostthread"));
-    found.into_iter().find(|path| path.exists()).context("frostthread is not built beside this program")
-}
-
 impl Run {
     async fn begin(drill: Drill, routing: Option<Routing>) -> Result<Self> {
         let (come, comes) = mpsc::unbounded_channel();
@@ -244,11 +195,6 @@
         self.began.elapsed().as_secs_f64() * 1000.0
     }
 
-    fn last_words(&self) -> String {
-        let words = self.seats.iter().filter_map(|seat| fs::read_to_string(seat.state.join("log")).ok());
-        words.filter_map(|log| log.lines().last().map(str::to_owned)).collect::<Vec<_>>().join("; ")
-    }
-
     fn open(&mut self, place: Place, address: SocketAddr) -> Result<SocketAddr> {
         let socket = Arc::new(bind(address)?);
         let address = socket.local_addr()?;
@@ -267,180 +213,6 @@
         Ok(())
     }
 
-    fn start(&mut self, proxy: usize) -> Result<()> {
-        let seat = &self.seats[proxy];
-        let (config, ready) = (seat.state.join("settings.toml"), seat.state.join("ready.json"));
-        let _ = fs::remove_file(&ready);
-        let callers = seat.callers.unwrap_or(loopback()).to_string();
-        let state = seat.state.to_str().context("a path that is no text")?;
-        let settings =
-            self.world.drill.settings(&format!("p{proxy}"), state, &callers, &seat.feed.to_string());
-        let gossip = self.gossip_settings(proxy)?;
-        fs::write(&config, settings + &gossip)?;
-        let routing = self.routing.context("no proxies in this drill")?;
-        let mut command = if routing == Routing::Ours {
-            let mut command = Command::new(program()?);
-            command.args(["run", "--config"]);
-            command
-        } else {
-            let mut command = Command::new(std::env::current_exe()?);
-            command.args(["proxy", "--routing", &routing.to_string(), "--config"]);
-            command
-        };
-        let seat = &mut self.seats[proxy];
-        let log = File::options().create(true).append(true).open(seat.state.join("log"))?;
-        command.arg(&config).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
-        seat.child = Some(command.spawn()?);
-        tokio::spawn(await_ready(ready, proxy, self.come.clone()));
-        Ok(())
-    }
-
-    /// A socket for each member, which the others know it by.
-    fn open_switch(&mut self) -> Result<()> {
-        let members = self.world.drill.members();
-        for member in 0..members {
-            let socket = Arc::new(bind(loopback())?);
-            self.switched.push(socket.local_addr()?);
-            let come = self.come.clone();
-            tokio::spawn(read(socket.clone(), move |from, bytes| {
-                come.send(Come::Gossip(member, from, bytes)).is_ok()
-            }));
-            self.switch.push(socket);
-        }
-        let folder = self._folder.path();
-        write_key(&folder.join("fleet.key"), &peers::FLEET_KEY)?;
-        let line = |member| {
-            format!("{} = \"{}\"\n", peers::name(member), hex::encode(peers::secrets(member).public()))
-        };
-        fs::write(folder.join("roster.toml"), (0..members).map(line).collect::<String>())?;
-        let (proxies, roster) = (self.world.drill.fleet.proxies, peers::roster(members));
-        let now = self.now();
-        let mut liars = Vec::new();
-        for member in proxies..members {
-            let terms = peers::terms(&self.world.drill.gossip, member, &self.switched);
-            let seed = self.chance.random();
-            liars.push(Node::new(terms, peers::secrets(member), roster.clone(), seed, now, unix()?));
-        }
-        self.liars = Liars::new(proxies, liars);
-        Ok(())
-    }
-
-    /// What a proxy's settings say of gossip.
-    fn gossip_settings(&self, proxy: usize) -> Result<String> {
-        let play = &self.world.drill.gossip;
-        if !play.on {
-            return Ok(String::new());
-        }
-        let folder = self._folder.path();
-        let key = self.seats[proxy].state.join("own.key");
-        if !key.exists() {
-            write_key(&key, &peers::own_key(proxy))?;
-        }
-        let terms = peers::terms(play, proxy, &self.switched);
-        let seeds: Vec<String> = terms.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
-        Ok(format!(
-            "\n[gossip]\nlisten = \"127.0.0.1:0\"\naddress = \"{}\"\nseeds = [{}]\nkey = {key:?}\nfleet_keys = [{:?}]\n\
-             roster = {:?}\ncap = {}\nbeat = \"{} ms\"\nliars = {}\n{}",
-            terms.address,
-            seeds.join(", "),
-            folder.join("fleet.key"),
-            folder.join("roster.toml"),
-            terms.cap,
-            terms.beat,
-            terms.liars,
-            self.world.drill.limit_settings()
-                + &self.world.drill.release.map_or(String::new(), |play| release::settings(&play)),
-        ))
-    }
-
-    /// Has the release begin in its time, and looks at who is away from now on.
-    fn watch_release(&mut self) {
-        let Some(play) = self.world.drill.release else { return };
-        let proxies = self.seats.len();
-        self.world.away = Some(AwayWitness::new(proxies, play.most(proxies), self.images()));
-        let addresses = self.seats.iter().filter_map(|seat| seat.callers).collect();
-        let come = self.come.clone();
-        tokio::spawn(release::look_around(addresses, move |proxy| come.send(Come::Alive(proxy)).is_ok()));
-        let at = play.at * 1000.0;
-        // What the budget gives on average, if each took two seconds.
-        let spread = 2_000.0 * (proxies as f64 / play.most(proxies) as f64).ceil();
-        let states: Vec<PathBuf> = self.seats.iter().map(|seat| seat.state.clone()).collect();
-        match play.by {
-            By::Agreed => {
-                let come = self.come.clone();
-                tokio::spawn(async move {
-                    tokio::time::sleep(Duration::from_secs_f64(at / 1000.0)).await;
-                    let _ = come.send(Come::Release(release::start(states).await));
-                });
-            }
-            By::Timer => {
-                let draw = |proxy| (at + spread * self.chance.random::<f64>(), proxy);
-                self.replacing = (0..proxies).map(draw).collect();
-            }
-            By::Push => self.replacing = (0..proxies).map(|proxy| (at, proxy)).collect(),
-        }
-    }
-
-    fn images(&self) -> Vec<String> {
-        self.seats.iter().map(|seat| release::image(seat.child.as_ref().and_then(Child::id))).collect()
-    }
-
-    /// Who is away, and proxies that a baseline replaces: told to stop, and started again when they have.
-    fn look(&mut self, now: f64) -> Result<()> {
-        if self.world.away.is_none() || now - self.looked < 100.0 {
-            return Ok(());
-        }
-        self.looked = now;
-        let due: Vec<usize> =
-            self.replacing.iter().filter(|(at, _)| *at <= now).map(|(_, proxy)| *proxy).collect();
-        self.replacing.retain(|(at, _)| *at > now);
-        due.iter().for_each(|&proxy| self.signal(proxy, Signal::SIGTERM));
-        if self.world.drill.release.is_some_and(|play| play.by != By::Agreed) {
-            for proxy in 0..self.seats.len() {
-                let child = self.seats[proxy].child.as_mut();
-                if child.is_some_and(|child| matches!(child.try_wait(), Ok(Some(_)))) {
-                    self.start(proxy)?;
-                }
-            }
-        }
-        let images = self.images();
-        for proxy in std::mem::take(&mut self.world.witness.stopping) {
-            self.world.away.as_mut().expect("watched").stopping(now, proxy);
-        }
-        self.world.away.as_mut().expect("watched").look(now, &images);
-        Ok(())
-    }
-
-    /// Passes a message on between members, or loses it.
-    fn pass(&mut self, from: usize, to: usize, bytes: &Bytes) {
-        let now = self.now();
-        for late in self.world.drill.peer_copies(now, from, to, &mut self.chance) {
-            match self.seats.get(to) {
-                // The other one sees it come from the address that it knows the sender by.
-                Some(Seat { peers: Some(peer), .. }) => {
-                    let (socket, peer, bytes) = (self.switch[from].clone(), *peer, bytes.clone());
-                    tokio::spawn(async move {
-                        tokio::time::sleep(Duration::from_secs_f64(late / 1000.0)).await;
-                        let _ = socket.try_send_to(&bytes, peer);
-                    });
-                }
-                Some(_) => {}
-                None => {
-                    self.liars.receive(now, to, self.switched[from], bytes);
-                    self.hear_liars();
-                }
-            }
-        }
-    }
-
-    fn hear_liars(&mut self) {
-        while let Some((from, to, bytes)) = self.liars.outgoing() {
-            if let Some(to) = self.switched.iter().position(|address| *address == to) {
-                self.pass(from, to, &bytes.into());
-            }
-        }
-    }
-
     async fn play(&mut self) -> Result<()> {
         let end = self.world.end();
         loop {
@@ -516,13 +288,6 @@
         Ok(())
     }
 
-    /// What befalls the proxy until then is the script's doing.
-    fn script(&mut self, proxy: usize, until: f64) {
-        if let Some(away) = &mut self.world.away {
-            away.script(proxy, until);
-        }
-    }
-
     async fn tell(&mut self, proxy: usize, line: &str) {
         let seat = &mut self.seats[proxy];
         if let Some(subscriber) = &mut seat.subscriber
@@ -532,12 +297,6 @@
         }
     }
 
-    fn signal(&self, proxy: usize, signal: Signal) {
-        if let Some(id) = self.seats[proxy].child.as_ref().and_then(Child::id) {
-            let _ = kill(Pid::from_raw(id as i32), signal);
-        }
-    }
-
     async fn carry_out(&mut self) -> Result<()> {
         while let Some(out) = self.world.out() {
             match out {
@@ -626,18 +385,6 @@
     }
 }
 
-async fn read(socket: Arc<UdpSocket>, tell: impl Fn(SocketAddr, Bytes) -> bool) {
-    let mut buffer = BytesMut::new();
-    loop {
-        buffer.reserve(LARGEST);
-        // A refusal tells of a proxy that is down; its callers and servers find out by themselves.
-        let Ok((_, from)) = socket.recv_buf_from(&mut buffer).await else { continue };
-        if !tell(from, buffer.split().freeze()) {
-            return;
-        }
-    }
-}
-
 /// Takes a proxy's subscriptions; what it asks for first is read and answered with the whole list.
 async fn subscribers(listener: TcpListener, proxy: usize, come: mpsc::UnboundedSender<Come>) {
     while let Ok((stream, _)) = listener.accept().await {
@@ -649,44 +396,6 @@
     }
 }
 
-async fn await_ready(file: PathBuf, proxy: usize, come: mpsc::UnboundedSender<Come>) {
-    let mut told = String::new();
-    loop {
-        // A process that becomes another says anew where it listens.
-        let text = fs::read_to_string(&file).unwrap_or_default();
-        if text != told
-            && let Ok(ready) = serde_json::from_str(&text)
-        {
-            told = text;
-            if come.send(Come::Ready(proxy, ready)).is_err() {
-                return;
-            }
-        }
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
-}
-
 fn unix() -> Result<f64> {
     Ok(SystemTime::now().duration_since(SystemTime::UNIX_EPOCH)?.as_secs_f64() * 1000.0)
 }
-
-fn write_key(file: &Path, key: &[u8; 32]) -> Result<()> {
-    let mut to = File::options().write(true).create_new(true).mode(0o600).open(file)?;
-    Ok(io::Write::write_all(&mut to, hex::encode(key).as_bytes())?)
-}
-
-/// Asks every proxy in turn which servers it believes silent.
-async fn ask_around(controls: Vec<PathBuf>, come: mpsc::UnboundedSender<Come>) {
-    loop {
-        for (proxy, control) in controls.iter().enumerate() {
-            tokio::time::sleep(ASK_EVERY / controls.len() as u32).await;
-            let asked = daemon::control::ask::<Vec<SuspicionStatus>>(control, "suspicions");
-            // One that is down or stands still has nothing to say.
-            let Ok(Ok(suspicions)) = tokio::time::timeout(ASK_EVERY, asked).await else { continue };
-            let believed = suspicions.into_iter().filter(|s| s.believed).map(|s| s.server).collect();
-            if come.send(Come::Believed(proxy, believed)).is_err() {
-                return;
-            }
-        }
-    }
-}
--- /dev/null
+++ b/lab/src/drills/sockets/processes.rs
@@ -0,0 +1,118 @@
+//! Border proxies as processes: started, signalled, and what they cost.
+
+use std::fs::{self, File};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::time::Duration;
+
+use anyhow::{Context, Result};
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde::Deserialize;
+use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
+
+use super::datagrams::loopback;
+use super::{Come, Run};
+use crate::drills::release;
+use crate::stand_ins::baseline::Routing;
+
+/// What a process says once it is ready: where it listens.
+#[derive(Deserialize)]
+pub(super) struct Ready {
+    pub(super) callers: SocketAddr,
+    pub(super) peers: Option<SocketAddr>,
+}
+
+/// What a proxy's process has cost, as the system tells it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cost {
+    /// The proxy's process, by id.
+    pub process: Option<u32>,
+    /// Processor time in milliseconds.
+    pub cpu: f64,
+    /// Resident memory in bytes, when the day began and when it ended.
+    pub memory: [f64; 2],
+}
+
+/// Processor time and resident memory of a process; 0 where the system does not tell.
+pub(super) fn cost(id: u32) -> (f64, f64) {
+    // The kernel counts in hundredths of a second and in pages of 4 KiB on the machines that this runs on.
+    let stat = fs::read_to_string(format!("/proc/{id}/stat")).unwrap_or_default();
+    let fields: Vec<f64> =
+        stat.rsplit(") ").next().unwrap_or_default().split(' ').map(|f| f.parse().unwrap_or(0.0)).collect();
+    let field = |i: usize| fields.get(i).copied().unwrap_or(0.0);
+    ((field(11) + field(12)) * 10.0, field(21) * 4096.0)
+}
+
+/// The program that runs a border proxy, beside this one.
+fn program() -> Result<PathBuf> {
+    let own = std::env::current_exe()?;
+    let folder = own.parent().context("this program has no folder")?;
+    // A test's program lies one folder deeper than the binaries.
+    let found = [folder, folder.parent().unwrap_or(folder)].map(|f| f.join("frostthread"));
+    found.into_iter().find(|path| path.exists()).context("frostthread is not built beside this program")
+}
+
+impl Run {
+    pub(super) fn start(&mut self, proxy: usize) -> Result<()> {
+        let seat = &self.seats[proxy];
+        let (config, ready) = (seat.state.join("settings.toml"), seat.state.join("ready.json"));
+        let _ = fs::remove_file(&ready);
+        let callers = seat.callers.unwrap_or(loopback()).to_string();
+        let state = seat.state.to_str().context("a path that is no text")?;
+        let settings =
+            self.world.drill.settings(&format!("p{proxy}"), state, &callers, &seat.feed.to_string());
+        let gossip = self.gossip_settings(proxy)?;
+        fs::write(&config, settings + &gossip)?;
+        let routing = self.routing.context("no proxies in this drill")?;
+        let mut command = if routing == Routing::Ours {
+            let mut command = Command::new(program()?);
+            command.args(["run", "--config"]);
+            command
+        } else {
+            let mut command = Command::new(std::env::current_exe()?);
+            command.args(["proxy", "--routing", &routing.to_string(), "--config"]);
+            command
+        };
+        let seat = &mut self.seats[proxy];
+        let log = File::options().create(true).append(true).open(seat.state.join("log"))?;
+        command.arg(&config).stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).kill_on_drop(true);
+        seat.child = Some(command.spawn()?);
+        tokio::spawn(await_ready(ready, proxy, self.come.clone()));
+        Ok(())
+    }
+
+    pub(super) fn signal(&self, proxy: usize, signal: Signal) {
+        if let Some(id) = self.seats[proxy].child.as_ref().and_then(Child::id) {
+            let _ = kill(Pid::from_raw(id as i32), signal);
+        }
+    }
+
+    pub(super) fn images(&self) -> Vec<String> {
+        self.seats.iter().map(|seat| release::image(seat.child.as_ref().and_then(Child::id))).collect()
+    }
+
+    pub(super) fn last_words(&self) -> String {
+        let words = self.seats.iter().filter_map(|seat| fs::read_to_string(seat.state.join("log")).ok());
+        words.filter_map(|log| log.lines().last().map(str::to_owned)).collect::<Vec<_>>().join("; ")
+    }
+}
+
+async fn await_ready(file: PathBuf, proxy: usize, come: mpsc::UnboundedSender<Come>) {
+    let mut told = String::new();
+    loop {
+        // A process that becomes another says anew where it listens.
+        let text = fs::read_to_string(&file).unwrap_or_default();
+        if text != told
+            && let Ok(ready) = serde_json::from_str(&text)
+        {
+            told = text;
+            if come.send(Come::Ready(proxy, ready)).is_err() {
+                return;
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
