Fleet: the tests' world of members rides on links/; no test changed in what it asks

Cause: fleet/tests/net had links of its own (loss, doubling, delay, cuts), the same as links/. Change: it holds a `Links`; messages come by microseconds in place of whole milliseconds rounded down, and the links draw from a chance of their own, so the course of a seed is another. Demands, faults, ranges and bounds are as they were. Left: the laboratory's permits (its links count bytes and have members with two kinds of messages) and gossip's tests, which have delays by pair.

--- a/fleet/tests/net/mod.rs
+++ b/fleet/tests/net/mod.rs
@@ -1,14 +1,15 @@
-//! Members on one virtual clock, each with a clock of its own that runs fast or slow, and the network between
+//! Members on one virtual clock, each with a clock of its own that runs fast or slow, and the links between
 //! them.
 
-use std::collections::BTreeMap;
-
 use fleet::{Fleet, FleetTerms, Id, LoanTerms};
+use links::Links;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 pub const WINDOW: f64 = 1000.0;
 pub const SERVER: &str = "s-1@0";
+/// Sets the links' chance apart from the members'.
+const LINKS_SEED: u64 = 0x11;
 
 pub fn terms() -> FleetTerms {
     let loans = LoanTerms { lease: 2000.0, drift: 0.05, spread: 0.0, floor: 0.0 };
@@ -21,14 +22,8 @@
     clocks: Vec<f64>,
     /// Turns of a member that is stopped do not come.
     pub stopped: Vec<bool>,
-    pub loss: f64,
-    pub double: f64,
-    /// The longest that a message is on its way.
-    pub way: f64,
-    pub cut: Vec<(usize, usize)>,
+    pub links: Links<Vec<u8>>,
     pub rate: f64,
-    flying: BTreeMap<(u64, u64), (usize, usize, Vec<u8>)>,
-    sent: u64,
     pub chance: Pcg64Mcg,
     pub taken: Vec<f64>,
     pub wanted: Vec<f64>,
@@ -44,13 +39,8 @@
             members: Vec::new(),
             clocks,
             stopped: vec![false; members],
-            loss: 0.0,
-            double: 0.0,
-            way: 10.0,
-            cut: Vec::new(),
+            links: Links::new(10.0, seed ^ LINKS_SEED),
             rate,
-            flying: BTreeMap::new(),
-            sent: 0,
             chance,
             taken: Vec::new(),
             wanted: vec![0.0; members],
@@ -84,17 +74,7 @@
 
     fn send(&mut self, from: usize) {
         while let Some(out) = self.members[from].outgoing() {
-            let to = out.to as usize;
-            if self.cut.contains(&(from, to)) || self.chance.random::<f64>() < self.loss {
-                continue;
-            }
-            let copies = if self.chance.random::<f64>() < self.double { 2 } else { 1 };
-            for _ in 0..copies {
-                let at = self.now + self.way * self.chance.random::<f64>();
-                self.sent += 1;
-                let flight = (from, to, out.bytes.clone());
-                self.flying.insert((at as u64, self.sent), flight);
-            }
+            self.links.send(self.now, from, out.to as usize, out.bytes);
         }
     }
 
@@ -103,8 +83,7 @@
         let end = self.now + span;
         while self.now < end {
             self.now += 5.0;
-            while let Some(flight) = self.flying.first_entry().filter(|f| f.key().0 as f64 <= self.now) {
-                let (from, to, bytes) = flight.remove();
+            while let Some((from, to, bytes)) = self.links.arrived(self.now) {
                 if !self.stopped[to] {
                     let clock = self.now * self.clocks[to];
                     self.members[to].receive(clock, from as Id, &bytes);
--- a/fleet/tests/stories.rs
+++ b/fleet/tests/stories.rs
@@ -32,7 +32,8 @@
 #[test]
 fn each_alone_the_same_demand_gets_its_part_and_no_more() {
     let mut net = Net::new(5, 20.0, 1);
-    net.cut = (0..5).flat_map(|a| (0..5).map(move |b| (a, b))).collect();
+    let all: Vec<usize> = (0..5).collect();
+    net.links.cut(&all, &all, true);
     let then = net.now;
     net.pass(10_000.0, &[60.0, 0.0, 0.0, 0.0, 0.0]);
     let share = net.taken_since(then) as f64 / 200.0;
@@ -156,13 +157,15 @@
     fn whatever_fails_the_sum_holds(seed: u64, rate in 3.0f64..60.0, members in 2usize..12) {
         let mut net = Net::new(members, rate, seed);
         for _ in 0..30 {
-            net.loss = [0.0, 0.0, 0.3, 0.9][net.chance.random_range(0..4)];
-            net.double = [0.0, 0.5][net.chance.random_range(0..2)];
-            net.way = [10.0, 200.0, 4000.0][net.chance.random_range(0..3)];
+            net.links.heal();
+            net.links.loss = [0.0, 0.0, 0.3, 0.9][net.chance.random_range(0..4)];
+            net.links.double = [0.0, 0.5][net.chance.random_range(0..2)];
+            net.links.way = [10.0, 200.0, 4000.0][net.chance.random_range(0..3)];
             let cuts = net.chance.random_range(0..members * 2);
-            net.cut = (0..cuts)
-                .map(|_| (net.chance.random_range(0..members), net.chance.random_range(0..members)))
-                .collect();
+            for _ in 0..cuts {
+                let (from, to) = (net.chance.random_range(0..members), net.chance.random_range(0..members));
+                net.links.cut(&[from], &[to], true);
+            }
             let one = net.chance.random_range(0..members);
             match net.chance.random_range(0..4) {
                 0 => net.restart(one),
