Council: faults on the way of a member that is let in anew, found by a search with lost disks

Cause, proved without I/O: a change of the council was told as done before it was proved; where its leader goes then, the proof of a council that followed one of two waits for that leader, and those without a vote believe nothing meanwhile. Told as done once proved now (`a_change_of_the_council_that_is_told_as_done_is_believed...`, red without).

A new random search loses disks beside all other faults, has them let in anew, asks that nobody is taken for an older copy and that all vote again.

Also: a copy of a disk from before its founder voted became a founder that was not checked; red without.

--- a/agree/src/agreement.rs
+++ b/agree/src/agreement.rs
@@ -27,6 +27,8 @@
 pub(crate) const SNAPSHOT_EVERY: u64 = 128;
 /// Entries kept for those who are behind: those since the last snapshot but one.
 const SNAPSHOTS: usize = 2;
+/// Entries that are kept at most for members whose signatures a new council waits for.
+const MOST_LOG: u64 = 8 * SNAPSHOT_EVERY;
 /// Requests that are remembered as done, so that one asked for again is not done again.
 const RECENT: usize = 512;
 
@@ -76,6 +78,9 @@
     /// The council whose proofs are believed, by the index since which it votes, and the one before it.
     pub(crate) trust: (Index, Council),
     pub(crate) former: Option<Council>,
+    /// The council before the present one by what is carried out: the same at all that have come as far, while
+    /// `trust` and `former` may be ahead by a proof.
+    applied_former: Option<Council>,
     recent: VecDeque<u64>,
     /// Snapshots that are still of use, the newest last, with their digests.
     pub(crate) snapshots: VecDeque<(Snapshot, [u8; 32])>,
@@ -127,6 +132,7 @@
             stopped: None,
             trust: (0, founders),
             former: None,
+            applied_former: None,
             recent: VecDeque::new(),
             snapshots: VecDeque::new(),
             following: Following::default(),
@@ -318,11 +324,12 @@
             let Some(Entry { request, what, .. }) = self.kept.log.entry(index).cloned() else { return };
             let done = request != 0 && self.recent.contains(&request);
             let mut answer = Vec::new();
+            let changes_council = matches!(what, What::Council(_));
             match what {
                 What::Begin => {}
                 What::Council(council) => {
-                    let former = std::mem::replace(&mut self.trust, (index, council));
-                    self.former = Some(former.1);
+                    self.applied_former = Some(self.kept.log.council_at(index - 1).1.clone());
+                    self.trust_at_least((index, council), self.applied_former.clone());
                 }
                 What::Decide { part, command } if !done => match self.machine.decide(index, part, &command) {
                     Ok(came_to) => answer = came_to,
@@ -339,19 +346,32 @@
                 if self.recent.len() > RECENT {
                     self.recent.pop_front();
                 }
-                self.requests.decided(request, index, answer);
+                if changes_council {
+                    self.requests.council_decided(request, index);
+                } else {
+                    self.requests.decided(request, index, answer);
+                }
             }
             if index.is_multiple_of(SNAPSHOT_EVERY) {
                 self.snap();
             }
         }
+        self.tell_proved();
         self.arrive();
     }
 
-    /// What the decisions so far came to.
+    /// A council of the log takes the place of the trusted one, where no proof of a later one came before.
+    fn trust_at_least(&mut self, council: (Index, Council), former: Option<Council>) {
+        if council.0 >= self.trust.0 {
+            (self.trust, self.former) = (council, former);
+        }
+    }
+
+    /// What the decisions so far came to: nothing in it may depend on the way they came here.
     fn snap(&mut self) {
         let mark = self.kept.log.mark(self.applied).expect("just carried out");
-        let state = (&self.trust, &self.former, &self.recent, self.machine.state());
+        let council = self.kept.log.council_at(self.applied);
+        let state = (council, &self.applied_former, &self.recent, self.machine.state());
         let bytes = postcard::to_stdvec(&state).expect("plain data");
         self.hold(Snapshot { mark, bytes });
     }
@@ -362,7 +382,17 @@
         while self.snapshots.len() > SNAPSHOTS {
             self.snapshots.pop_front();
         }
-        self.kept.log.fold(self.snapshots[0].0.mark.index.min(snapshot.mark.index));
+        // A member of the council before may have to sign for the present one, and is behind: it gets a snapshot
+        // only by a proof that waits for its signature, so it must find the entries here.
+        let awaits_signatures =
+            !self.is_linked() && self.kept.log.last().index < self.kept.log.base().index + MOST_LOG;
+        if awaits_signatures && self.kept.snapshot.is_some() {
+            return;
+        }
+        // Not at the first one already: whoever is behind it gets it only once it is proved.
+        if self.snapshots.len() == SNAPSHOTS {
+            self.kept.log.fold(self.snapshots[0].0.mark.index);
+        }
         self.kept.snapshot = Some(snapshot);
         self.disk.anew();
     }
@@ -373,7 +403,8 @@
         let mark = snapshot.mark;
         let unread =
             |_| Unknown { index: mark.index, part: 0, what: "a snapshot of no known form".to_owned() };
-        let (trust, former, recent, state): State = postcard::from_bytes(&snapshot.bytes).map_err(unread)?;
+        let (council, former, recent, state): State =
+            postcard::from_bytes(&snapshot.bytes).map_err(unread)?;
         self.machine.restore(mark.index, &state)?;
         // Entries that follow it are kept: this member may have given its word for them.
         #[cfg(test)]
@@ -382,9 +413,10 @@
         #[cfg(not(test))]
         let goes_on = self.kept.log.has(mark.index, &mark.hash);
         if !goes_on {
-            self.kept.log = Log::new(mark, trust.0, trust.1.clone());
+            self.kept.log = Log::new(mark, council.0, council.1.clone());
         }
-        (self.trust, self.former, self.recent) = (trust, former, recent);
+        (self.applied_former, self.recent) = (former.clone(), recent);
+        self.trust_at_least(council, former);
         (self.decided, self.applied) = (self.decided.max(mark.index), mark.index);
         self.requests.passed_over(&self.recent, mark.index);
         self.snapshots.clear();
--- a/agree/src/follow.rs
+++ b/agree/src/follow.rs
@@ -120,6 +120,14 @@
             if self.kept.links.len() > MOST_LINKS {
                 self.kept.links.remove(0);
             }
+            self.tell_proved();
+        }
+    }
+
+    /// Tells those who asked for a council that it is proved.
+    pub(crate) fn tell_proved(&mut self) {
+        if let Some(link) = self.kept.links.last() {
+            self.requests.council_proved(link.seal.statement.version);
         }
     }
 
@@ -220,6 +228,8 @@
             self.decided = self.decided.max(of.index);
             return self.apply();
         }
+        // It came past that snapshot by entries: no piece of it is wanted any more.
+        self.following.loading.take_if(|loading| loading.mark.index <= self.applied);
         let seated = self.is_seated();
         if let Some(staged) = self.following.staged.take_if(|staged| staged.last().index >= of.index) {
             if !seated && staged.has(of.index, &of.hash) {
--- a/agree/src/founding.rs
+++ b/agree/src/founding.rs
@@ -106,7 +106,8 @@
         if !self.keeps() {
             return;
         }
-        if stage == Stage::Fresh && self.kept.stage == Stage::Founder && self.named().contains(&from) {
+        let stands = self.stands();
+        if stage == Stage::Fresh && stands == Stage::Founder && self.named().contains(&from) {
             self.founding.lives.insert(from, life);
         }
         // What it said that it has counts no more until it says so again.
@@ -117,10 +118,15 @@
             (progress.has, progress.counts) = (0, false);
             self.met(from, former, 0, has.min(self.decided));
         }
-        let asks = Seat { id: from, life: seat_life(stage, life) };
+        // One that is ready is about to vote as a founder: it asks for that seat.
+        let asks = Seat { id: from, life: if stage == Stage::Fresh { life } else { 0 } };
         let Met { term, acked } = self.founding.met.get(&asks).copied().unwrap_or_default();
-        let stage = self.kept.stage;
-        self.send_kept(from, &Message::Known { nonce, stage, term, acked });
+        self.send_kept(from, &Message::Known { nonce, stage: stands, term, acked });
+    }
+
+    /// How it stands to one that asks: a member that was let in anew votes like a founder.
+    fn stands(&self) -> Stage {
+        if self.is_seated() { Stage::Founder } else { self.kept.stage }
     }
 
     pub(crate) fn known(&mut self, now: f64, from: Id, nonce: u64, stage: Stage, term: Term, acked: Index) {
@@ -129,7 +135,8 @@
         }
         // Somebody knows of what this disk does not: it is an older copy.
         let older = term > self.kept.term || acked > self.kept.log.last().index;
-        if older && !self.founding.checked && self.is_seated() {
+        let claims_seat = self.is_seated() || self.kept.stage == Stage::Ready;
+        if older && !self.founding.checked && claims_seat {
             self.counts.outdated += 1;
             self.lose_seat();
         }
--- a/agree/src/replicate.rs
+++ b/agree/src/replicate.rs
@@ -79,10 +79,10 @@
         let Some(progress) = lead.progress.get(&to) else { return };
         let (next, round) = (progress.next, lead.round);
         let mark = self.kept.log.mark(next - 1).unwrap_or_else(|| {
-            // It is further behind than the log reaches: by the proof it gets at a snapshot, and says when it
-            // has it.
+            // What it knows to be decided is further behind than the log reaches. It may still hold the log's
+            // base undecided; where it does not, it gets a snapshot by the proof, and says when it has it.
             self.tell(to);
-            self.kept.log.mark(self.decided).unwrap_or_default()
+            self.kept.log.base()
         });
         let prev = mark.index;
         let entries = self.kept.log.since(prev, ENTRIES);
--- a/agree/src/requests.rs
+++ b/agree/src/requests.rs
@@ -53,6 +53,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Requests {
     open: BTreeMap<u64, (What, u64)>,
+    /// Changes of the council that are decided, and not yet proved to those who follow.
+    unproved: VecDeque<(u64, Index)>,
     outcomes: VecDeque<(u64, Outcome)>,
 }
 
@@ -63,6 +65,21 @@
         }
     }
 
+    /// A change of the council is told as decided only once it is proved: were its leader gone before, those who
+    /// follow could believe nothing that the new council decides.
+    pub(crate) fn council_decided(&mut self, request: u64, index: Index) {
+        if self.open.remove(&request).is_some() {
+            self.unproved.push_back((request, index));
+        }
+    }
+
+    /// Councils are proved up to the one that votes since an index.
+    pub(crate) fn council_proved(&mut self, version: Index) {
+        while let Some((request, index)) = self.unproved.pop_front_if(|(_, index)| *index <= version) {
+            self.outcomes.push_back((request, Outcome::Decided { index, answer: Vec::new() }));
+        }
+    }
+
     pub(crate) fn passed_over(&mut self, done: &VecDeque<u64>, by: Index) {
         for request in done {
             if self.open.remove(request).is_some() {
@@ -103,6 +120,7 @@
     /// No longer wants to know what a request comes to. It may still be decided.
     pub fn forget(&mut self, request: u64) {
         self.requests.open.remove(&request);
+        self.requests.unproved.retain(|(unproved, _)| *unproved != request);
     }
 
     pub fn outcome(&mut self) -> Option<(u64, Outcome)> {
@@ -160,15 +178,20 @@
         let log = &self.kept.log;
         let knows = log.mark(self.decided).is_some_and(|mark| mark.term == self.kept.term);
         let Post::Leading(lead) = &self.post else { return None };
-        let votes =
-            |id: Id| lead.progress.get(&id).is_some_and(|of| of.counts && now - of.heard < self.patience());
+        // Whoever is behind this log gets on only by a proof, and the change itself must first be proved by a
+        // majority of the present council.
+        let reached = log.base().index;
+        let votes = |id: Id| {
+            let progress = lead.progress.get(&id);
+            progress.is_some_and(|of| of.counts && of.has >= reached && now - of.heard < self.patience())
+        };
         if !knows || log.version() > self.decided || !self.is_linked() {
             Some(Refusal::ChangeUnderWay)
         } else if !council.follows(log.council()) {
             Some(Refusal::NotOneSeat)
         } else {
-            let decides = council.is_majority(|seat| seat.id == self.id || votes(seat.id));
-            (!decides).then_some(Refusal::NoMajority)
+            let enough = |of: &Council| of.is_majority(|seat| seat.id == self.id || votes(seat.id));
+            (!enough(council) || !enough(log.council())).then_some(Refusal::NoMajority)
         }
     }
 
--- a/agree/src/tests/random.rs
+++ b/agree/src/tests/random.rs
@@ -5,7 +5,9 @@
 use rstest::rstest;
 
 use super::Fault;
+use super::parts::Disk;
 use super::world::World;
+use crate::{Id, Role};
 
 const PROXIES: usize = 7;
 const FOUNDERS: usize = 5;
@@ -79,6 +81,74 @@
     }
 }
 
+/// Whoever's votes count: it has a seat by its disk's life, and its disk is known to be no older copy.
+fn votes(world: &mut World, place: usize) -> bool {
+    let standing = world.standing(place);
+    let named = standing.council.seat(place as Id).is_some_and(|seat| seat.life == standing.life);
+    named && matches!(standing.role, Role::Follows | Role::Asks | Role::Leads)
+}
+
+/// No member is far behind: a disk more that is lost leaves a majority that holds what was decided.
+fn is_even(world: &mut World) -> bool {
+    let applied: Vec<_> = (0..FOUNDERS).map(|place| world.standing(place).applied).collect();
+    let newest = applied.iter().max().copied().unwrap_or(0);
+    applied.iter().all(|applied| applied + 8 >= newest)
+}
+
+/// Members lose their disks one after the other, beside all other faults but older copies, and are let in
+/// anew. Gives what broke, and how many of them voted again before the faults were over.
+fn play_lost_disks(seed: u64) -> (Vec<String>, usize) {
+    let mut world = World::new(PROXIES, FOUNDERS, seed);
+    world.until("a leader", 10_000.0, |world| world.leader().is_some());
+    let mut lost = None;
+    let mut let_in = 0;
+    for _ in 0..2 * SPELLS {
+        if lost.is_none() && (0..FOUNDERS).all(|place| votes(&mut world, place)) && is_even(&mut world) {
+            let place = world.chance.random_range(0..FOUNDERS);
+            world.crash(place);
+            world.disks[place] = Disk::default();
+            world.start(place);
+            lost = Some(place);
+        }
+        trouble(&mut world);
+        for _ in 0..8 {
+            let place = world.chance.random_range(0..PROXIES);
+            world.ask(place);
+            world.let_in();
+            let span = 100.0 * world.chance.random::<f64>();
+            world.pass(span);
+        }
+        if lost.take_if(|place| votes(&mut world, *place)).is_some() {
+            let_in += 1;
+        }
+        for place in 0..PROXIES {
+            if world.standing(place).counts.outdated > 0 {
+                world.broken.push(format!("p{place} took its disk for an older copy"));
+            }
+        }
+    }
+    world.settles(20_000.0);
+    world.until("all vote", 20_000.0, |world| {
+        world.let_in();
+        (0..FOUNDERS).all(|place| votes(world, place))
+    });
+    world.is_linear();
+    (world.broken, let_in)
+}
+
+#[test]
+fn lost_disks_beside_all_faults_never_give_two_orders_and_all_vote_again() {
+    let seeds = std::env::var("AGREE_SEEDS").ok().and_then(|n| n.parse().ok()).unwrap_or(60);
+    let mut all_let_in = 0;
+    for seed in 0..seeds {
+        let (broken, let_in) = play_lost_disks(seed);
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}");
+        all_let_in += let_in;
+    }
+    eprintln!("lost disks: {all_let_in} let in anew");
+    assert!(all_let_in > seeds as usize, "{all_let_in} let in anew in {seeds} plays");
+}
+
 #[rstest]
 #[case::a_vote_that_was_not_synced(Fault::Unsynced)]
 #[case::a_deposed_leader_that_answers_reads(Fault::StaleRead)]
--- a/agree/src/tests/stories.rs
+++ b/agree/src/tests/stories.rs
@@ -221,6 +221,26 @@
     sound(&mut world);
 }
 
+#[test]
+fn a_copy_of_a_disk_from_before_its_founder_voted_is_found_out() {
+    let mut world = World::new(3, 3, 38);
+    let ready = |world: &mut World| {
+        disk::recover(&world.disks[1].holds).is_ok_and(|kept| kept.stage == crate::wire::Stage::Ready)
+    };
+    world.until("ready", 5_000.0, ready);
+    let copy = world.disks[1].holds.clone();
+    world.settles(5_000.0);
+    busy(&mut world, 1_000.0);
+    world.crash(1);
+    world.disks[1].holds = copy;
+    world.start(1);
+    world.until("found out", 3_000.0, |world| world.standing(1).counts.outdated == 1);
+    assert_eq!(world.standing(1).role, Role::Barred);
+    busy(&mut world, 500.0);
+    world.settles(5_000.0);
+    sound(&mut world);
+}
+
 #[rstest]
 #[case::whole(0.0)]
 #[case::torn(0.5)]
@@ -329,6 +349,28 @@
     sound(&mut world);
 }
 
+#[test]
+fn a_change_of_the_council_that_is_told_as_done_is_believed_by_all_though_its_leader_goes_at_once() {
+    let mut world = settled(5, 3, 37);
+    let leader = world.leader().expect("leads");
+    let member = (leader + 1) % 3;
+    let without = world.standing(leader).council.without(member as u64);
+    // Of the two that are left the leader must sign for the third to be back.
+    let life = world.standing(leader).council.seat(member as u64).expect("a founder").life;
+    let with = without.with(crate::Seat { id: member as u64, life });
+    for council in [without, with] {
+        world.until("the one before is proved", 5_000.0, |world| world.standing(leader).linked);
+        let asked = world.ask_council(leader, council);
+        world.until("told as done", 5_000.0, |world| world.history[asked].ended.is_some());
+    }
+    world.crash(leader);
+    world.until("another leader", 5_000.0, |world| world.leader().is_some());
+    world.ask(4);
+    world.until("known outside", 5_000.0, |world| world.history.last().is_some_and(|a| a.ended.is_some()));
+    world.settles(5_000.0);
+    sound(&mut world);
+}
+
 #[test]
 fn whoever_does_not_know_a_command_stops_there_and_says_so() {
     let mut world = settled(5, 3, 11);
--- a/agree/src/tests/world.rs
+++ b/agree/src/tests/world.rs
@@ -139,6 +139,15 @@
         }
     }
 
+    /// Asks at a proxy for another council; gives its place in the history, as of a read of its index.
+    pub fn ask_council(&mut self, place: usize, council: Council) -> usize {
+        let now = self.clock(place);
+        let request = self.proxy(place).propose_council(now, council).expect("one seat more or less");
+        self.open.insert((place, request), self.history.len());
+        self.history.push(Asked { line: None, began: self.now, ended: None });
+        self.history.len() - 1
+    }
+
     /// Reads at a proxy, as of now at the earliest.
     pub fn read(&mut self, place: usize) {
         let now = self.clock(place);
