--- a/agree/src/follow.rs
+++ b/agree/src/follow.rs
@@ -257,7 +257,8 @@
         // A voter gets entries from its leader alone: what others send is not proved entry by entry.
         if piece.is_some() || !seated {
             self.pull(from, piece);
-        } else if of.snapshot > self.kept.log.last().index {
+        } else if of.snapshot > self.applied {
+            // Also where its log is longer: what it holds there may be of a leader whose entries were not decided.
             self.pull(from, Some((of.snapshot, 0)));
         }
     }
