Council: a seat that a proof refutes keeps nobody from what is decided

Cause: a member whose own seat stands only in an entry that was never decided took itself for a voter: the leader, in whose council it is not, sent it nothing, and entries of others it did not take (agree/src/founding.rs voters(), follow.rs entries()). It held its last decisions until an operator let it in.

Change: a proof of a later index whose council is older than the log's newest one refutes that one: the proved council counts, so the member is without a vote and follows like any other. The search asks again for all to be at one before anybody is let in, as it first did, and now after it too.

--- a/agree/src/founding.rs
+++ b/agree/src/founding.rs
@@ -66,9 +66,21 @@
     }
 
     /// Who votes, as far as this proxy knows: by its log, or by a proof of a council that its log does not
-    /// reach.
+    /// reach, or that refutes its log's.
     pub(crate) fn voters(&self) -> &Council {
-        if self.trust.0 > self.kept.log.version() { &self.trust.1 } else { self.kept.log.council() }
+        let proved = self.trust.0 > self.kept.log.version() || self.is_council_refuted();
+        if proved { &self.trust.1 } else { self.kept.log.council() }
+    }
+
+    /// Whether a proof shows that the newest council of its log was never decided: an older council still votes
+    /// at a later index. A member that is seated by such a council alone is sent nothing by the leader, and would
+    /// take nothing from others, until an operator lets it in.
+    fn is_council_refuted(&self) -> bool {
+        let logged = self.kept.log.version();
+        self.following.seal.as_ref().is_some_and(|seal| {
+            let of = &seal.statement;
+            of.version == self.trust.0 && of.version < logged && of.index >= logged
+        })
     }
 
     /// Whether it has a seat by its disk's life.
--- a/agree/src/tests/random.rs
+++ b/agree/src/tests/random.rs
@@ -127,8 +127,8 @@
             }
         }
     }
-    // One whose seat was never decided comes to the same as the others only once it is let in.
-    world.recovers();
+    // One whose seat was never decided comes to the same as the others before it is let in, too.
+    world.settles(20_000.0);
     world.until("all vote", 20_000.0, |world| {
         world.let_in();
         (0..FOUNDERS).all(|place| votes(world, place))
--- a/agree/src/tests/world.rs
+++ b/agree/src/tests/world.rs
@@ -327,7 +327,7 @@
     }
 
     /// All run, and links and disks are whole.
-    pub fn recovers(&mut self) {
+    fn recovers(&mut self) {
         self.links.heal();
         for place in 0..self.proxies.len() {
             self.stopped[place] = 0.0;
