Council stories wait for a leader where they looked for one at a single moment

Cause: the stories of daemon/tests/council.rs asked each process once who leads and took the answer for given.

What the stories ask of the leader is as it was.

--- a/daemon/tests/council.rs
+++ b/daemon/tests/council.rs
@@ -3,6 +3,7 @@
 
 mod world;
 
+use std::cell::Cell;
 use std::fs;
 
 use serde_json::Value;
@@ -26,6 +27,16 @@
     among.iter().copied().find(|&proxy| state(story, proxy)["role"] == "leads")
 }
 
+/// The leader, once there is one: a process that is held up for longer than its beats makes way for another.
+fn elected(story: &Story, among: &[usize]) -> usize {
+    let found = Cell::new(None);
+    story.until("a leader", |story| {
+        found.set(leader(story, among));
+        found.get().is_some()
+    });
+    found.get().expect("waited for")
+}
+
 fn drained(story: &Story, proxy: usize) -> Vec<String> {
     let outs = story.told(proxy, &["outs"]);
     let drains = outs["drains"].as_array().expect("drains");
@@ -78,7 +89,7 @@
 fn decisions_outlive_their_leader_and_all_processes_at_once() {
     let mut story = story();
     assert!(story.ask(3, &["drain", "s-0"]).status.success());
-    let first = leader(&story, &[0, 1, 2]).expect("leads");
+    let first = elected(&story, &[0, 1, 2]);
     story.kill(first);
     let rest: Vec<usize> = (0..3).filter(|&proxy| proxy != first).collect();
     story.until("another leader", |story| leader(story, &rest).is_some());
@@ -132,7 +143,7 @@
     story.start(lost);
     story.until("barred", |story| state(story, lost)["role"] == "barred");
     let name = format!("p{lost}");
-    let led = leader(&story, &[0, 1, 2]).expect("leads");
+    let led = elected(&story, &[0, 1, 2]);
     story.until("its number heard", |story| {
         state(story, led)["voteless"]
             .as_array()
@@ -142,7 +153,7 @@
     story.until("in anew", |story| story.ask(led, &["council", "add", &name]).status.success());
     story.until("it votes", |story| state(story, lost)["role"] == "follows");
 
-    let led = leader(&story, &[0, 1, 2]).expect("leads");
+    let led = elected(&story, &[0, 1, 2]);
     story.signal(led, "-STOP");
     let rest: Vec<usize> = (0..3).filter(|&proxy| proxy != led).collect();
     story.until("another leader", |story| leader(story, &rest).is_some());
