--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod running_release;
 pub mod serve;
 pub mod settings;
+mod sockets;
 mod stamp;
 mod watch_log;
 mod wires;
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -1,9 +1,9 @@
 //! Drives one border proxy on sockets: datagrams, the pool list, the clock and signals in; datagrams out.
 //! Nothing is decided here.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::VecDeque;
 use std::fs;
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
@@ -16,7 +16,6 @@
 use border::pool::{News, PoolList};
 use border::scribe::Scribe;
 use border::{BorderProxy, Decisions, Outbound, Side, Watched};
-use bytes::Bytes;
 use frostthread::Proxy;
 use frostthread::host::Terms;
 use gossip::{GossipTerms, Node};
@@ -24,12 +23,11 @@
 use rand::Rng;
 use records::commit::Admit;
 use records::entry::Author;
-use socket2::{Domain, Protocol, Socket, Type};
-use tokio::net::{UdpSocket, UnixListener};
+use tokio::net::UnixListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
-use crate::backlog::{self, Backlog};
+use crate::backlog::Backlog;
 use crate::clock::{Clock, unix};
 use crate::control::{self, Ask};
 use crate::council::Keeper;
@@ -39,11 +37,9 @@
 use crate::keys::Keyring;
 use crate::replacing::Replacing;
 use crate::settings::{CouncilPlan, GossipPlan, Plan};
-use crate::stamp;
+use crate::sockets::{Arrival, Sockets, listen};
 use crate::wishes::Wishes;
 
-/// Bytes of the largest datagram that is read.
-const LARGEST: usize = 65_536;
 /// Arrivals that wait to be told; past that they wait in the sockets, and the kernel drops.
 const QUEUE: usize = 4096;
 /// Datagrams kept while sockets' buffers are full.
@@ -53,125 +49,6 @@
 /// After a stop, how long the last datagrams and their resends are given.
 const FAREWELL: Duration = Duration::from_millis(1500);
 
-enum Arrival {
-    /// With when it came, as the system says.
-    Datagram(Side, SocketAddr, Bytes, Instant),
-    Refused(Side, SocketAddr),
-}
-
-/// The sockets.
-struct Sockets {
-    callers: Arc<UdpSocket>,
-    peers: Option<Arc<UdpSocket>>,
-    servers: HashMap<SocketAddr, Arc<UdpSocket>>,
-    from: SocketAddr,
-    receive_buffer: Option<usize>,
-    arrivals: mpsc::Sender<Arrival>,
-}
-
-impl Sockets {
-    fn bind(address: SocketAddr, receive_buffer: Option<usize>) -> io::Result<UdpSocket> {
-        let socket = Socket::new(Domain::for_address(address), Type::DGRAM, Some(Protocol::UDP))?;
-        if let Some(bytes) = receive_buffer {
-            socket.set_recv_buffer_size(bytes)?;
-        }
-        socket.set_nonblocking(true)?;
-        stamp::ask(&socket)?;
-        socket.bind(&address.into())?;
-        UdpSocket::from_std(socket.into())
-    }
-
-    /// A socket of its own for each server, connected, so that a refusal by the network names its server.
-    fn of_server(&mut self, peer: SocketAddr) -> io::Result<&Arc<UdpSocket>> {
-        if !self.servers.contains_key(&peer) {
-            let socket = Arc::new(Self::bind(self.from, self.receive_buffer)?);
-            socket.as_ref().connect_now(peer)?;
-            tokio::spawn(listen(socket.clone(), Side::Servers, Some(peer), self.arrivals.clone()));
-            self.servers.insert(peer, socket);
-        }
-        Ok(&self.servers[&peer])
-    }
-
-    /// False where there was no room.
-    fn try_send(&mut self, out: &Outbound) -> bool {
-        let sent = match out.side {
-            Side::Callers => self.callers.try_send_to(&out.bytes, out.peer),
-            Side::Peers => match &self.peers {
-                Some(socket) => socket.try_send_to(&out.bytes, out.peer),
-                None => return true,
-            },
-            Side::Servers => match self.of_server(out.peer) {
-                Ok(socket) => socket.try_send(&out.bytes),
-                Err(error) => Err(error),
-            },
-        };
-        match sent {
-            Err(error) if error.kind() == ErrorKind::WouldBlock => false,
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused && out.side == Side::Servers => {
-                // Told of an earlier datagram; this one was not sent.
-                let _ = self.arrivals.try_send(Arrival::Refused(Side::Servers, out.peer));
-                true
-            }
-            Err(error) => {
-                tracing::debug!(peer = %out.peer, "datagram.unsent: {error}");
-                true
-            }
-            Ok(_) => true,
-        }
-    }
-
-    /// Waits for room in a socket.
-    async fn room(&self, way: Option<backlog::Way>) -> io::Result<()> {
-        match way {
-            None => std::future::pending().await,
-            Some((Side::Callers, _)) => self.callers.writable().await,
-            Some((Side::Peers, _)) => match &self.peers {
-                Some(socket) => socket.writable().await,
-                None => Ok(()),
-            },
-            Some((Side::Servers, peer)) => match peer.and_then(|peer| self.servers.get(&peer)) {
-                Some(socket) => socket.writable().await,
-                None => Ok(()),
-            },
-        }
-    }
-}
-
-/// Connecting a datagram socket needs no waiting.
-trait ConnectNow {
-    fn connect_now(&self, peer: SocketAddr) -> io::Result<()>;
-}
-
-impl ConnectNow for UdpSocket {
-    fn connect_now(&self, peer: SocketAddr) -> io::Result<()> {
-        socket2::SockRef::from(self).connect(&peer.into())
-    }
-}
-
-/// Reads a socket for as long as anybody wants its datagrams.
-async fn listen(socket: Arc<UdpSocket>, side: Side, peer: Option<SocketAddr>, to: mpsc::Sender<Arrival>) {
-    let mut buffer = vec![0; LARGEST];
-    loop {
-        let arrival = match stamp::receive(&socket, &mut buffer).await {
-            Ok((length, from, came)) => {
-                Arrival::Datagram(side, from, Bytes::copy_from_slice(&buffer[..length]), came)
-            }
-            Err(error) if error.kind() == ErrorKind::ConnectionRefused => match peer {
-                Some(peer) => Arrival::Refused(side, peer),
-                None => continue,
-            },
-            Err(error) => {
-                tracing::warn!(?side, "socket.broke: {error}");
-                tokio::time::sleep(BEAT).await;
-                continue;
-            }
-        };
-        if to.send(arrival).await.is_err() {
-            return;
-        }
-    }
-}
-
 /// Writes a file so that it is there whole or not at all.
 pub(crate) fn write_whole(path: &Path, bytes: &[u8]) -> Result<()> {
     let folder = path.parent().context("no folder")?;
@@ -299,14 +176,7 @@
     // Datagrams to callers that wait for the journal, with the position that they wait for.
     let mut waiting: VecDeque<(u64, Outbound)> = VecDeque::new();
     let peers_at = peers.as_ref().map(|socket| socket.local_addr()).transpose()?;
-    let mut sockets = Sockets {
-        callers,
-        peers,
-        servers: HashMap::new(),
-        from: plan.servers,
-        receive_buffer: plan.receive_buffer,
-        arrivals: arrivals_in,
-    };
+    let mut sockets = Sockets::new(callers, peers, plan.servers, plan.receive_buffer, arrivals_in);
     let mut backlog = Backlog::new(BACKLOG);
 
     let (news_in, mut news) = mpsc::channel(16);
