--- a/daemon/src/settings/distribution.rs
+++ b/daemon/src/settings/distribution.rs
@@ -11,8 +11,8 @@
 
 /// What a subscriber gets by its control machines, and so has no table for.
 const NOT_BESIDE_SUBSCRIBER: [&str; 4] = ["gossip", "fleet", "council", "outs"];
-/// What a subscriber is sent in a second, where nothing is said. After a pause a second may hold twice as much:
-/// with the packets around it and its own polls that stays under 8 KB.
+/// What a subscriber is sent in a second, where nothing is said. After a pause a second may hold twice as
+/// much: with the packets around it and its own polls that stays under 8 KB.
 const EACH_BYTES: u32 = 3_000;
 const ROLES: &str = "\"control\" or \"subscriber\"";
 /// Scopes of one subscriber at the most.
--- a/daemon/src/sockets.rs
+++ b/daemon/src/sockets.rs
@@ -1,5 +1,5 @@
-//! The sockets of one border proxy: what comes on them is handed to its loop, what it sends goes out or is told
-//! to have found no room.
+//! The sockets of one border proxy: what comes on them is handed to its loop, what it sends goes out or is
+//! told to have found no room.
 
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
--- a/gossip/src/lib.rs
+++ b/gossip/src/lib.rs
@@ -3,8 +3,8 @@
 //! [`Node`] is handed datagrams, the time and what its proxy saw of servers; it hands back datagrams, never
 //! more bytes a second than its cap, and says which servers to suspect. [`members`] is who is there,
 //! [`statements`] what each says and what to believe of it, [`evidence`] what this proxy itself may say,
-//! [`budget`] shares out the bytes, [`channel`] carries words to those outside the gossip, [`keys`] proves who spoke, [`wire`] is the form. docs/gossip.md weighs
-//! the ways.
+//! [`budget`] shares out the bytes, [`channel`] carries words to those outside the gossip, [`keys`] proves who
+//! spoke, [`wire`] is the form. docs/gossip.md weighs the ways.
 //!
 //! Times are milliseconds on the proxy's clock, which only goes forward.
 
--- a/outs/src/lib.rs
+++ b/outs/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! [`Outs`] is the machine that the agreement gives its decisions to: [`drains`] of central servers,
 //! [`grants`] for border proxies, [`releases`] that replace them in waves. [`holder`] is what one proxy does
-//! by it: when it asks, goes and says that it is back, and what it tells of others. [`feed`] hands what changes
-//! on to whoever distributes it by scope.
+//! by it: when it asks, goes and says that it is back, and what it tells of others. [`feed`] hands what
+//! changes on to whoever distributes it by scope.
 
 #![forbid(unsafe_code)]
 
--- a/proxy/src/distributed/mod.rs
+++ b/proxy/src/distributed/mod.rs
@@ -64,8 +64,8 @@
         }
     }
 
-    /// The servers that get nothing new by what a subscriber holds, where that has changed since this was last
-    /// asked.
+    /// The servers that get nothing new by what a subscriber holds, where that has changed since this was
+    /// last asked.
     pub fn news(&mut self) -> Option<BTreeSet<String>> {
         match self {
             Self::Subscribes(subscription) => subscription.take_changed().then(|| subscription.drained()),
--- a/proxy/src/distributed/status.rs
+++ b/proxy/src/distributed/status.rs
@@ -43,8 +43,8 @@
 pub struct ScopeStatus {
     /// Its name, as in the settings.
     pub scope: String,
-    /// A subscriber: all decisions up to this are obeyed here; 0 before anything is proved. A control machine:
-    /// the decision that changed the scope last.
+    /// A subscriber: all decisions up to this are obeyed here; 0 before anything is proved. A control
+    /// machine: the decision that changed the scope last.
     pub version: u64,
     /// Entries in it.
     pub entries: usize,
