--- a/lab/src/capacity/members.rs
+++ b/lab/src/capacity/members.rs
@@ -131,14 +131,6 @@
         .map_or(0.0, |time| time.tv_sec() as f64 * 1000.0 + time.tv_nsec() as f64 / 1e6)
 }
 
-/// Bytes of memory that this process holds.
-pub fn resident() -> f64 {
-    let pages = std::fs::read_to_string("/proc/self/statm")
-        .ok()
-        .and_then(|line| line.split_whitespace().nth(1)?.parse::<f64>().ok());
-    pages.unwrap_or(0.0) * 4096.0
-}
-
 fn address(member: usize) -> SocketAddr {
     SocketAddr::from(([10, (member >> 16) as u8, (member >> 8) as u8, member as u8], 7000))
 }
--- /dev/null
+++ b/lab/tests/capacity.rs
@@ -0,0 +1,71 @@
+//! The table of docs/CAPACITY.md is what docs/capacity/*.json come to, and lines are
+//! fitted as they should be.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use lab::capacity::figure::{Figure, Sample, Subject};
+use lab::capacity::fit::Fit;
+use lab::capacity::report::{Report, table};
+use rstest::rstest;
+
+const BEGIN: &str = "<!-- figures: begin -->\n";
+const END: &str = "<!-- figures: end -->";
+
+fn docs() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../docs")
+}
+
+fn reports() -> Vec<Report> {
+    Report::read_all(&docs().join("capacity")).expect("files of figures")
+}
+
+#[test]
+fn the_page_has_the_figures_that_its_files_come_to() {
+    let page = fs::read_to_string(docs().join("CAPACITY.md")).expect("the page");
+    let (_, after) = page.split_once(BEGIN).expect("a table of figures begins");
+    let (on_page, _) = after.split_once(END).expect("and ends");
+    assert_eq!(on_page.trim(), table(&reports()).expect("samples that bear a fit").trim());
+}
+
+#[test]
+fn each_file_holds_what_its_own_samples_come_to() {
+    let reports = reports();
+    assert!(!reports.is_empty());
+    for figure in reports.iter().flat_map(|report| &report.figures) {
+        let anew = figure.anew().expect("samples that bear a fit");
+        let close = |a: f64, b: f64| (a - b).abs() <= 1e-9 * a.abs().max(1.0);
+        assert!(close(anew.fit.slope, figure.fit.slope), "{}", figure.subject.id);
+        assert!(close(anew.predicted, figure.predicted), "{}", figure.subject.id);
+        assert!(close(anew.error, figure.error), "{}", figure.subject.id);
+    }
+}
+
+#[test]
+fn a_line_is_found_again() {
+    let fit = Fit::of(&[(1.0, 5.0), (2.0, 7.0), (4.0, 11.0)]).expect("three sizes");
+    assert!((fit.slope - 2.0).abs() < 1e-9 && (fit.base - 3.0).abs() < 1e-9 && fit.spread < 1e-9);
+    assert_eq!(fit.crossing(13.0).map(f64::round), Some(5.0));
+    assert_eq!(Fit::of(&[(2.0, 7.0), (2.0, 8.0)]), None);
+}
+
+#[rstest]
+#[case::four_sizes(&[1.0, 2.0, 3.0, 4.0, 8.0], true)]
+#[case::three_sizes(&[1.0, 2.0, 3.0, 8.0], false)]
+#[case::nothing_left_out(&[1.0, 2.0, 3.0, 4.0], false)]
+fn a_figure_wants_four_sizes_and_one_left_out(#[case] sizes: &[f64], #[case] sound: bool) {
+    let subject = Subject {
+        id: "cost".to_owned(),
+        unit: "ms".to_owned(),
+        by: "members".to_owned(),
+        mechanism: "a file".to_owned(),
+        limit: Some(7.0),
+    };
+    let samples = sizes.iter().map(|&size| Sample { size, seed: 0, value: 2.0 * size + 1.0 }).collect();
+    let figure = Figure::of(subject, samples, 8.0);
+    assert_eq!(figure.is_ok(), sound);
+    if let Ok(figure) = figure {
+        assert!(figure.error.abs() < 1e-9);
+        assert_eq!(figure.crossed_at.map(f64::round), Some(3.0));
+    }
+}
