Lab: virtual runs over control machines; a node is looked at again only when time has passed

Cause of a hang: a due time as a sum and its condition as a difference differ by a rounding, so that virtual time stood still.

--- a/lab/src/scale/book.rs
+++ b/lab/src/scale/book.rs
@@ -15,10 +15,10 @@
 pub const PART: u8 = 9;
 
 #[derive(Serialize, Deserialize)]
-struct Command {
-    scope: Scope,
-    key: String,
-    value: Vec<u8>,
+pub(super) struct Command {
+    pub scope: Scope,
+    pub key: String,
+    pub value: Vec<u8>,
 }
 
 /// A change as a command of the agreement.
--- a/lab/src/scale/council.rs
+++ b/lab/src/scale/council.rs
@@ -19,6 +19,10 @@
 const CAP: f64 = 16_000.0;
 const PROBE_INTERVAL: f64 = 200.0;
 const HEARTBEAT: f64 = 200.0;
+/// The same for control machines. The heartbeat is longer than the way to the farthest region and back once
+/// an answer; ten of them without a leader begin an election.
+const CONTROL_CAP: f64 = 1e6;
+const CONTROL_HEARTBEAT: f64 = 100.0;
 const LEASE: f64 = 10_000.0;
 const LIARS: usize = 2;
 const RESEND: f64 = 500.0;
@@ -37,9 +41,15 @@
 }
 
 impl Terms {
-    pub fn new(roster: Roster, voters: Vec<NodeId>) -> Self {
+    /// A fleet's gossip by the example settings.
+    pub fn of_fleet(roster: Roster, voters: Vec<NodeId>) -> Self {
         Self { roster: Arc::new(roster), voters, cap: CAP, heartbeat: HEARTBEAT }
     }
+
+    /// Control machines, which are set aside for this: their gossip may send as much as decisions want.
+    pub fn of_controls(roster: Roster, voters: Vec<NodeId>) -> Self {
+        Self { cap: CONTROL_CAP, heartbeat: CONTROL_HEARTBEAT, ..Self::of_fleet(roster, voters) }
+    }
 }
 
 /// One node's gossip and agreement.
--- a/lab/src/scale/engine/shard.rs
+++ b/lab/src/scale/engine/shard.rs
@@ -16,6 +16,10 @@
 /// A change that a node did not take is offered again after so many milliseconds.
 const OFFER_AGAIN: f64 = 50.0;
 
+/// Nodes are looked at again after so many milliseconds at the earliest, as a real loop's clock goes on
+/// meanwhile: a due time that rounding puts before its condition would otherwise be now for ever.
+const LEAST_WAIT: f64 = 0.05;
+
 /// A message on its way to another zone.
 pub struct Flight {
     pub arrives: f64,
@@ -332,7 +336,7 @@
                 self.hasher.update(&version.to_le_bytes());
             }
         }
-        let due = running.due().max(now);
+        let due = running.due().max(now + LEAST_WAIT);
         if due < seat.look_at {
             seat.look_at = due;
             self.plan_event(due, node, What::Look);
--- a/lab/src/scale/flat.rs
+++ b/lab/src/scale/flat.rs
@@ -16,7 +16,7 @@
 
 impl FlatFleet {
     pub fn new(layout: &Layout) -> Self {
-        Self { terms: Terms::new(keys::roster(0..layout.nodes()), layout.voters()) }
+        Self { terms: Terms::of_fleet(keys::roster(0..layout.nodes()), layout.voters()) }
     }
 }
 
--- a/lab/src/scale/layout.rs
+++ b/lab/src/scale/layout.rs
@@ -7,6 +7,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use anyhow::{Result, ensure};
+pub use distribution::Scope;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -15,15 +16,6 @@
 /// A node, by its number in the layout.
 pub type NodeId = usize;
 
-/// What a change concerns. The region, zone or service is given by its number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum Scope {
-    All,
-    Region(u16),
-    Zone(u16),
-    Service(u32),
-}
-
 /// The operators' target, to which services scale.
 pub const TARGET_PROXIES: usize = 33_000;
 const TARGET_SERVICES: usize = 1_300;
--- a/lab/src/scale/mod.rs
+++ b/lab/src/scale/mod.rs
@@ -19,5 +19,7 @@
 pub mod proposals;
 pub mod report;
 pub mod resources;
+pub mod scoped_book;
 pub mod script;
+pub mod tier;
 pub mod virtual_run;
--- a/lab/src/scale/tier.rs
+++ b/lab/src/scale/tier.rs
@@ -44,11 +44,10 @@
     pub fn new(layout: &Layout, seed: u64) -> Self {
         let machines = keys::roster(0..layout.controls);
         let id = |control| keys::secrets(control).id();
-        let control = |control| {
-            ControlMachine { id: id(control), region: layout.site(control).region as u16 }
-        };
+        let control =
+            |control| ControlMachine { id: id(control), region: layout.site(control).region as u16 };
         Self {
-            council: Terms::new(machines, layout.voters()),
+            council: Terms::of_controls(machines, layout.voters()),
             everybody: keys::roster(0..layout.nodes()),
             controls: (0..layout.controls).map(control).collect(),
             addresses: Arc::new((0..layout.controls).map(|of| (id(of), Layout::address(of))).collect()),
@@ -100,7 +99,8 @@
             subscriber.restore(disk);
         }
         let controls = fleet.addresses.clone();
-        let mut started = Self { channel, subscriber, controls, versions: BTreeMap::new(), disk: disk.to_vec() };
+        let mut started =
+            Self { channel, subscriber, controls, versions: BTreeMap::new(), disk: disk.to_vec() };
         started.take_over();
         started
     }
--- a/lab/src/scale/virtual_run.rs
+++ b/lab/src/scale/virtual_run.rs
@@ -13,6 +13,7 @@
 use super::report::Report;
 use super::resources::{self, Free, Need};
 use super::script::Script;
+use super::tier::TierFleet;
 
 /// Bytes that a member of a flat fleet holds of each other member, and that any node holds of itself.
 const FLAT_BYTES_PER_PAIR: f64 = 900.0;
@@ -50,8 +51,11 @@
         resources::check(&self.need(), &Free::now())?;
         let layout = Layout::new(self.layout, self.seed)?;
         self.script.check(&layout)?;
-        ensure!(self.flat, "without --flat there is nothing to play yet");
-        self.play_fleet(&FlatFleet::new(&layout), &layout, progress)
+        if self.flat {
+            self.play_fleet(&FlatFleet::new(&layout), &layout, progress)
+        } else {
+            self.play_fleet(&TierFleet::new(&layout, self.seed), &layout, progress)
+        }
     }
 
     fn play_fleet<F: Fleet>(
--- a/lab/tests/scale/main.rs
+++ b/lab/tests/scale/main.rs
@@ -6,3 +6,4 @@
 mod network;
 mod resources;
 mod script;
+mod tier;
