--- a/lab/src/scale/judge.rs
+++ b/lab/src/scale/judge.rs
@@ -37,7 +37,7 @@
             figures.get(place.saturating_sub(1)).copied().unwrap_or(0.0)
         };
         let count = figures.len();
-        let mean = figures.iter().sum::<f64>() / count.max(1) as f64;
+        let mean = figures.iter().fold(0.0, |sum, figure| sum + figure) / count.max(1) as f64;
         Self { count, mean, median: at(0.5), p99: at(0.99), last: at(1.0) }
     }
 }
--- a/lab/src/scale/tier.rs
+++ b/lab/src/scale/tier.rs
@@ -21,11 +21,12 @@
 /// How often subscribers poll, and the age that their state may have, in milliseconds.
 const HEARTBEAT: f64 = 1_000.0;
 const LEASE: f64 = 10_000.0;
-/// Bounds of a control machine: subscribers, bytes a second to all and to each, snapshots at once.
-const MOST_SUBSCRIBERS: usize = 4_000;
+/// Bounds of a control machine, as the example settings have them: subscribers, bytes a second to all and to
+/// each, snapshots at once.
+const MOST_SUBSCRIBERS: usize = 4_096;
 const BYTES_PER_SECOND: f64 = 8e6;
-const SUBSCRIBER_BYTES_PER_SECOND: f64 = 6_000.0;
-const SNAPSHOTS_AT_ONCE: usize = 128;
+const SUBSCRIBER_BYTES_PER_SECOND: f64 = 3_000.0;
+const SNAPSHOTS_AT_ONCE: usize = 64;
 /// Bytes of the largest scope that a subscriber takes.
 const MOST_SCOPE_BYTES: usize = 1 << 20;
 
