--- a/lab/src/scale/tier.rs
+++ b/lab/src/scale/tier.rs
@@ -21,11 +21,12 @@
 /// How often subscribers poll, and the age that their state may have, in milliseconds.
 const HEARTBEAT: f64 = 1_000.0;
 const LEASE: f64 = 10_000.0;
-/// Bounds of a control machine: subscribers, bytes a second to all and to each, snapshots at once.
-const MOST_SUBSCRIBERS: usize = 4_000;
+/// Bounds of a control machine, as the example settings have them: subscribers, bytes a second to all and to
+/// each, snapshots at once.
+const MOST_SUBSCRIBERS: usize = 4_096;
 const BYTES_PER_SECOND: f64 = 8e6;
-const SUBSCRIBER_BYTES_PER_SECOND: f64 = 6_000.0;
-const SNAPSHOTS_AT_ONCE: usize = 128;
+const SUBSCRIBER_BYTES_PER_SECOND: f64 = 3_000.0;
+const SNAPSHOTS_AT_ONCE: usize = 64;
 /// Bytes of the largest scope that a subscriber takes.
 const MOST_SCOPE_BYTES: usize = 1 << 20;
 
@@ -44,11 +45,10 @@
     pub fn new(layout: &Layout, seed: u64) -> Self {
         let machines = keys::roster(0..layout.controls);
         let id = |control| keys::secrets(control).id();
-        let control = |control| {
-            ControlMachine { id: id(control), region: layout.site(control).region as u16 }
-        };
+        let control =
+            |control| ControlMachine { id: id(control), region: layout.site(control).region as u16 };
         Self {
-            council: Terms::new(machines, layout.voters()),
+            council: Terms::of_controls(machines, layout.voters()),
             everybody: keys::roster(0..layout.nodes()),
             controls: (0..layout.controls).map(control).collect(),
             addresses: Arc::new((0..layout.controls).map(|of| (id(of), Layout::address(of))).collect()),
@@ -100,7 +100,8 @@
             subscriber.restore(disk);
         }
         let controls = fleet.addresses.clone();
-        let mut started = Self { channel, subscriber, controls, versions: BTreeMap::new(), disk: disk.to_vec() };
+        let mut started =
+            Self { channel, subscriber, controls, versions: BTreeMap::new(), disk: disk.to_vec() };
         started.take_over();
         started
     }
