Distribution: one bound of council proofs for both ends

Cause: control.rs and trust.rs each had MOST_LINKS, the same 64 in two places; a control machine that kept fewer than subscribers take would leave them behind without a word. Change: control.rs uses trust's. No behaviour changes.

--- a/distribution/src/control.rs
+++ b/distribution/src/control.rs
@@ -22,6 +22,7 @@
 use crate::scope::Scope;
 use crate::sessions::{MOST_SESSION_SCOPES, Sent, Sessions, Subscribed};
 use crate::state::ScopedState;
+use crate::trust::MOST_LINKS;
 use crate::wire::{self, Changes, KeyChange, MOST_CHANGES_BYTES, Message, Poll, Transfer};
 use crate::{Outgoing, Version};
 
@@ -54,8 +55,6 @@
 const MOST_BATCHES: usize = 16;
 /// Whoever is told to come later is told so many heartbeats at most.
 const LATEST_HEARTBEATS: f64 = 8.0;
-/// Proofs of councils that are kept, as many as [`agree`] keeps.
-const MOST_LINKS: usize = 64;
 /// The part of a second's bytes that may be sent at once after a pause. The rest comes evenly, so that no
 /// second has more than the setting.
 const BURST: f64 = 0.25;
--- a/distribution/src/trust.rs
+++ b/distribution/src/trust.rs
@@ -17,7 +17,7 @@
 /// Seals that are kept: proofs of scopes that come out of order still find theirs. More would cost memory
 /// only.
 const MOST_SEALS: usize = 8;
-/// Proofs of councils that are kept, as many as control machines keep.
+/// Proofs of councils that are kept, at subscribers and at control machines: as many as [`agree`] keeps.
 pub const MOST_LINKS: usize = 64;
 
 /// A seal that several hold. Printed short: by its index and what begins the state's root.
