--- a/lab/src/commands/scale.rs
+++ b/lab/src/commands/scale.rs
@@ -24,7 +24,7 @@
     /// Hollow proxies; 1000 with --quick, 3000 without
     #[arg(long)]
     proxies: Option<usize>,
-    /// calm, loss, control-dead, region-cut, zone-back, bad-day or a file; all built-in ones with "all"
+    /// calm, loss, control-dead, region-cut, zone-back, bad-day or a file
     #[arg(long, default_value = "calm")]
     script: String,
     #[arg(long, default_value_t = 1)]
