The interval of a subscriber's writes stands with the subscription, not in the daemon's file

Cause: a span that was chosen (how much a crash may lose) stood in a file that does I/O. Change: moved to proxy/src/distributed/, named for what it is. No behaviour changes.

--- a/daemon/src/distribution.rs
+++ b/daemon/src/distribution.rs
@@ -9,7 +9,7 @@
 use agree::seal::FleetKeys;
 use anyhow::{Context, Result};
 use border::distributed::{
-    ControlAddress, Distributed, Service, ServiceTerms, Subscription, SubscriptionTerms,
+    ControlAddress, Distributed, STATE_WRITE_INTERVAL, Service, ServiceTerms, Subscription, SubscriptionTerms,
 };
 use border::{BorderProxy, Decisions};
 use distribution::placement::ControlMachine;
@@ -18,10 +18,6 @@
 use crate::keys::{self, Keyring};
 use crate::settings::{DistributionPlan, DistributionRole, Plan, ServedPlan, SubscriberPlan};
 
-/// Milliseconds between writes of the state file. Less writes more often while much changes; what a crash
-/// loses is fetched anew from a control machine, if one can be reached.
-const WRITE_EVERY: f64 = 1_000.0;
-
 /// The file of a subscriber's state.
 pub struct StateFile {
     path: PathBuf,
@@ -46,7 +42,7 @@
         }
     }
 
-    /// Keeps what the proxy holds now, at most once in [`WRITE_EVERY`].
+    /// Keeps what the proxy holds now, at most once in [`STATE_WRITE_INTERVAL`].
     pub fn turn(&mut self, now: f64, proxy: &mut BorderProxy<impl Decisions>) {
         if let Some(bytes) = proxy.distribution_to_keep() {
             self.unwritten = Some(bytes);
@@ -54,7 +50,7 @@
         if now >= self.write_at
             && let Some(bytes) = self.unwritten.take()
         {
-            self.write_at = now + WRITE_EVERY;
+            self.write_at = now + STATE_WRITE_INTERVAL;
             self.write(&bytes);
         }
     }
--- a/proxy/src/distributed/mod.rs
+++ b/proxy/src/distributed/mod.rs
@@ -18,7 +18,7 @@
     ChangeStatus, DistributedDrain, DistributionRole, DistributionStatus, LackingStatus, ScopeStatus,
     SubscribersStatus,
 };
-pub use subscription::{ControlAddress, Subscription, SubscriptionTerms};
+pub use subscription::{ControlAddress, STATE_WRITE_INTERVAL, Subscription, SubscriptionTerms};
 
 /// A proxy's part in the distribution.
 pub enum Distributed {
--- a/proxy/src/distributed/subscription.rs
+++ b/proxy/src/distributed/subscription.rs
@@ -18,6 +18,10 @@
 
 use super::status::{DistributedDrain, DistributionRole, DistributionStatus, ScopeStatus, finite};
 
+/// Milliseconds between writes of what [`Subscription::saved`] gives. Less writes more often while much changes;
+/// what a crash loses is fetched anew from a control machine, if one can be reached.
+pub const STATE_WRITE_INTERVAL: f64 = 1_000.0;
+
 /// A control machine, and where it is heard.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ControlAddress {
