--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -75,6 +75,9 @@
     }
     match lost {
         0 => finish(0, "held: every call that stood and was over was released to its caller"),
-        n => finish(1, &format!("broken: {n} calls that stood and were over were not released to their caller in 8 s")),
+        n => finish(
+            1,
+            &format!("broken: {n} calls that stood and were over were not released to their caller in 8 s"),
+        ),
     }
 }
--- a/review/2/main.rs
+++ b/review/2/main.rs
@@ -74,6 +74,9 @@
     }
     match lost.len() {
         0 => finish(0, "held: every call that stood and was over was released to its caller"),
-        n => finish(1, &format!("broken: {n} calls that stood and were over were never released to their caller")),
+        n => finish(
+            1,
+            &format!("broken: {n} calls that stood and were over were never released to their caller"),
+        ),
     }
 }
--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -71,7 +71,9 @@
         0 => finish(0, "held: no set-up went to a draining call host after the grace"),
         n => finish(
             1,
-            &format!("broken: {n} set-ups went to draining call hosts after the grace, {cut} of these calls were cut"),
+            &format!(
+                "broken: {n} set-ups went to draining call hosts after the grace, {cut} of these calls were cut"
+            ),
         ),
     }
 }
--- a/review/common/stand_ins.rs
+++ b/review/common/stand_ins.rs
@@ -159,9 +159,17 @@
 #[derive(Clone)]
 pub enum Plan {
     /// Answers after this time with this description. `length` is written to Content-Length if given.
-    Accept { after_ms: u64, desc: String, length: Option<usize> },
+    Accept {
+        after_ms: u64,
+        desc: String,
+        length: Option<usize>,
+    },
     /// Refuses after this time.
-    Refuse { after_ms: u64, code: u16, note: &'static str },
+    Refuse {
+        after_ms: u64,
+        code: u16,
+        note: &'static str,
+    },
     Silent,
 }
 
@@ -244,23 +252,25 @@
             stopped: AtomicBool::new(false),
         });
         let shared = state.clone();
-        thread::spawn(move || loop {
-            if shared.stopped.load(Ordering::Relaxed) {
-                return;
-            }
-            if shared.has_vanished() {
-                // The listener stays, and nobody accepts.
-                sleep_ms(1000);
-                continue;
-            }
-            match listener.accept() {
-                Ok((stream, _)) => {
-                    let _ = stream.set_nonblocking(false);
-                    let _ = stream.set_nodelay(true);
-                    let shared = shared.clone();
-                    thread::spawn(move || shared.serve(Arc::new(stream)));
+        thread::spawn(move || {
+            loop {
+                if shared.stopped.load(Ordering::Relaxed) {
+                    return;
+                }
+                if shared.has_vanished() {
+                    // The listener stays, and nobody accepts.
+                    sleep_ms(1000);
+                    continue;
+                }
+                match listener.accept() {
+                    Ok((stream, _)) => {
+                        let _ = stream.set_nonblocking(false);
+                        let _ = stream.set_nodelay(true);
+                        let shared = shared.clone();
+                        thread::spawn(move || shared.serve(Arc::new(stream)));
+                    }
+                    Err(_) => sleep_ms(1),
                 }
-                Err(_) => sleep_ms(1),
             }
         });
         // The state of its lines, told unasked each second (told_ms) if it has changed, on the open connections.
@@ -370,7 +380,11 @@
 
     fn note(&self, call: &str, what: &str) {
         record(&format!("host {}: call {call}: {what}", self.name));
-        self.events.lock().unwrap().push(Event { at: now_ms(), call: call.to_owned(), what: what.to_owned() });
+        self.events.lock().unwrap().push(Event {
+            at: now_ms(),
+            call: call.to_owned(),
+            what: what.to_owned(),
+        });
     }
 
     fn has_vanished(&self) -> bool {
@@ -395,7 +409,10 @@
         self.notify(&stream);
         let unheard = self.unheard.lock().unwrap().clone();
         for (call, cause) in unheard {
-            self.note(&call, &format!("sends BYE, cause {cause}, on connection {number} too, as it was just opened"));
+            self.note(
+                &call,
+                &format!("sends BYE, cause {cause}, on connection {number} too, as it was just opened"),
+            );
             let _ = (&*stream).write_all(&bye(&call, cause));
         }
         self.connections.lock().unwrap().push((number, stream.clone()));
@@ -427,7 +444,10 @@
         };
         match method.as_str() {
             "INVITE" => {
-                self.note(&call, &format!("reads INVITE on connection {number}, X-Deadline {}", message.deadline));
+                self.note(
+                    &call,
+                    &format!("reads INVITE on connection {number}, X-Deadline {}", message.deadline),
+                );
                 self.cancelled.lock().unwrap().retain(|c| *c != call);
                 let plan = (self.decide)(&message, number);
                 let (this, stream) = (self.clone(), stream.clone());
@@ -468,7 +488,8 @@
             Plan::Accept { after_ms, desc, length } => {
                 sleep_ms(after_ms);
                 let length_field = length.unwrap_or(desc.len());
-                let what = format!("answers 200, body of {} bytes, Content-Length {length_field}", desc.len());
+                let what =
+                    format!("answers 200, body of {} bytes, Content-Length {length_field}", desc.len());
                 (sip("SIP/2.0 200 OK", call, &message.cseq, &gauges, desc.as_bytes(), length_field), what)
             }
         };
