--- a/daemon/src/connections.rs
+++ b/daemon/src/connections.rs
@@ -45,8 +45,10 @@
 pub enum ReadResult {
     Bytes(Bytes),
     Nothing,
-    /// The peer closed the connection, or reading failed.
+    /// The peer closed the connection after its data.
     End,
+    /// The connection was broken off.
+    Failed,
 }
 
 /// One open connection with its tasks.
@@ -165,7 +167,7 @@
             // Copied, so that an idle connection holds no buffer.
             Ok(_) => ReadResult::Bytes(Bytes::copy_from_slice(&buffer)),
             Err(error) if error.kind() == ErrorKind::WouldBlock => ReadResult::Nothing,
-            Err(_) => ReadResult::End,
+            Err(_) => ReadResult::Failed,
         }
     }
 
@@ -180,7 +182,7 @@
             Err(error) if [ErrorKind::WouldBlock, ErrorKind::Interrupted].contains(&error.kind()) => {
                 ReadResult::Nothing
             }
-            Err(_) => ReadResult::End,
+            Err(_) => ReadResult::Failed,
         }
     }
 
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -90,7 +90,7 @@
             Action::Dial { conn, address, timeout } => self.connections.dial(conn, address, timeout),
             Action::Write { conn, bytes } => {
                 if !self.connections.write(conn, bytes) {
-                    return self.fail_connection(conn, ConnectionError::Closed);
+                    return self.fail_connection(conn, ConnectionError::Reset);
                 }
             }
             Action::SendAttempt(queued) => return self.send_attempt(queued),
@@ -100,7 +100,7 @@
                 if self.connections.is_partially_written(queued)
                     || !self.connections.write(queued.conn, bytes)
                 {
-                    return self.fail_connection(queued.conn, ConnectionError::Closed);
+                    return self.fail_connection(queued.conn, ConnectionError::Reset);
                 }
             }
             Action::Evict { conn } => {
@@ -136,7 +136,7 @@
         let reported = self.read_all(queued.caller);
         let Some(bytes) = self.border.send_attempt(self.clock.now(), queued) else { return true };
         if !self.connections.write(queued.conn, bytes) {
-            return self.fail_connection(queued.conn, ConnectionError::Closed);
+            return self.fail_connection(queued.conn, ConnectionError::Reset);
         }
         self.connections.attempt_written(queued);
         reported
@@ -161,6 +161,7 @@
             ReadResult::Bytes(bytes) => self.border.receive(self.clock.now(), conn, &bytes),
             ReadResult::Nothing => return false,
             ReadResult::End => return self.fail_connection(conn, ConnectionError::Closed),
+            ReadResult::Failed => return self.fail_connection(conn, ConnectionError::Reset),
         }
         true
     }
