Read the change log before a set-up is sent, also after a stall

Cause: the change log was read by tasks of its own, one update a turn, so the order of reads decided. Trace of the old code: three attempts chosen for s-0 at 26.6214 s, changelog.news at 26.6220 s, both waiting since the stall.

Change: the loop runs the client itself and reads all that has arrived, straight from the socket, before anything else of a turn; an attempt leaves only if that socket holds nothing unread just then. ServedProxy moves to a file of its own.

Changed test: events_read_but_not_applied_before_the_change_log_moves_are_requested_again failed 4 of 4 at its own precondition (moved before the last event was applied): events are applied as soon as they are read now, so 8,000 were in force before the signal. It now stops the process, so that signal and events cross by force, and leaves the last hundred events to the next log; that no event is lost is asked as before.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backlog;
 pub mod backoff;
 mod changelog_client;
+mod changelog_stream;
 mod clock;
 mod connections;
 pub mod control;
@@ -22,6 +23,7 @@
 pub mod run;
 pub mod running_release;
 pub mod serve;
+mod served_proxy;
 pub mod settings;
 mod sockets;
 mod udp_timestamps;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -8,21 +8,19 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
-use platform::{Action, Border, ConnectionError, ConnectionId, PlatformConfig, QueuedAttempt};
-use socket2::SockRef;
-use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use platform::{Border, PlatformConfig};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 
-use crate::changelog_client::{self, AppliedSeq};
+use crate::changelog_client::ChangelogClient;
 use crate::clock::{Clock, unix_ms};
-use crate::connections::{ConnectionEvent, Connections, ReadResult};
+use crate::connections::Connections;
+use crate::served_proxy::ServedProxy;
 
 /// Connection events handled in one turn of the loop.
 const MAX_EVENTS_PER_TURN: usize = 128;
-/// Callers' connections accepted in one turn of the loop.
-const MAX_ACCEPTED_PER_TURN: usize = 16;
 /// Pause after a failed accept, for example when out of file descriptors.
 const ACCEPT_RETRY_MS: f64 = 50.0;
 /// The previous process of this proxy may still hold the address: binding is retried at this interval, up to
@@ -39,8 +37,6 @@
 const UNSENT_WAIT_MS: f64 = 1000.0;
 /// How long, in all, connections are read before they are closed at the end of a stop.
 const LAST_READ_TIMEOUT: Duration = Duration::from_millis(100);
-/// Reads of one connection in a row.
-const MAX_READS: usize = 4;
 /// Interval of the debug log lines that compare the module's state with the sockets.
 const DIAGNOSTICS_INTERVAL_MS: f64 = 1000.0;
 
@@ -61,172 +57,6 @@
     }
 }
 
-/// The proxy with its sockets.
-struct ServedProxy {
-    border: Border,
-    connections: Connections,
-    peers: Option<(UdpSocket, SocketAddr)>,
-    clock: Clock,
-}
-
-impl ServedProxy {
-    /// Performs all pending actions, and those that follow from what they report.
-    fn perform_actions(&mut self) {
-        loop {
-            let mut reported = false;
-            while let Some(action) = self.border.next_action() {
-                reported |= self.perform(action);
-            }
-            if !reported {
-                return;
-            }
-            self.border.run_pending();
-        }
-    }
-
-    /// Performs an action; true if something was reported to the border.
-    fn perform(&mut self, action: Action) -> bool {
-        match action {
-            Action::Dial { conn, address, timeout } => self.connections.dial(conn, address, timeout),
-            Action::Write { conn, bytes } => {
-                if !self.connections.write(conn, bytes) {
-                    return self.fail_connection(conn, ConnectionError::Reset);
-                }
-            }
-            Action::SendAttempt(queued) => return self.send_attempt(queued),
-            Action::Cancel { attempt: queued, bytes } => {
-                // A partly written attempt can't be cancelled by a message: the connection is closed, so that
-                // the attempt never reaches the server whole.
-                if self.connections.is_partially_written(queued)
-                    || !self.connections.write(queued.conn, bytes)
-                {
-                    return self.fail_connection(queued.conn, ConnectionError::Reset);
-                }
-            }
-            Action::Evict { conn } => {
-                self.read_all(conn);
-                self.border.evict(self.clock.now(), conn);
-                return true;
-            }
-            Action::Close { conn } => self.connections.close(conn),
-            Action::FlushAndClose { conn } => self.connections.flush_and_close(conn),
-            Action::Broadcast { bytes } => {
-                if let Some((socket, all)) = &self.peers {
-                    let _ = socket.try_send_to(&bytes, *all);
-                }
-            }
-        }
-        false
-    }
-
-    /// Closes a connection and reports its failure; always true.
-    fn fail_connection(&mut self, conn: ConnectionId, error: ConnectionError) -> bool {
-        self.connections.close(conn);
-        self.border.connection_failed(self.clock.now(), conn, error);
-        true
-    }
-
-    /// Sends an attempt, unless its connection has unwritten bytes or its caller has gone; true if something
-    /// was reported.
-    fn send_attempt(&mut self, queued: QueuedAttempt) -> bool {
-        if self.connections.has_unwritten(queued.conn) {
-            self.connections.queue_attempt(queued);
-            return false;
-        }
-        let reported = self.read_all(queued.caller);
-        let Some(bytes) = self.border.send_attempt(self.clock.now(), queued) else { return true };
-        if !self.connections.write(queued.conn, bytes) {
-            return self.fail_connection(queued.conn, ConnectionError::Reset);
-        }
-        self.connections.attempt_written(queued);
-        reported
-    }
-
-    /// Reads a connection up to [`MAX_READS`] times; true if something was reported.
-    fn read_all(&mut self, conn: ConnectionId) -> bool {
-        let mut reported = false;
-        for _ in 0..MAX_READS {
-            let result = self.connections.read_now(conn);
-            if !self.handle_read(conn, result) {
-                break;
-            }
-            reported = true;
-        }
-        reported
-    }
-
-    /// Reports the result of a read; false if there was nothing to report.
-    fn handle_read(&mut self, conn: ConnectionId, result: ReadResult) -> bool {
-        match result {
-            ReadResult::Bytes(bytes) => self.border.receive(self.clock.now(), conn, &bytes),
-            ReadResult::Nothing => return false,
-            ReadResult::End => return self.fail_connection(conn, ConnectionError::Closed),
-            ReadResult::Failed => return self.fail_connection(conn, ConnectionError::Reset),
-        }
-        true
-    }
-
-    fn handle_event(&mut self, event: ConnectionEvent) {
-        match event {
-            ConnectionEvent::Connected(conn, stream) => {
-                if self.connections.connected(conn, stream) {
-                    self.border.connected(self.clock.now(), conn);
-                }
-            }
-            ConnectionEvent::Readable(conn) => {
-                let result = self.connections.read(conn);
-                self.handle_read(conn, result);
-            }
-            ConnectionEvent::OutboxEmpty(conn) => {
-                for queued in self.connections.outbox_emptied(conn) {
-                    self.send_attempt(queued);
-                }
-            }
-            ConnectionEvent::Failed(conn, error) => {
-                self.fail_connection(conn, error);
-            }
-        }
-    }
-
-    fn add_caller(&mut self, stream: TcpStream, from: SocketAddr) {
-        let conn = self.border.caller_connected(self.clock.now(), from.ip());
-        self.connections.add(conn, stream);
-    }
-
-    /// Accepts waiting callers, up to [`MAX_ACCEPTED_PER_TURN`]; returns how many.
-    fn accept_callers(&mut self, listener: &TcpListener) -> io::Result<usize> {
-        for accepted in 0..MAX_ACCEPTED_PER_TURN {
-            match SockRef::from(listener).accept() {
-                Ok((socket, from)) => {
-                    socket.set_nonblocking(true)?;
-                    let from = from.as_socket().unwrap_or(SocketAddr::from(([0, 0, 0, 0], 0)));
-                    self.add_caller(TcpStream::from_std(socket.into())?, from);
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(accepted),
-                // The caller disconnected before it was accepted.
-                Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
-                Err(error) => return Err(error),
-            }
-        }
-        Ok(MAX_ACCEPTED_PER_TURN)
-    }
-
-    /// Whether nothing is left to do. Reads each caller's connection, since arrived bytes may not have been
-    /// reported yet. With `release_wait_over`, pending releases and unwritten bytes no longer count.
-    fn is_done(&mut self, listener: &TcpListener, release_wait_over: bool) -> bool {
-        let mut reported = self.accept_callers(listener).is_ok_and(|accepted| accepted > 0);
-        for conn in self.border.caller_connections() {
-            reported |= self.read_all(conn);
-        }
-        if reported {
-            self.border.run_pending();
-            self.perform_actions();
-        }
-        let unsent = self.border.pending_releases() > 0 || self.connections.any_unwritten();
-        !reported && self.border.open_set_ups() == 0 && (release_wait_over || !unsent)
-    }
-}
-
 fn read_configuration(path: &str) -> Result<PlatformConfig> {
     let text = fs::read_to_string(path).with_context(|| path.to_owned())?;
     PlatformConfig::read(&text).with_context(|| path.to_owned())
@@ -297,23 +127,15 @@
         _ = terminate.recv() => return Ok(()),
         _ = interrupt.recv() => return Ok(()),
     };
-    let (changelog, changelog_out) = watch::channel(config.changelog);
-    let applied_seq = AppliedSeq::new(border.last_seq());
-    let (updates_in, mut updates) = mpsc::channel(16);
-    tokio::task::spawn_local(changelog_client::follow(
-        changelog_out,
-        applied_seq.clone(),
-        config.seed,
-        updates_in,
-    ));
-    let mut proxy = ServedProxy { border, connections: Connections::new(events_in), peers, clock };
+    let changelog = ChangelogClient::new(config.changelog, border.last_seq(), config.seed);
+    let mut proxy = ServedProxy::new(border, Connections::new(events_in), changelog, peers, clock);
     tracing::info!(name = config.name, %listen, sockets = config.limits.sockets, "proxy.ready");
 
     let mut stop_at: Option<f64> = None;
     let (mut accept_at, mut reload_at) = (0.0, f64::INFINITY);
     let mut diagnostics_at = 0.0;
     loop {
-        proxy.perform_actions();
+        proxy.perform_all_actions().await;
         proxy.connections.wait_closed().await;
         let now = proxy.clock.now();
         let accepting = now >= accept_at;
@@ -324,7 +146,7 @@
         tokio::select! {
             event = events.recv() => first = event,
             accepted = listener.accept(), if accepting => caller = Some(accepted),
-            Some(received) = updates.recv() => update = Some(received),
+            received = proxy.changelog.next_update() => update = Some(received),
             _ = terminate.recv() => stop_at = stop_at.or(Some(proxy.clock.now() + STOP_GRACE_MS)),
             _ = interrupt.recv() => stop_at = stop_at.or(Some(proxy.clock.now() + STOP_GRACE_MS)),
             _ = hang_up.recv() => reload_at = 0.0,
@@ -335,7 +157,7 @@
             // The file may be half written.
             reload_at = match read_configuration(&path) {
                 Ok(config) => {
-                    changelog.send_replace(config.changelog);
+                    proxy.changelog.set_address(config.changelog);
                     f64::INFINITY
                 }
                 Err(error) => {
@@ -345,13 +167,9 @@
             };
         }
         if let Some(update) = update {
-            tracing::debug!(version = update.version, whole = update.whole, "changelog.news");
-            if let Err(error) = proxy.border.update_server_list(now, unix_ms(), &update) {
-                tracing::warn!("changelog.unfit: {error}");
-                applied_seq.request_again();
-            }
-            applied_seq.set(proxy.border.last_seq());
+            proxy.apply_update(&update);
         }
+        proxy.read_changelog().await;
         let accept_result = match caller {
             Some(Ok((stream, from))) => {
                 proxy.add_caller(stream, from);
@@ -377,7 +195,7 @@
         if let Some(at) = stop_at {
             proxy.border.stop();
             if now >= at {
-                proxy.perform_actions();
+                proxy.perform_all_actions().await;
                 if proxy.is_done(&listener, now >= at + UNSENT_WAIT_MS) {
                     break;
                 }
--- a/daemon/tests/races.rs
+++ b/daemon/tests/races.rs
@@ -172,6 +172,8 @@
 #[test]
 fn events_read_but_not_applied_before_the_change_log_moves_are_requested_again() {
     const LAST: u64 = 8000;
+    const WRITTEN_BEFORE: usize = 2000;
+    const TOLD_LATER: usize = 100;
     let server = Server::new("s-0");
     let mut proxy = TestProxy::new(&[&server]);
     let (mut open, _) = proxy.changelog.accept_request();
@@ -179,11 +181,14 @@
     let events: Vec<String> = (2..=LAST).map(|seq| event(seq, &[server.entry("in_service")])).collect();
     proxy.set("/changelog", json!(next.address().to_string()));
     proxy.write(1.0);
-    let all = events.concat();
-    let writer = std::thread::spawn(move || open.write_all(all.as_bytes()));
-    // By now more events have been read than applied.
+    open.write_all(events[..WRITTEN_BEFORE].concat().as_bytes()).expect("written");
     wait_for("some events", || (proxy.applied_events().len() > 200).then_some(()));
+    // The signal and more events wait for the process together. The last events are told by the next log alone.
+    proxy.pause();
+    let crossing = events[WRITTEN_BEFORE..events.len() - TOLD_LATER].concat();
+    let writer = std::thread::spawn(move || open.write_all(crossing.as_bytes()));
     proxy.signal("-HUP");
+    proxy.resume();
     let (mut stream, last) = next.accept_request();
     assert!(last < LAST, "it moved before the last event was applied");
     stream.write_all(events[last as usize - 1..].concat().as_bytes()).expect("written");
