Fleet limits: a late request does not replace the loan of a newer one

What operators could see: more set-ups in a window than the fleet's limit (43 over 40 in the known red input).

Cause: handle_request dropped any loan that was not larger than a new one, also where the new one answered an older request that had been held back. The record then bore the old serial, and a return of the old serial, also held back, freed permits that the borrower used.

Change: a request older than a granted one of the same process is not granted; its borrower has dropped it.

--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -408,6 +408,11 @@
         if let Some(loan) = self.lent.get(&from).and_then(|loans| loans.iter().find(|l| l.serial == serial)) {
             return (loan.count, 0);
         }
+        // The borrower has dropped a request that is older than one it was granted, and does not accept a grant for it.
+        // A loan for it would replace the newer one, and its return would free permits that are in use.
+        if self.lent.get(&from).is_some_and(|loans| loans.iter().any(|loan| loan.serial > serial)) {
+            return (0, 0);
+        }
         let lent_to_others: usize =
             self.lent.iter().filter(|(to, _)| **to != from).map(|(_, l)| Self::reserved_for(l)).sum();
         let kept = self
--- a/fleet/tests/scenarios.rs
+++ b/fleet/tests/scenarios.rs
@@ -129,6 +129,19 @@
     assert_eq!((ledger.lent, ledger.cooling_down), (3, 2), "however often it asks");
 }
 
+/// A request that was delayed must not replace the loan of a later request: its return would free permits that the
+/// borrower still uses.
+#[test]
+fn a_delayed_request_and_its_return_leave_the_loan_of_a_later_request_reserved() {
+    let (mut first, _, now) = pair();
+    let limit = limit_id(SERVER);
+    let request = |serial, want| Message::Request { limit, serial, want, no_permits: false };
+    for message in [request(2, 3), request(1, 5), Message::Return { limit, serial: 1 }] {
+        first.receive(now, 2, &wire::encode(7, &[message]));
+    }
+    assert_eq!(first.free_permits(now, SERVER), Some(2), "three are lent until the later loan ends");
+}
+
 #[test]
 fn a_member_that_joins_after_a_start_must_clear_earlier_loans_too() {
     let mut first = Fleet::new(1, [1, 2], terms(), 1, 0.0);
@@ -153,37 +166,51 @@
     assert!(accepted < 1000, "{accepted}");
 }
 
+/// Plays losses, duplicates, delayed messages, cuts in one or both directions, restarts, stops, differing clocks and
+/// moving demand. Returns the most set-ups in any window.
+fn max_in_window_whatever_fails(seed: u64, rate: f64, members: usize) -> usize {
+    let mut network = Network::new(members, rate, seed);
+    for _ in 0..30 {
+        network.links.heal();
+        network.links.loss = [0.0, 0.0, 0.3, 0.9][network.rng.random_range(0..4)];
+        network.links.duplication = [0.0, 0.5][network.rng.random_range(0..2)];
+        network.links.max_delay = [10.0, 200.0, 4000.0][network.rng.random_range(0..3)];
+        let cuts = network.rng.random_range(0..members * 2);
+        for _ in 0..cuts {
+            let (from, to) = (network.rng.random_range(0..members), network.rng.random_range(0..members));
+            network.links.cut(&[from], &[to], true);
+        }
+        let target = network.rng.random_range(0..members);
+        match network.rng.random_range(0..4) {
+            0 => network.restart(target),
+            1 => network.stopped[target] = true,
+            2 => network.stopped.iter_mut().for_each(|stopped| *stopped = false),
+            _ => {}
+        }
+        let demand: Vec<f64> = (0..members)
+            .map(|_| if network.rng.random_range(0..3) == 0 { 2.0 * rate } else { 0.0 })
+            .collect();
+        let duration = network.rng.random_range(100.0..2500.0);
+        network.run(duration, &demand);
+    }
+    network.max_in_window(0.0)
+}
+
+/// An old request that arrived after a newer one replaced the newer loan, and a return of the old one then freed
+/// permits that the borrower still used: 43 set-ups in a window under a limit of 40.
+#[test]
+fn no_window_exceeds_the_limit_where_an_old_request_arrives_after_a_newer_one() {
+    let (seed, rate, members) = (10322696720348166105, 40.23902752616825, 5);
+    assert!(max_in_window_whatever_fails(seed, rate, members) <= rate as usize);
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 40, failure_persistence: None, ..ProptestConfig::default() })]
 
-    /// Losses, duplicates, delayed messages, cuts in one or both directions, restarts, stops, differing
-    /// clocks and moving demand: no window ever has more set-ups than the limit.
+    /// No window ever has more set-ups than the limit.
     #[test]
     fn no_window_exceeds_the_limit_whatever_fails(seed: u64, rate in 3.0f64..60.0, members in 2usize..12) {
-        let mut network = Network::new(members, rate, seed);
-        for _ in 0..30 {
-            network.links.heal();
-            network.links.loss = [0.0, 0.0, 0.3, 0.9][network.rng.random_range(0..4)];
-            network.links.duplication = [0.0, 0.5][network.rng.random_range(0..2)];
-            network.links.max_delay = [10.0, 200.0, 4000.0][network.rng.random_range(0..3)];
-            let cuts = network.rng.random_range(0..members * 2);
-            for _ in 0..cuts {
-                let (from, to) = (network.rng.random_range(0..members), network.rng.random_range(0..members));
-                network.links.cut(&[from], &[to], true);
-            }
-            let target = network.rng.random_range(0..members);
-            match network.rng.random_range(0..4) {
-                0 => network.restart(target),
-                1 => network.stopped[target] = true,
-                2 => network.stopped.iter_mut().for_each(|stopped| *stopped = false),
-                _ => {}
-            }
-            let demand: Vec<f64> = (0..members)
-                .map(|_| if network.rng.random_range(0..3) == 0 { 2.0 * rate } else { 0.0 })
-                .collect();
-            let duration = network.rng.random_range(100.0..2500.0);
-            network.run(duration, &demand);
-        }
-        prop_assert!(network.max_in_window(0.0) <= rate as usize, "{} over {}", network.max_in_window(0.0), rate as usize);
+        let max = max_in_window_whatever_fails(seed, rate, members);
+        prop_assert!(max <= rate as usize, "{max} over {}", rate as usize);
     }
 }
