--- a/sip/src/read.rs
+++ b/sip/src/read.rs
@@ -7,6 +7,7 @@
 
 /// Maximum length of a message, head and body together.
 pub const MAX_MESSAGE_BYTES: usize = 16 * 1024;
+const EMPTY_LINE: &[u8] = b"\r\n";
 /// Maximum number of header fields of a message.
 const MAX_HEADERS: usize = 64;
 
@@ -108,6 +109,12 @@
         !self.buffer.is_empty()
     }
 
+    /// Whether an empty line follows the last message. It is skipped as one that keeps a connection alive, but it
+    /// may also be the end of a body whose length was wrong.
+    pub fn is_at_empty_line(&self) -> bool {
+        self.scanned == 0 && self.buffer.starts_with(EMPTY_LINE)
+    }
+
     /// The next complete message, if any.
     ///
     /// # Errors
@@ -127,8 +134,8 @@
 
     fn parse_next(&mut self) -> Result<Option<Message>, DecodeError> {
         // Skip empty lines between messages, which keep a connection alive (RFC 5626, 4.4.1).
-        while self.scanned == 0 && self.buffer.starts_with(b"\r\n") {
-            self.buffer.advance(2);
+        while self.is_at_empty_line() {
+            self.buffer.advance(EMPTY_LINE.len());
         }
         let Some(end) = self.buffer[self.scanned..].windows(4).position(|w| w == b"\r\n\r\n") else {
             // Check the start line now rather than wait for the rest of an invalid head.
