--- a/daemon/tests/stalls.rs
+++ b/daemon/tests/stalls.rs
@@ -6,18 +6,34 @@
 
 use stand_ins::{CALLER_TIMEOUT_MS, Caller, CentralServer, Changelog, ServedProcess};
 
+/// A proxy that follows the change log, with a caller and two servers, of which the first has got one set-up.
+struct TwoServers {
+    draining: CentralServer,
+    other: CentralServer,
+    changelog: Changelog,
+    proxy: ServedProcess,
+    caller: Caller,
+}
+
+impl TwoServers {
+    fn start() -> Self {
+        let draining = CentralServer::start("s-0", 0);
+        let other = CentralServer::start("s-1", 1);
+        let changelog = Changelog::start(&[draining.entry("in_service"), other.entry("in_service")]);
+        let proxy = ServedProcess::start(&changelog);
+        changelog.wait_for_request();
+        let mut caller = Caller::connect(proxy.listen);
+        caller.offer(1, 0);
+        caller.wait_for_accept(1);
+        Self { draining, other, changelog, proxy, caller }
+    }
+}
+
 /// After a stall the proxy found the news of a drain and set-ups for the draining server waiting on its sockets, read
 /// the callers first, and sent the set-ups to the draining server.
 #[test]
 fn after_a_stall_no_set_up_goes_to_a_server_whose_drain_was_told_meanwhile() {
-    let draining = CentralServer::start("s-0", 0);
-    let other = CentralServer::start("s-1", 1);
-    let changelog = Changelog::start(&[draining.entry("in_service"), other.entry("in_service")]);
-    let proxy = ServedProcess::start(&changelog);
-    changelog.wait_for_request();
-    let mut caller = Caller::connect(proxy.listen);
-    caller.offer(1, 0);
-    caller.wait_for_accept(1);
+    let TwoServers { draining, other, changelog, proxy, mut caller } = TwoServers::start();
     assert_eq!(draining.set_ups(), 1, "the server is used while it is in service");
 
     for round in 0..3 {
@@ -38,14 +54,7 @@
 #[test]
 fn after_a_stall_all_events_of_the_change_log_are_known_before_a_set_up_is_sent() {
     const EVENTS: usize = 400;
-    let draining = CentralServer::start("s-0", 0);
-    let other = CentralServer::start("s-1", 1);
-    let changelog = Changelog::start(&[draining.entry("in_service"), other.entry("in_service")]);
-    let proxy = ServedProcess::start(&changelog);
-    changelog.wait_for_request();
-    let mut caller = Caller::connect(proxy.listen);
-    caller.offer(1, 0);
-    caller.wait_for_accept(1);
+    let TwoServers { draining, other, changelog, proxy, mut caller } = TwoServers::start();
 
     proxy.stop();
     for _ in 0..EVENTS {
