--- a/daemon/src/changelog_client.rs
+++ b/daemon/src/changelog_client.rs
@@ -2,7 +2,7 @@
 //! or is silent. Each request starts after the last event that was applied: an event that was read but not
 //! applied is sent again in the next response.
 //!
-//! [`ChangelogClient`] is driven by its owner: [`ChangelogClient::next_update`] waits for an update, and
+//! [`ChangelogClient`] is driven by its owner: [`ChangelogClient::wait_for_update`] waits for an update, and
 //! [`ChangelogClient::catch_up`] reads all that has arrived, without waiting. [`ChangelogClient::has_unread`]
 //! tells whether anything has arrived or been read that the owner has not taken yet.
 
@@ -94,11 +94,11 @@
         self.shared.request_again.notify_one();
     }
 
-    /// Waits for the next update.
-    pub async fn next_update(&mut self) -> PoolUpdates {
+    /// Waits until an update has been read.
+    pub async fn wait_for_update(&mut self) {
         poll_fn(|cx| {
             let Poll::Pending = self.follow.as_mut().poll(cx);
-            self.take_update().map_or(Poll::Pending, Poll::Ready)
+            if self.shared.updates.borrow().is_empty() { Poll::Pending } else { Poll::Ready(()) }
         })
         .await
     }
--- a/daemon/src/changelog_stream.rs
+++ b/daemon/src/changelog_stream.rs
@@ -32,7 +32,8 @@
         Self(Rc::new(Inner { stream, read_ahead: RefCell::new(BytesMut::new()) }))
     }
 
-    /// Whether data has arrived that has not been read. The end of the connection does not count as data.
+    /// Whether data has arrived that has not been read. The end of the connection does not count as data; a failure
+    /// shows to the reader as the end.
     pub fn has_unread(&self) -> bool {
         let mut read_ahead = self.0.read_ahead.borrow_mut();
         if read_ahead.is_empty() {
@@ -59,29 +60,28 @@
     }
 }
 
+fn is_would_block(result: &io::Result<usize>) -> bool {
+    result.as_ref().is_err_and(|error| error.kind() == ErrorKind::WouldBlock)
+}
+
 impl AsyncRead for ChangelogStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buffer: &mut ReadBuf) -> Poll<io::Result<()>> {
         if self.take_read_ahead(buffer) {
             return Poll::Ready(Ok(()));
         }
         loop {
-            match self.receive(buffer.initialize_unfilled()) {
-                Ok(length) => {
-                    buffer.advance(length);
-                    return Poll::Ready(Ok(()));
-                }
-                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
-                Err(error) => return Poll::Ready(Err(error)),
+            let mut received = self.receive(buffer.initialize_unfilled());
+            if is_would_block(&received) {
+                ready!(self.0.stream.poll_read_ready(cx))?;
+                // The runtime may still take the socket for readable; trying to read corrects that.
+                received = self.0.stream.try_read(buffer.initialize_unfilled());
             }
-            ready!(self.0.stream.poll_read_ready(cx))?;
-            // The runtime may still take the socket for readable; trying to read corrects that.
-            match self.0.stream.try_read(buffer.initialize_unfilled()) {
+            match received {
                 Ok(length) => {
                     buffer.advance(length);
                     return Poll::Ready(Ok(()));
                 }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                Err(error) if [ErrorKind::WouldBlock, ErrorKind::Interrupted].contains(&error.kind()) => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
         }
@@ -93,7 +93,7 @@
         loop {
             ready!(self.0.stream.poll_write_ready(cx))?;
             match self.0.stream.try_write(bytes) {
-                Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                written if is_would_block(&written) => {}
                 written => return Poll::Ready(written),
             }
         }
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -142,11 +142,11 @@
         let due = proxy.border.due().min(reload_at).min(if accepting { f64::INFINITY } else { accept_at });
         let due = stop_at.filter(|at| *at > now).map_or(due, |at| due.min(at));
         let wait = Duration::from_secs_f64((due - now).clamp(0.0, 1000.0) / 1000.0);
-        let (mut first, mut caller, mut update) = (None, None, None);
+        let (mut first, mut caller) = (None, None);
         tokio::select! {
             event = events.recv() => first = event,
             accepted = listener.accept(), if accepting => caller = Some(accepted),
-            received = proxy.changelog.next_update() => update = Some(received),
+            () = proxy.changelog.wait_for_update() => {}
             _ = terminate.recv() => stop_at = stop_at.or(Some(proxy.clock.now() + STOP_GRACE_MS)),
             _ = interrupt.recv() => stop_at = stop_at.or(Some(proxy.clock.now() + STOP_GRACE_MS)),
             _ = hang_up.recv() => reload_at = 0.0,
@@ -166,9 +166,6 @@
                 }
             };
         }
-        if let Some(update) = update {
-            proxy.apply_update(&update);
-        }
         proxy.read_changelog().await;
         let accept_result = match caller {
             Some(Ok((stream, from))) => {
--- a/daemon/src/served_proxy.rs
+++ b/daemon/src/served_proxy.rs
@@ -52,7 +52,7 @@
     }
 
     /// Applies an update of the server list.
-    pub fn apply_update(&mut self, update: &PoolUpdates) {
+    fn apply_update(&mut self, update: &PoolUpdates) {
         tracing::debug!(version = update.version, whole = update.whole, "changelog.news");
         if let Err(error) = self.border.update_server_list(self.clock.now(), unix_ms(), update) {
             tracing::warn!("changelog.unfit: {error}");
@@ -76,7 +76,7 @@
     }
 
     /// Performs the pending actions, and those that follow from what they report.
-    pub fn perform_actions(&mut self) {
+    fn perform_actions(&mut self) {
         loop {
             let mut reported = false;
             while let Some(action) = self.border.next_action() {
--- a/fleet/src/ledger.rs
+++ b/fleet/src/ledger.rs
@@ -405,12 +405,13 @@
     ) -> (usize, usize) {
         self.expire(now);
         // A duplicated request gets the same answer again, and the loan is not extended.
-        if let Some(loan) = self.lent.get(&from).and_then(|loans| loans.iter().find(|l| l.serial == serial)) {
+        let loans = self.lent.get(&from).map_or(&[][..], Vec::as_slice);
+        if let Some(loan) = loans.iter().find(|loan| loan.serial == serial) {
             return (loan.count, 0);
         }
         // The borrower has dropped a request that is older than one it was granted, and does not accept a grant for it.
         // A loan for it would replace the newer one, and its return would free permits that are in use.
-        if self.lent.get(&from).is_some_and(|loans| loans.iter().any(|loan| loan.serial > serial)) {
+        if loans.iter().any(|loan| loan.serial > serial) {
             return (0, 0);
         }
         let lent_to_others: usize =
