Review case 6: three classes, bad clients spread over all servers

Done: the site's three classes, set-ups spread over all pools; the stand-ins end the proxies however they end themselves.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -18,7 +18,20 @@
 const AT_ONCE: usize = 200;
 const WITHDRAWN_AFTER_MS: f64 = 10.0;
 
-const CLASS: &str = "thread-open";
+/// The ordinary callers' classes: about six, two and two of ten.
+const CLASSES: [&str; 10] = [
+    "thread-open",
+    "seat-check",
+    "thread-open",
+    "slot-set",
+    "thread-open",
+    "thread-open",
+    "seat-check",
+    "thread-open",
+    "slot-set",
+    "thread-open",
+];
+const BAD_CLASS: &str = "slot-set";
 
 fn server(name: &str, rate: impl Fn(f64) -> f64 + Send + Sync + Copy + 'static) -> Server {
     Server::start(ServerTerms {
@@ -31,11 +44,13 @@
 }
 
 /// Sends set-ups by the hundred and withdraws them, until `end_at`.
-fn withdraw_at_once(proxy: std::net::SocketAddr, pool: u16, end_at: f64) {
+fn withdraw_at_once(proxy: std::net::SocketAddr, end_at: f64) {
     let Some(client) = Caller::connect("bad client", proxy, true) else { return };
     while now() < end_at {
         let calls: Vec<String> = (0..AT_ONCE).map(|_| new_call()).collect();
-        client.send(&calls.iter().map(|call| offer_line(call, CLASS, 9000, pool)).collect::<String>());
+        let offers =
+            calls.iter().zip((0..3).cycle()).map(|(call, pool)| offer_line(call, BAD_CLASS, 9000, pool));
+        client.send(&offers.collect::<String>());
         sleep_ms(WITHDRAWN_AFTER_MS);
         client.send(&calls.iter().map(|call| end_line(call)).collect::<String>());
     }
@@ -60,7 +75,7 @@
             let Some(caller) = Caller::connect(&format!("caller of {name}"), listen, false) else { return };
             let mut n = 0_usize;
             while now() < end_at {
-                caller.offer(&new_call(), CLASS, 9000, (n % 3) as u16);
+                caller.offer(&new_call(), CLASSES[n % 10], 9000, (n % 3) as u16);
                 n += 1;
                 sleep_ms(1000.0 * PROXIES as f64 / ORDINARY_RATE);
             }
@@ -77,7 +92,7 @@
         for proxy in &proxies {
             note(&format!("{}: a bad client begins", proxy.name));
             let listen = proxy.listen;
-            threads.push(thread::spawn(move || withdraw_at_once(listen, 2, end_at)));
+            threads.push(thread::spawn(move || withdraw_at_once(listen, end_at)));
         }
     }
     threads.into_iter().for_each(|thread| drop(thread.join()));
@@ -97,6 +112,6 @@
         }
     }
     note(&format!("s-3 got {} set-ups; the most in a second was {most:.2} of the bound", set_ups.len()));
-    println!("s-3 got {} set-ups; the most in a second was {most:.2} of the bound", set_ups.len());
+    say(&format!("s-3 got {} set-ups; the most in a second was {most:.2} of the bound", set_ups.len()));
     verdict(&broken);
 }
--- a/review/stand-ins-2/lib.rs
+++ b/review/stand-ins-2/lib.rs
@@ -7,6 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -18,8 +19,12 @@
     fn kill(pid: i32, signal: i32) -> i32;
     fn listen(fd: i32, backlog: i32) -> i32;
     fn connect(fd: i32, address: *const u8, length: u32) -> i32;
+    fn prctl(option: i32, value: u64) -> i32;
 }
 
+/// `PR_SET_PDEATHSIG` of Linux: the signal that a process gets when the one that started it ends.
+const SET_SIGNAL_AT_END_OF_PARENT: i32 = 1;
+
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -47,6 +52,7 @@
     let path = std::env::var("RECORD").unwrap_or_else(|_| cannot_run("RECORD is not set"));
     let file = File::create(&path).unwrap_or_else(|error| cannot_run(&format!("{path}: {error}")));
     let _ = RECORD.set(Record { started: Instant::now(), file: Mutex::new(file) });
+    std::panic::set_hook(Box::new(|panic| cannot_run(&panic.to_string())));
     thread::spawn(|| {
         thread::sleep(Duration::from_millis(LONGEST_RUN_MS));
         cannot_run("it took too long");
@@ -85,9 +91,14 @@
     std::process::exit(code);
 }
 
+/// Prints a line, if anybody reads it.
+pub fn say(text: &str) {
+    let _ = writeln!(std::io::stdout(), "{text}");
+}
+
 pub fn cannot_run(why: &str) -> ! {
     note(&format!("cannot run: {why}"));
-    eprintln!("cannot run: {why}");
+    let _ = writeln!(std::io::stderr(), "cannot run: {why}");
     finish(2);
 }
 
@@ -116,11 +127,11 @@
 pub fn verdict(broken: &[String]) -> ! {
     for line in broken {
         note(&format!("BROKEN {line}"));
-        println!("broken: {line}");
+        say(&format!("broken: {line}"));
     }
     let text = if broken.is_empty() { "the rule held" } else { "the rule was broken" };
     note(text);
-    println!("{text}");
+    say(text);
     finish(i32::from(!broken.is_empty()));
 }
 
@@ -327,6 +338,8 @@
     pub releases: Vec<(f64, String)>,
     /// Releases that were sent and not heard: call and cause.
     unheard: Vec<(String, u8)>,
+    /// When the state of the group was last told.
+    pub told_at: f64,
     stopped: bool,
 }
 
@@ -525,7 +538,6 @@
 
 /// Ends the calls whose time is over, and tells the state of the group each second.
 fn end_calls(state: &Mutex<ServerState>, terms: &ServerTerms) {
-    let mut told_at = now();
     loop {
         sleep_ms(10.0);
         let mut state = lock(state);
@@ -550,8 +562,8 @@
                 write_to(&mut state, other, &text);
             }
         }
-        if now() - told_at >= 1000.0 {
-            told_at = now();
+        if now() - state.told_at >= 1000.0 {
+            state.told_at = now();
             let text = group_state(terms, &state);
             let conns: Vec<u64> = state.connections.keys().copied().collect();
             for conn in conns {
@@ -611,10 +623,11 @@
         Self { address, shared, fillers: Mutex::default() }
     }
 
-    /// Cuts the server off.
-    pub fn cut(&self) {
+    /// Cuts the server off; returns since when.
+    pub fn cut(&self) -> f64 {
         let listener = lock(&self.shared.listener);
         self.shared.cut.store(true, Ordering::Relaxed);
+        let cut_at = now();
         let fd = listener.as_ref().map_or(-1, |listener| listener.as_raw_fd());
         // Once one connection waits to be accepted, the kernel drops further ones.
         if unsafe { listen(fd, 0) } != 0 {
@@ -626,6 +639,7 @@
             }
         }
         note("the network is cut");
+        cut_at
     }
 
     /// Carries again what it holds, and all that follows.
@@ -825,16 +839,23 @@
 
 // ---------------------------------------------------------------------------------------------- border proxies
 
+/// A service grade.
+pub struct Class {
+    pub name: &'static str,
+    pub quoted: f64,
+    pub worth: f64,
+    pub late_worth: f64,
+    pub hold: f64,
+}
+
 /// The figures of a deployment that the cases set.
 pub struct Deployment {
     pub proxies: usize,
     pub pools: usize,
     /// Names of the figures in reports.
     pub names: &'static str,
-    pub class: &'static str,
-    pub quoted: f64,
+    pub classes: &'static [Class],
     pub limit: f64,
-    pub hold: f64,
     pub may_probe: bool,
     pub release: f64,
     pub repeat: f64,
@@ -854,10 +875,12 @@
             proxies: 1,
             pools: 2,
             names: "idle,circuits,pending,max_rate",
-            class: "thread-open",
-            quoted: 2.0,
+            classes: &[
+                Class { name: "thread-open", quoted: 2.0, worth: 1.0, late_worth: 0.1, hold: 8.1 },
+                Class { name: "slot-set", quoted: 2.0, worth: 2.0, late_worth: 0.25, hold: 12.2 },
+                Class { name: "seat-check", quoted: 1.5, worth: 1.0, late_worth: 0.1, hold: 5.7 },
+            ],
             limit: 9.0,
-            hold: 8.1,
             may_probe: true,
             release: 0.3,
             repeat: 0.5,
@@ -875,22 +898,32 @@
     pub fn settings(&self, rank: usize) -> String {
         let pools: Vec<String> = (0..self.pools).map(|pool| pool.to_string()).collect();
         let names: Vec<String> = self.names.split(',').map(|name| format!("\"{name}\"")).collect();
-        let Self { proxies, class, quoted, limit, hold, may_probe, release, repeat, .. } = self;
+        let Self { proxies, limit, may_probe, release, repeat, .. } = self;
+        let joined = |item: &dyn Fn(&Class) -> String| {
+            self.classes.iter().map(item).collect::<Vec<String>>().join(",")
+        };
+        let holds = joined(&|class| class.hold.to_string());
+        let widths = joined(&|_| "1".to_owned());
+        let pools_by_class = joined(&|_| format!("[{}]", pools.join(",")));
+        let profiles = joined(&|class| {
+            let Class { name, quoted, worth, late_worth, .. } = class;
+            format!(
+                r#"{{"deadline":{limit},"dedup_scope":"all","effect":"repeatable","late_worth":{late_worth},"name":"{name}","objective":{quoted},"streamed":true,"window":5.0,"worth":{worth}}}"#
+            )
+        });
         let Self { drain_grace, cold, cold_from, factor, fall, .. } = self;
         format!(
             r#"{{"areas":["z1"],"balancers":{proxies},"bounds":{{"cancel":true,"conn_idle":600.0,"connect_timeout":0.5,
 "cpu_us_per_request":0.0,"cpu_us_per_s":300000,"max_attempts":4,"max_retry_after":2.0,"max_streams":1048576,
 "may_probe":{may_probe},"open_cap":20000,"peers":false,"retry_after":false,"second_copies":false}},
 "callers":{{"marks_retry":true}},"counted_by":"request","discovery":"pushed",
-"domain":{{"advice":false,"channels_needed":[1],"clear_wait":{release},"far_state":"piggyback","gives_wait":false,
-"mean_hold":[{hold}],"network_form":"skills","pools_by_class":[[{}]],"repeat":{repeat},"self_no":-1}},
+"domain":{{"advice":false,"channels_needed":[{widths}],"clear_wait":{release},"far_state":"piggyback","gives_wait":false,
+"mean_hold":[{holds}],"network_form":"skills","pools_by_class":[{pools_by_class}],"repeat":{repeat},"self_no":-1}},
 "family":"trunks","feedback":{{"how":"piggyback","names":[{}]}},"layers":["servers"],"over_share_worth":0.2,
-"profiles":[{{"deadline":{limit},"dedup_scope":"all","effect":"repeatable","late_worth":0.1,"name":"{class}",
-"objective":{quoted},"streamed":true,"window":5.0,"worth":1.0}}],
+"profiles":[{profiles}],
 "rank":{rank},"rules":{{"answer_slack":0.02,"ask_within":10.0,"cold":{cold},"cold_from":{cold_from},
 "drain_grace":{drain_grace},"fall":{fall},"overload_factor":{factor}}},"skus":["std"],"stage":0,"tick":0.005,
 "weight_kind":"silent","zone":0}}"#,
-            pools.join(","),
             names.join(",")
         )
         .replace('\n', "")
@@ -945,7 +978,14 @@
         }
         let run = std::env::var("RUN").unwrap_or_else(|_| cannot_run("RUN is not set"));
         let log = File::create(folder().join(format!("{name}.log"))).unwrap();
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // However this process ends, the border proxies end with it.
+        let end_with_parent = || {
+            unsafe { prctl(SET_SIGNAL_AT_END_OF_PARENT, SIGKILL as u64) };
+            Ok(())
+        };
+        unsafe { command.pre_exec(end_with_parent) };
+        let child = command
             .args(["-c", &run])
             .env("LB_NAME", name)
             .env("LB_LISTEN", listen.to_string())
