--- a/review/8/case.rs
+++ b/review/8/case.rs
@@ -54,12 +54,17 @@
         }
     });
     sleep_ms(2_000.0);
+    // The machine is lost just after it has told the state of its group.
+    let told_at = lock(&one.state).told_at;
+    if !wait_for(3_000.0, || lock(&one.state).told_at > told_at) {
+        cannot_run("the state of the group is not told");
+    }
+    sleep_ms(50.0);
     let mut ended_at = now();
     if trouble() {
-        network.cut();
+        ended_at = network.cut();
         network.forget_connections();
         one.die();
-        ended_at = now();
         sleep_ms(OUTAGE_MS - (now() - ended_at));
         let since = unix_ms();
         network.heal();
