--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -87,7 +87,7 @@
     let sent: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
     let _ = part_of_a_core.join();
     let peak = peak_kb(pid);
-    println!("{sent} set-ups of bad clients, {peak} kB at most");
+    say(&format!("{sent} set-ups of bad clients, {peak} kB at most"));
     note(&format!("{sent} set-ups of bad clients, {peak} kB at most"));
     if peak == 0 {
         cannot_run("the proxy's memory is not known");
