Pace attempts at a cold server by established answers alone

Cause: a withdrawn attempt was recorded as an answer as quick as the attempt was young, and a cold server with a quick latest answer gets the next attempt at once. The same held for faults, resets, busy numbers and unsent attempts. Change: a cold server is quick only after its latest attempt from here was established in time; the pace counts from the last attempt, however long ago (it was forgotten after a window). A withdrawal within the target delay records no delay.

--- a/src/choice/central.rs
+++ b/src/choice/central.rs
@@ -12,6 +12,14 @@
     pub(super) cancelled: bool,
 }
 
+/// An attempt that was established.
+#[derive(Clone, Copy)]
+pub(super) struct EstablishedAttempt {
+    pub(super) sent_at: f64,
+    /// How long its answer took.
+    pub(super) delay: f64,
+}
+
 /// State of one central server.
 #[derive(Clone, Default)]
 pub(super) struct Central {
@@ -27,6 +35,10 @@
     pub(super) histogram: Histogram,
     /// When set-ups were sent, within the window.
     pub(super) sent_times: VecDeque<f64>,
+    /// When the latest set-up was sent; negative infinity before the first one.
+    pub(super) last_sent_at: f64,
+    /// The attempt that was established last.
+    pub(super) last_established: Option<EstablishedAttempt>,
     pub(super) in_flight: Vec<InFlight>,
     /// How many attempts may be in flight; below 1, the share of the time in which one may be.
     pub(super) concurrency_limit: f64,
@@ -87,6 +99,7 @@
             started_at: entry.started_at.unwrap_or(f64::NEG_INFINITY),
             cold_entry,
             next_probe_at: f64::NEG_INFINITY,
+            last_sent_at: f64::NEG_INFINITY,
             concurrency_limit,
             dither: 0.5,
             limit_cut_at: f64::NEG_INFINITY,
@@ -129,6 +142,21 @@
         self.histogram.record(ratio);
     }
 
+    /// Whether no attempt is in flight, and the latest one was established within `delay`. Any other ending says
+    /// nothing of how fast the server works: its caller may have withdrawn it, or it may have failed on its way.
+    pub(super) fn latest_was_established_within(&self, delay: f64) -> bool {
+        let is_quick =
+            |latest: EstablishedAttempt| latest.sent_at == self.last_sent_at && latest.delay <= delay;
+        self.in_flight.is_empty() && self.last_established.is_some_and(is_quick)
+    }
+
+    /// Removes an attempt from those in flight that says nothing of the server's delay. If the server has
+    /// cool-downs, another one starts, since the attempt may have cost it work.
+    pub(super) fn remove_without_answer(&mut self, handle: Handle, now: f64) {
+        self.in_flight.retain(|other| other.handle != handle);
+        self.cool_down_since = self.cool_down_since.max(now);
+    }
+
     /// Whether it has ever reported how many set-ups it can handle.
     pub(super) fn reports_rate(&self) -> bool {
         self.rate_reported_at > f64::NEG_INFINITY
--- a/src/choice/cold.rs
+++ b/src/choice/cold.rs
@@ -31,26 +31,17 @@
         }
         let quick_delay =
             QUICK_COLD_ANSWER_SHARE * (self.terms.overload_factor - 1.0) * self.terms.overload_duration;
-        let quick = central.in_flight.is_empty()
-            && !central.samples.is_empty()
-            && central.latest_delay <= quick_delay;
-        if central.reports_rate() {
+        let quick = central.latest_was_established_within(quick_delay);
+        let interval = if central.reports_rate() {
             let attempts_per_second = central.reported_rate / f64::from(self.terms.proxies)
                 * if quick { QUICK_COLD_RATE_FACTOR } else { 1.0 };
-            return self.now
-                < central
-                    .sent_times
-                    .back()
-                    .map_or(central.cold_entry.0, |&sent_at| sent_at + MS_PER_SECOND / attempts_per_second);
-        }
-        if quick {
+            MS_PER_SECOND / attempts_per_second
+        } else if quick {
             return false;
-        }
-        let next_send_at = central
-            .sent_times
-            .back()
-            .map_or(f64::NEG_INFINITY, |&sent_at| sent_at + self.cold_interval(central.lines));
-        self.now < next_send_at.max(central.cold_entry.0)
+        } else {
+            self.cold_interval(central.lines)
+        };
+        self.now < central.cold_entry.0.max(central.last_sent_at + interval)
     }
 
     /// The interval between this proxy's attempts at a cold central server, in milliseconds. Departure from
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -25,7 +25,7 @@
 use slab::Slab;
 
 use called_number::CalledNumber;
-use central::{Central, InFlight};
+use central::{Central, EstablishedAttempt, InFlight};
 use histogram::BIN_COUNT;
 pub use histogram::{Histogram, quantile_after};
 
--- a/src/choice/outcome.rs
+++ b/src/choice/outcome.rs
@@ -107,6 +107,7 @@
         proxy.record_fault(fault_server);
         if let Some(central) = &mut proxy.centrals[index] {
             central.last_heard_at = proxy.now;
+            central.last_established = Some(EstablishedAttempt { sent_at, delay });
             let is_earlier = |other: &&mut InFlight| other.sent_at < sent_at && !other.superseded;
             let superseded =
                 central.in_flight.iter_mut().filter(is_earlier).map(|other| other.superseded = true).count();
@@ -161,6 +162,12 @@
             }
             let age = now - attempt.sent_at;
             match ending {
+                // A cancelled attempt was late if it was cancelled late. Before that its delay is unknown.
+                Ending::Cancelled if age <= proxy.target_delay => {
+                    if let Some(central) = &mut proxy.centrals[attempt.server] {
+                        central.remove_without_answer(self, now);
+                    }
+                }
                 Ending::Ok | Ending::Cancelled | Ending::Busy => {
                     proxy.record_answer(attempt.server, self, Some(age), time_limit, Some(0.0))
                 }
--- a/src/choice/selection.rs
+++ b/src/choice/selection.rs
@@ -201,6 +201,7 @@
         conversation.attempt = Some(Attempt { server: index, sent_at: now });
         central.in_flight.push(InFlight { handle, sent_at: now, superseded: false, cancelled: false });
         central.sent_times.push_back(now);
+        central.last_sent_at = now;
         central.fleet_limit = central.fleet_limit.map(|attempts| attempts.saturating_sub(1));
         central.dither = self.rng.random();
         if central.suspicion.is_some() {
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -21,6 +21,8 @@
 const OFFERED_LOAD_FACTOR: f64 = 4.0;
 /// Mean delay until a proxy learns of the start of the server; each proxy has its own.
 const MEAN_LIST_DELAY_MS: f64 = 300.0;
+/// Open calls of the rude callers of each proxy.
+const RUDE_CALLS_AT_ONCE: usize = 20;
 /// Turnover of the lines as a multiple of the processor's rate, as in the operators' test setup.
 const LINE_TURNOVER_FACTOR: f64 = 2.0;
 
@@ -33,6 +35,43 @@
     Rates,
 }
 
+/// How the attempts of rude callers end, a tick after they were sent and before the server has worked on them.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum RudeEnding {
+    /// Their callers withdraw them.
+    Withdrawn,
+    /// The server can't use them.
+    Fault,
+    /// The number called is busy.
+    Busy,
+    /// They break on their way.
+    Reset,
+    /// They never left.
+    NotSent,
+}
+
+impl RudeEnding {
+    fn ending(self) -> Ending {
+        match self {
+            Self::Withdrawn => Ending::Cancelled,
+            Self::Fault => Ending::Error,
+            Self::Busy => Ending::Busy,
+            Self::Reset => Ending::Reset,
+            Self::NotSent => Ending::NotSent,
+        }
+    }
+
+    /// Ends a call of a rude caller, which has an attempt in flight or waits for one.
+    fn end_call(self, handle: Handle, has_attempt: bool, proxy: &mut Proxy, host: &mut FakeHost) {
+        if self == Self::Withdrawn {
+            handle.caller_gone(proxy);
+        }
+        if has_attempt {
+            handle.attempt_ended(proxy, self.ending(), self == Self::Withdrawn, host);
+        }
+    }
+}
+
 struct SimulatedProxy {
     proxy: Proxy,
     host: FakeHost,
@@ -41,11 +80,38 @@
     attempts_seen: usize,
     knows_server: bool,
     in_flight: Vec<Handle>,
+    /// Calls of rude callers, and whether each has an attempt in flight.
+    rude_calls: Vec<(Handle, bool)>,
+}
+
+impl SimulatedProxy {
+    /// Ends the calls that the rude callers of this proxy have offered, and offers new ones.
+    fn replace_rude_calls(&mut self, ending: RudeEnding) {
+        let Self { proxy, host, rude_calls, .. } = self;
+        for (handle, has_attempt) in std::mem::take(rude_calls) {
+            if proxy.contains(handle) {
+                ending.end_call(handle, has_attempt, proxy, host);
+            }
+            if proxy.contains(handle) {
+                rude_calls.push((handle, false));
+            }
+        }
+        while rude_calls.len() < RUDE_CALLS_AT_ONCE {
+            let handle = proxy.accept(&any_call());
+            handle.enqueue(proxy);
+            rude_calls.push((handle, false));
+        }
+    }
+}
+
+fn any_call() -> Call {
+    Call { grade: 0, tenant: None, preferred_pool: 0, number: None, remaining: 9000.0, redial: false }
 }
 
 struct Cluster {
     terms: Terms,
     reported_figures: ReportedFigures,
+    rude_ending: Option<RudeEnding>,
     warm_rate: f64,
     rng: Pcg64Mcg,
     members: Vec<SimulatedProxy>,
@@ -65,6 +131,7 @@
         let mut cluster = Self {
             terms,
             reported_figures,
+            rude_ending: None,
             warm_rate,
             rng,
             members: Vec::new(),
@@ -93,6 +160,7 @@
             attempts_seen: 0,
             knows_server: false,
             in_flight: Vec::new(),
+            rude_calls: Vec::new(),
         }
     }
 
@@ -125,8 +193,7 @@
             let call_count = self.members[index].calls_per_second * TICK_MS / 1000.0;
             let call_count = call_count as usize + usize::from(self.rng.random::<f64>() < call_count.fract());
             let generation = self.generations[index];
-            let SimulatedProxy { proxy, host, attempts_seen, knows_server, in_flight, .. } =
-                &mut self.members[index];
+            let SimulatedProxy { proxy, host, knows_server, in_flight, .. } = &mut self.members[index];
             proxy.advance_clock(now);
             if learns_list && !*knows_server {
                 *knows_server = true;
@@ -144,22 +211,25 @@
                 }
             }
             for _ in 0..call_count {
-                let call = Call {
-                    grade: 0,
-                    tenant: None,
-                    preferred_pool: 0,
-                    number: None,
-                    remaining: 9000.0,
-                    redial: false,
-                };
-                proxy.accept(&call).enqueue(proxy);
+                proxy.accept(&any_call()).enqueue(proxy);
             }
+            if let Some(ending) = self.rude_ending {
+                self.members[index].replace_rude_calls(ending);
+            }
+            let SimulatedProxy { proxy, host, attempts_seen, in_flight, rude_calls, .. } =
+                &mut self.members[index];
             proxy.run_pending(host);
             let sent: Vec<Handle> = host.attempts[*attempts_seen..].iter().map(|attempt| attempt.0).collect();
             *attempts_seen = host.attempts.len();
-            in_flight.extend(&sent);
-            for handle in sent {
-                self.arrivals.push_back(now);
+            let arrived = sent.len();
+            let mut to_answer = sent;
+            to_answer.retain(|handle| {
+                let rude_call = rude_calls.iter_mut().find(|call| call.0 == *handle);
+                rude_call.map(|(_, has_attempt)| *has_attempt = true).is_none()
+            });
+            in_flight.extend(&to_answer);
+            self.arrivals.extend(std::iter::repeat_n(now, arrived));
+            for handle in to_answer {
                 self.processor_free_at =
                     self.processor_free_at.max(now + ONE_WAY_DELAY_MS) + 1000.0 / self.rate();
                 self.answers.push((self.processor_free_at + ONE_WAY_DELAY_MS, index, generation, handle));
@@ -222,3 +292,30 @@
     );
     assert!(worst_ratios.iter().all(|&ratio| ratio < 1.0), "{worst_ratios:.2?}");
 }
+
+/// Guards against attempts that end without an answer, such as those that their callers withdraw, counting as
+/// quick answers: each of them let the next attempt through at once.
+#[rstest]
+fn rude_callers_at_all_proxies_do_not_overload_a_cold_server(
+    #[values(7, 30, 300)] proxies: u32,
+    #[values(10.0, 50.0)] warm_rate: f64,
+    #[values(ReportedFigures::Nothing, ReportedFigures::Lines, ReportedFigures::Rates)]
+    reported_figures: ReportedFigures,
+    #[values(
+        RudeEnding::Withdrawn,
+        RudeEnding::Fault,
+        RudeEnding::Busy,
+        RudeEnding::Reset,
+        RudeEnding::NotSent
+    )]
+    rude_ending: RudeEnding,
+    #[values(None, Some(600.0))] restart_at: Option<f64>,
+) {
+    let seeds = if proxies > 100 { 1 } else { 4 };
+    for seed in 0..seeds {
+        let mut cluster = Cluster::new(proxies, warm_rate, reported_figures, seed);
+        cluster.rude_ending = Some(rude_ending);
+        let worst_ratio = cluster.worst_ratio(restart_at);
+        assert!(worst_ratio < 1.0, "seed {seed}: {worst_ratio:.2}");
+    }
+}
--- a/tests/concurrency_limit.rs
+++ b/tests/concurrency_limit.rs
@@ -42,6 +42,21 @@
     );
 }
 
+/// Guards against withdrawn attempts counting as quick answers, which opened an overloaded server further.
+#[test]
+fn attempts_withdrawn_early_do_not_raise_the_limit() {
+    let mut scenario = Scenario::with_servers(1);
+    (0..2).for_each(|_| scenario.complete_call(0, 1500.0));
+    for _ in 0..40 {
+        let handle = scenario.call(0, 0);
+        scenario.advance(10.0);
+        scenario.withdraw(handle);
+        scenario.advance(50.0);
+    }
+    let both = [scenario.call(0, 0), scenario.call(0, 0)];
+    assert!(both.iter().any(|&h| scenario.servers_tried(h).is_empty()), "nothing has raised the limit");
+}
+
 #[rstest]
 #[case::one_of_few(5, 1)]
 #[case::one_of_hundreds(250, 0)]
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -179,6 +179,13 @@
         self.proxy.run_pending(&mut self.host);
     }
 
+    /// The caller withdraws the conversation, whose attempt is cancelled.
+    pub fn withdraw(&mut self, handle: Handle) {
+        handle.caller_gone(&mut self.proxy);
+        handle.attempt_ended(&mut self.proxy, Ending::Cancelled, true, &mut self.host);
+        self.proxy.run_pending(&mut self.host);
+    }
+
     /// A complete call: answered `delay` milliseconds after its attempt, unless it is given up before it has
     /// one.
     pub fn complete_call(&mut self, preferred_pool: u16, delay: f64) {
