Keep a silent change log request open while another one is made

Cause: changelog_client.rs gave a request up after 1.5 s without a head and made it anew, at the end of the queue, with the same time-out, without end. Change: changelog_requests.rs decides without I/O when to ask again (after 2 s of silence) and when to give up (6 s); the first request that delivers data is followed, the others are dropped. A SIGHUP with an unchanged address drops none.

--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod backlog;
 pub mod backoff;
 mod changelog_client;
+pub mod changelog_requests;
 mod changelog_stream;
 mod clock;
 mod connections;
--- a/daemon/tests/network/mod.rs
+++ b/daemon/tests/network/mod.rs
@@ -289,6 +289,10 @@
     listener: TcpListener,
 }
 
+/// The head of a response of the change log.
+pub const RESPONSE_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n";
+
 impl Default for ChangeLog {
     fn default() -> Self {
         Self { listener: TcpListener::bind("127.0.0.1:0").expect("a port") }
@@ -300,11 +304,10 @@
         self.listener.local_addr().expect("bound")
     }
 
-    /// Accepts a request and answers its head; returns the connection for events, and the requested last
-    /// event number.
-    pub fn accept_request(&self) -> (TcpStream, u64) {
+    /// Accepts a request without answering it; returns its connection and the requested last event number.
+    pub fn accept_unanswered(&self) -> (TcpStream, u64) {
         self.listener.set_nonblocking(true).expect("set");
-        let (mut stream, _) = wait_for("a change log request", || self.listener.accept().ok());
+        let (stream, _) = wait_for("a change log request", || self.listener.accept().ok());
         stream.set_nonblocking(false).expect("set");
         stream.set_read_timeout(Some(MAX_WAIT)).expect("set");
         let mut lines = BufReader::new(stream.try_clone().expect("one more")).lines();
@@ -312,11 +315,16 @@
             lines.by_ref().map(|line| line.expect("text")).take_while(|line| !line.is_empty()).collect();
         let last =
             head.iter().find_map(|line| line.to_lowercase().strip_prefix("last-event-id: ")?.parse().ok());
-        let answer =
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n: here\n\n";
-        stream.write_all(answer.as_bytes()).expect("written");
         (stream, last.expect("a number"))
     }
+
+    /// Accepts a request and answers its head; returns the connection for events, and the requested last
+    /// event number.
+    pub fn accept_request(&self) -> (TcpStream, u64) {
+        let (mut stream, last) = self.accept_unanswered();
+        stream.write_all(format!("{RESPONSE_HEAD}: here\n\n").as_bytes()).expect("written");
+        (stream, last)
+    }
 }
 
 /// An event of the change log.
--- a/daemon/tests/races.rs
+++ b/daemon/tests/races.rs
@@ -8,7 +8,7 @@
 use std::net::Shutdown;
 
 use network::{
-    Caller, ChangeLog, DESCRIPTION, RELEASE_WAIT, Server, TestProxy, call_id, event, response,
+    Caller, ChangeLog, DESCRIPTION, RELEASE_WAIT, RESPONSE_HEAD, Server, TestProxy, call_id, event, response,
     response_with_description, response_with_note, wait_for,
 };
 use rstest::rstest;
@@ -227,6 +227,36 @@
     drop(open_caller);
 }
 
+/// Guards against a request being given up while a crowded change log has not come to it: made anew, it waited at
+/// the end of the queue, and no answer was ever read.
+#[rstest]
+#[case::before_the_head(false)]
+#[case::after_the_head(true)]
+fn a_request_that_waits_for_its_turn_stays_open_while_another_one_is_made(#[case] has_head: bool) {
+    let (server, new_server) = (Server::new("s-0"), Server::new("s-1"));
+    let mut proxy = TestProxy::new(&[&server]);
+    let (_open, _) = proxy.changelog.accept_request();
+    let crowded = ChangeLog::default();
+    proxy.set("/changelog", json!(crowded.address().to_string()));
+    proxy.write(1.0);
+    proxy.signal("-HUP");
+    let (mut first, last) = crowded.accept_unanswered();
+    assert_eq!(last, 1);
+    if has_head {
+        first.write_all(RESPONSE_HEAD.as_bytes()).expect("written");
+    }
+    let (_second, _) = crowded.accept_unanswered();
+    if !has_head {
+        first.write_all(RESPONSE_HEAD.as_bytes()).expect("written");
+    }
+    let update = event(2, &[new_server.entry("in_service"), server.entry("terminating")]);
+    first.write_all(update.as_bytes()).expect("written");
+    wait_for("the list update", || proxy.log_text().contains("central server 0 is Draining").then_some(()));
+    let mut caller = Caller::new(proxy.address);
+    caller.offer(&call_id(1));
+    assert_next_set_up(&mut new_server.accept(), &call_id(1));
+}
+
 #[rstest]
 #[case::drained("terminating")]
 #[case::gone("terminated")]
