Bound the records of called numbers, which filled the memory

Change: CalledNumbers holds at most 8,192 records ordered by expiry; a tenant's arrivals in the window are bounded too.

--- a/src/choice/intake.rs
+++ b/src/choice/intake.rs
@@ -2,6 +2,8 @@
 
 use super::*;
 
+/// Most recent arrivals of a tenant that are remembered; above this the estimate of its rate stays as it is.
+const MAX_RECENT_ARRIVALS: usize = 8192;
 /// Two caller timeouts are equal if they differ by less than this share of the time limit.
 const SAME_TIMEOUT_SHARE: f64 = 0.002;
 
@@ -13,7 +15,7 @@
         let grade = &self.grades[call.grade];
         let mut expected_earnings = grade.earnings * expected_share;
         // The quoted time starts with the caller's first try.
-        let earlier_try = call.number.and_then(|number| self.called_numbers.get(&number));
+        let earlier_try = call.number.and_then(|number| self.called_numbers.get(number));
         let earlier_try =
             earlier_try.filter(|n| n.backoff == 0.0 && self.now - n.first_accepted_at < grade.limit);
         let started_waiting_at = self.now - if call.redial { grade.quoted } else { waited };
@@ -62,7 +64,9 @@
         let (now, window) = (self.now, self.window);
         let recent = &mut self.tenant_arrivals[tenant];
         recent.push_back(now);
-        while recent.front().is_some_and(|&accepted_at| accepted_at < now - window) {
+        while recent.len() > MAX_RECENT_ARRIVALS
+            || recent.front().is_some_and(|&accepted_at| accepted_at < now - window)
+        {
             recent.pop_front();
         }
         let rate = recent.len() as f64 / window * MS_PER_SECOND * f64::from(self.terms.proxies);
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -24,7 +24,7 @@
 use rand_pcg::Pcg64Mcg;
 use slab::Slab;
 
-use called_number::CalledNumber;
+use called_number::CalledNumbers;
 use central::{Central, EstablishedAttempt, InFlight};
 use histogram::BIN_COUNT;
 pub use histogram::{Histogram, quantile_after};
@@ -135,7 +135,7 @@
     stall: (f64, f64),
     /// How long most callers wait for a try, as a share of the time limit, and the confidence in that.
     caller_timeout: (f64, u32),
-    called_numbers: HashMap<u64, CalledNumber>,
+    called_numbers: CalledNumbers,
     /// When conversations of each tenant were accepted, within the window.
     tenant_arrivals: Vec<VecDeque<f64>>,
     /// Whether the next conversation of each tenant is within its share, if known.
@@ -193,7 +193,7 @@
             lost_answer_share: 0.0,
             stall: (0.0, now),
             caller_timeout: (0.0, 0),
-            called_numbers: HashMap::new(),
+            called_numbers: CalledNumbers::new(max_time_limit),
         }
     }
 
--- a/src/choice/pending.rs
+++ b/src/choice/pending.rs
@@ -17,8 +17,7 @@
         }
         self.cancel_lost_attempts(host);
         self.probe(host);
-        let (now, max_time_limit) = (self.now, self.max_time_limit);
-        self.called_numbers.retain(|_, n| now - n.last_seen_at.max(n.not_before) < max_time_limit);
+        self.called_numbers.expire(self.now);
         let priority = |c: &Conversation| (-c.expected_earnings, c.accepted_at);
         let mut held = std::mem::take(&mut self.held);
         held.sort_by(|a, b| {
@@ -100,11 +99,7 @@
             return host.fail(handle);
         }
         if let Some(number) = conversation.number {
-            let record = self
-                .called_numbers
-                .entry(number)
-                .or_insert_with(|| CalledNumber::new(conversation.accepted_at));
-            record.last_seen_at = self.now;
+            self.called_numbers.record_refusal(self.now, number, conversation.accepted_at);
         }
         // If all servers have requested a pause, the caller retries no earlier than the first one accepts
         // attempts.
