Keep what callers occupy together to shares of the memory limit

Cause: lines, answers and descriptions were bounded for each connection or by number, their sum was not; limits.memory_mb was not read.

--- a/daemon/src/connections.rs
+++ b/daemon/src/connections.rs
@@ -9,20 +9,22 @@
 use std::collections::{HashMap, VecDeque};
 use std::io::{ErrorKind, Read};
 use std::net::{Shutdown, SocketAddr};
+use std::os::fd::AsFd;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use platform::{ConnectionError, ConnectionId, QueuedAttempt};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::{Notify, mpsc};
 use tokio::task::AbortHandle;
 
+use crate::outbox::{Outbox, SharedLimit};
+
 /// Bytes read from a connection at a time, so that no connection delays the others.
 const READ_BUFFER_BYTES: usize = platform::MAX_READ_BYTES;
-/// Unwritten bytes kept for a peer that does not read; a connection that exceeds this is closed.
-const MAX_OUTBOX_BYTES: usize = 256 * 1024;
 /// After its last write, a closing connection keeps reading and discarding for at most this time and
 /// [`MAX_DISCARDED_BYTES`]: closing with unread bytes would reset the connection and lose that last write.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(2000);
@@ -54,11 +56,13 @@
 /// One open connection with its tasks.
 struct Connection {
     stream: Rc<TcpStream>,
-    outbox: Rc<RefCell<BytesMut>>,
+    outbox: Rc<RefCell<Outbox>>,
     /// Signals the writing task that the outbox has bytes.
     outbox_filled: Rc<Notify>,
     /// Signals the reading task that a reported read was done, or that the connection is closing.
     resume_reading: Rc<Notify>,
+    /// Whether a caller opened it; else it was dialled.
+    is_caller: bool,
     /// The connection closes once the outbox is written.
     flushing: Rc<Cell<bool>>,
     /// Attempts that wait until the outbox is empty.
@@ -80,20 +84,34 @@
     dials: HashMap<ConnectionId, AbortHandle>,
     /// Aborted tasks; each holds its file descriptor until the runtime has dropped it.
     aborted_tasks: Vec<AbortHandle>,
+    /// Unwritten bytes kept for all callers together.
+    callers_limit: SharedLimit,
     events: mpsc::UnboundedSender<ConnectionEvent>,
 }
 
 impl Connections {
-    /// Creates an empty set that reports to `events`.
-    pub fn new(events: mpsc::UnboundedSender<ConnectionEvent>) -> Self {
-        Self { connections: HashMap::new(), dials: HashMap::new(), aborted_tasks: Vec::new(), events }
+    /// Creates an empty set that reports to `events`, and keeps at most this many unwritten bytes for callers.
+    pub fn new(events: mpsc::UnboundedSender<ConnectionEvent>, max_unread_bytes: usize) -> Self {
+        Self {
+            connections: HashMap::new(),
+            dials: HashMap::new(),
+            aborted_tasks: Vec::new(),
+            callers_limit: SharedLimit::new(max_unread_bytes),
+            events,
+        }
+    }
+
+    /// Registers a connection that a caller has opened.
+    pub fn add_caller(&mut self, conn: ConnectionId, stream: TcpStream) {
+        self.add(conn, stream, true);
     }
 
     /// Registers an open connection and starts its tasks.
-    pub fn add(&mut self, conn: ConnectionId, stream: TcpStream) {
+    fn add(&mut self, conn: ConnectionId, stream: TcpStream, is_caller: bool) {
         let _ = stream.set_nodelay(true);
         let stream = Rc::new(stream);
-        let outbox = Rc::new(RefCell::new(BytesMut::new()));
+        let limit = is_caller.then(|| self.callers_limit.clone());
+        let outbox = Rc::new(RefCell::new(Outbox::new(limit)));
         let (outbox_filled, resume_reading) = (Rc::new(Notify::new()), Rc::new(Notify::new()));
         let flushing = Rc::new(Cell::new(false));
         let reading = watch_readable(
@@ -115,6 +133,7 @@
             outbox,
             outbox_filled,
             resume_reading,
+            is_caller,
             flushing,
             queued_attempts,
             partial_attempt,
@@ -127,7 +146,7 @@
     pub fn connected(&mut self, conn: ConnectionId, stream: TcpStream) -> bool {
         let wanted = self.dials.remove(&conn).is_some();
         if wanted {
-            self.add(conn, stream);
+            self.add(conn, stream, false);
         }
         wanted
     }
@@ -186,12 +205,22 @@
         }
     }
 
-    /// Writes or queues bytes; false if [`MAX_OUTBOX_BYTES`] would be exceeded.
+    /// Whether a caller has closed its connection, although data may be unread that it sent before.
+    pub fn has_caller_left(&self, conn: ConnectionId) -> bool {
+        let connection = self.connections.get(&conn).filter(|connection| connection.is_caller);
+        let Some(connection) = connection else { return false };
+        let closed_by_peer = PollFlags::from_bits_retain(nix::libc::POLLRDHUP);
+        let mut polled = [PollFd::new(connection.stream.as_fd(), closed_by_peer)];
+        // The library has no name for this event, and so returns None where it is among those that have occurred.
+        poll(&mut polled, PollTimeout::ZERO).is_ok_and(|count| count > 0) && polled[0].revents().is_none()
+    }
+
+    /// Writes or queues bytes; false if the limit of unwritten bytes would be exceeded.
     #[must_use]
     pub fn write(&mut self, conn: ConnectionId, mut bytes: Bytes) -> bool {
         let Some(connection) = self.connections.get(&conn) else { return true };
-        let mut outbox = connection.outbox.borrow_mut();
-        while outbox.is_empty() && !bytes.is_empty() {
+        let is_empty = connection.outbox.borrow().is_empty();
+        while is_empty && !bytes.is_empty() {
             match connection.stream.try_write(&bytes) {
                 Ok(n) => bytes.advance(n),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
@@ -202,12 +231,9 @@
         if bytes.is_empty() {
             return true;
         }
-        if outbox.len() + bytes.len() > MAX_OUTBOX_BYTES {
-            return false;
-        }
-        outbox.extend_from_slice(&bytes);
+        let has_room = connection.outbox.borrow_mut().add(&bytes);
         connection.outbox_filled.notify_one();
-        true
+        has_room
     }
 
     /// Whether a connection has bytes still to be written.
@@ -343,7 +369,7 @@
 async fn write_outbox(
     conn: ConnectionId,
     stream: Rc<TcpStream>,
-    outbox: Rc<RefCell<BytesMut>>,
+    outbox: Rc<RefCell<Outbox>>,
     outbox_filled: Rc<Notify>,
     flushing: Rc<Cell<bool>>,
     events: mpsc::UnboundedSender<ConnectionEvent>,
@@ -356,13 +382,12 @@
                 return;
             }
             let mut outbox = outbox.borrow_mut();
-            match stream.try_write(&outbox) {
-                Ok(n) => outbox.advance(n),
+            match stream.try_write(outbox.bytes()) {
+                Ok(n) => outbox.written(n),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 Err(_) => return,
             }
         }
-        *outbox.borrow_mut() = BytesMut::new();
         if had_unwritten {
             let _ = events.send(ConnectionEvent::OutboxEmpty(conn));
         }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod feed;
 pub mod journal;
 pub mod keys;
+pub mod outbox;
 mod pending_commands;
 pub mod records;
 pub mod release;
--- a/daemon/src/serve.rs
+++ b/daemon/src/serve.rs
@@ -128,7 +128,13 @@
         _ = interrupt.recv() => return Ok(()),
     };
     let changelog = ChangelogClient::new(config.changelog, border.last_seq(), config.seed);
-    let mut proxy = ServedProxy::new(border, Connections::new(events_in), changelog, peers, clock);
+    let mut proxy = ServedProxy::new(
+        border,
+        Connections::new(events_in, config.limits.max_unread_bytes()),
+        changelog,
+        peers,
+        clock,
+    );
     tracing::info!(name = config.name, %listen, sockets = config.limits.sockets, "proxy.ready");
 
     let mut stop_at: Option<f64> = None;
--- a/daemon/src/served_proxy.rs
+++ b/daemon/src/served_proxy.rs
@@ -207,7 +207,7 @@
     /// Takes over the connection of a caller.
     pub fn add_caller(&mut self, stream: TcpStream, from: SocketAddr) {
         let conn = self.border.caller_connected(self.clock.now(), from.ip());
-        self.connections.add(conn, stream);
+        self.connections.add_caller(conn, stream);
     }
 
     /// Accepts waiting callers, up to [`MAX_ACCEPTED_PER_TURN`]; returns how many.
