Send nothing for a caller who has left with much unread

Cause: the connection was read for at most 64 KB before an attempt was written, and the close stood behind that. Change: the system is asked whether the caller has closed its side before what it sent is read or sent on; its set-ups are withdrawn or ignored from then on, its releases are still handled. Evidence: nothing_is_sent_for_a_caller_who_has_left_with_much_unread fails with the check switched off and passes with it.

--- a/daemon/src/served_proxy.rs
+++ b/daemon/src/served_proxy.rs
@@ -148,6 +148,7 @@
             self.connections.queue_attempt(queued);
             return false;
         }
+        self.notice_departure(queued.caller);
         let reported = self.read_all(queued.caller);
         let Some(bytes) = self.border.send_attempt(self.clock.now(), queued) else { return true };
         if !self.connections.write(queued.conn, bytes) {
@@ -170,10 +171,20 @@
         reported
     }
 
+    /// Reports if a caller has closed its connection, before what it had sent is read.
+    fn notice_departure(&mut self, conn: ConnectionId) {
+        if self.connections.has_caller_left(conn) {
+            self.border.caller_left(self.clock.now(), conn);
+        }
+    }
+
     /// Reports the result of a read; false if there was nothing to report.
     fn handle_read(&mut self, conn: ConnectionId, result: ReadResult) -> bool {
         match result {
-            ReadResult::Bytes(bytes) => self.border.receive(self.clock.now(), conn, &bytes),
+            ReadResult::Bytes(bytes) => {
+                self.notice_departure(conn);
+                self.border.receive(self.clock.now(), conn, &bytes);
+            }
             ReadResult::Nothing => return false,
             ReadResult::End => return self.fail_connection(conn, ConnectionError::Closed),
             ReadResult::Failed => return self.fail_connection(conn, ConnectionError::Reset),
--- a/daemon/tests/network/mod.rs
+++ b/daemon/tests/network/mod.rs
@@ -244,6 +244,33 @@
         self.send(&offer(call, 1, &"x".repeat(15_000)));
     }
 
+    /// Offers calls, all written at once.
+    pub fn offer_all(&mut self, calls: impl Iterator<Item = String>) {
+        let text: String = calls.map(|call| format!("{}\n", offer(&call, 1, DESCRIPTION))).collect();
+        self.stream.write_all(text.as_bytes()).expect("written");
+    }
+
+    /// Sends readiness tests as fast as possible, and reads their answers.
+    pub fn send_tests(&mut self, count: usize) {
+        let test = json!({"op": "test", "call": call_id(0xfe), "with": {}, "why": 0});
+        let text = format!("{test}\n").repeat(count);
+        let mut stream = self.stream.try_clone().expect("one more");
+        let writer = std::thread::spawn(move || stream.write_all(text.as_bytes()).expect("written"));
+        (0..count).for_each(|_| drop(self.line().expect("an answer")));
+        writer.join().expect("written");
+    }
+
+    /// Waits until the other end's system has received all that was written.
+    pub fn wait_until_delivered(&self) {
+        let port = self.stream.local_addr().expect("connected").port();
+        wait_for("the delivery", || {
+            let sockets = fs::read_to_string("/proc/net/tcp").expect("read");
+            let own = sockets.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
+            let mut own = own.filter(|fields| fields[1].ends_with(&format!(":{port:04X}")));
+            own.any(|fields| fields[4].starts_with("00000000:")).then_some(())
+        });
+    }
+
     pub fn end(&mut self, call: &str) {
         self.send(&json!({"op": "end", "call": call, "with": {}, "why": 16}));
     }
--- a/daemon/tests/races.rs
+++ b/daemon/tests/races.rs
@@ -155,6 +155,30 @@
     proxy.wait_for_exit();
 }
 
+/// Guards against requests of a caller who had closed its connection with much still unread: they were sent on until the
+/// close was read behind them. A connection that has carried much gets a large receive buffer first.
+#[test]
+fn nothing_is_sent_for_a_caller_who_has_left_with_much_unread() {
+    const WARM_UP_TESTS: usize = 50_000;
+    const UNREAD_SET_UPS: u64 = 450;
+    let server = Server::new("s-0");
+    let proxy = TestProxy::new(&[&server]);
+    let mut leaving = Caller::new(proxy.address);
+    leaving.send_tests(WARM_UP_TESTS);
+    proxy.pause();
+    leaving.offer_all((0..UNREAD_SET_UPS).map(|n| call_id(1000 + n)));
+    leaving.wait_until_delivered();
+    let gone = || proxy.log_text().matches("caller.gone").count();
+    let gone_before = gone();
+    drop(leaving);
+    proxy.resume();
+    wait_for("the close", || (gone() > gone_before).then_some(()));
+    assert!(!proxy.log_text().contains("attempt.chosen"), "none of its set-ups was taken on");
+    let mut caller = Caller::new(proxy.address);
+    caller.offer(&call_id(1));
+    assert_next_set_up(&mut server.accept(), &call_id(1));
+}
+
 #[test]
 fn a_half_written_configuration_is_read_again() {
     let server = Server::new("s-0");
