Reserve the ports of processes that tests start

Cause, from their backtraces: one waited for the answer to its first test of readiness, the other for a set-up on a connection it had accepted: the port that one test had looked up and let go was given to the other's listener, so each had the other at the end of its connection. Change: the port stays bound until the test ends; no check or bound changes.

--- a/daemon/tests/network/mod.rs
+++ b/daemon/tests/network/mod.rs
@@ -3,14 +3,19 @@
 
 #![allow(dead_code)] // each test file uses a part of it
 
+#[path = "../reserved_port/mod.rs"]
+mod reserved_port;
+
 use std::collections::{BTreeSet, VecDeque};
 use std::fs;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use reserved_port::ReservedPort;
 use serde_json::{Value, json};
 use sip::{Message, Reader, Request, Response, StartLine};
 use socket2::{Domain, Socket, Type};
@@ -364,6 +369,7 @@
 pub struct TestProxy {
     folder: tempfile::TempDir,
     pub address: SocketAddr,
+    port: Rc<ReservedPort>,
     pub changelog: ChangeLog,
     configuration: Value,
     /// Limit on the process's file descriptors, if it differs from the configuration's.
@@ -390,7 +396,8 @@
 
     /// Prepares a proxy without starting it.
     pub fn not_started(servers: &[&Server]) -> Self {
-        let address = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+        let port = Rc::new(ReservedPort::new());
+        let address = port.address;
         let peers = UdpSocket::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
         let changelog = ChangeLog::default();
         let entries: Vec<Value> = servers.iter().map(|server| server.entry("in_service")).collect();
@@ -414,7 +421,7 @@
             },
         });
         let folder = tempfile::tempdir().expect("a folder");
-        Self { folder, address, changelog, configuration, descriptors_allowed: None, running: None }
+        Self { folder, address, port, changelog, configuration, descriptors_allowed: None, running: None }
     }
 
     /// Changes a field of the configuration, for the next write.
@@ -448,8 +455,9 @@
         let folder = tempfile::tempdir().expect("a folder");
         let (configuration, changelog) = (self.configuration.clone(), ChangeLog::default());
         let (address, descriptors_allowed) = (self.address, self.descriptors_allowed);
+        let port = self.port.clone();
         let mut test_proxy =
-            Self { folder, address, changelog, configuration, descriptors_allowed, running: None };
+            Self { folder, address, port, changelog, configuration, descriptors_allowed, running: None };
         test_proxy.write(1.0);
         test_proxy.spawn();
         test_proxy
--- a/daemon/tests/process.rs
+++ b/daemon/tests/process.rs
@@ -1,5 +1,7 @@
 //! The daemon as a process: it becomes ready, refuses calls without servers, and stops in order.
 
+mod reserved_port;
+
 use std::fs::{self, Permissions};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, UdpSocket};
@@ -13,6 +15,7 @@
 use daemon::settings::EXAMPLE;
 use iax2::element::{self, Elements};
 use iax2::{EndReason, Endpoint, Event, Limits};
+use reserved_port::ReservedPort;
 use rstest::rstest;
 
 /// A child process that is killed when dropped.
@@ -305,7 +308,8 @@
 #[test]
 fn serve_is_one_process_without_a_unix_socket_and_leaves_no_file() {
     let folder = tempfile::tempdir().expect("a folder");
-    let listen = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let port = ReservedPort::new();
+    let listen = port.address;
     let mut command = serve(folder.path(), &configuration(listen).to_string());
     let mut running = Running(command.stderr(Stdio::null()).spawn().expect("started"));
     until("the listener", || std::net::TcpStream::connect(listen).ok());
--- a/daemon/tests/stand_ins/mod.rs
+++ b/daemon/tests/stand_ins/mod.rs
@@ -1,6 +1,9 @@
 //! Stand-ins for the parties around `frostthread serve`: central servers, the change log, a caller. All listen on
 //! loopback addresses with ports given by the kernel, and end with the test.
 
+#[path = "../reserved_port/mod.rs"]
+mod reserved_port;
+
 use std::fs;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -8,6 +11,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+use reserved_port::ReservedPort;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -200,12 +204,14 @@
 pub struct ServedProcess {
     child: Child,
     pub listen: SocketAddr,
+    _port: ReservedPort,
     _folder: TempDir,
 }
 
 impl ServedProcess {
     pub fn start(changelog: &Changelog) -> Self {
-        let listen = listener().1;
+        let port = ReservedPort::new();
+        let listen = port.address;
         let folder = tempfile::tempdir().expect("a folder");
         let file = folder.path().join("config.json");
         fs::write(&file, configuration(listen, changelog).to_string()).expect("written");
@@ -217,7 +223,7 @@
             .stderr(Stdio::null())
             .spawn()
             .expect("started");
-        Self { child, listen, _folder: folder }
+        Self { child, listen, _port: port, _folder: folder }
     }
 
     fn signal(&self, name: &str) {
