--- a/daemon/src/changelog_client.rs
+++ b/daemon/src/changelog_client.rs
@@ -1,6 +1,6 @@
 //! Follows the change log over HTTP for as long as the proxy runs, reconnecting whenever the connection fails
-//! or is silent ([`RequestSchedule`] tells when). Each request starts after the last event that was applied: an event that was read but not
-//! applied is sent again in the next response.
+//! or is silent ([`RequestSchedule`] tells when). Each request starts after the last event that was applied: an
+//! event that was read but not applied is sent again in the next response.
 //!
 //! [`ChangelogClient`] is driven by its owner: [`ChangelogClient::wait_for_update`] waits for an update, and
 //! [`ChangelogClient::catch_up`] reads all that has arrived, without waiting. [`ChangelogClient::has_unread`]
@@ -219,7 +219,7 @@
             address,
             shared,
             clock: Clock(Instant::now()),
-            schedule: RequestSchedule::new(),
+            schedule: RequestSchedule::default(),
             open: Vec::new(),
             backoff: Backoff::new(FIRST_BACKOFF_MS, MAX_BACKOFF_MS),
             rng: Pcg64Mcg::seed_from_u64(seed),
--- a/daemon/src/changelog_requests.rs
+++ b/daemon/src/changelog_requests.rs
@@ -31,7 +31,8 @@
     silent_since: f64,
 }
 
-/// The open requests, and when the next one is due.
+/// The open requests, and when the next one is due. The first one is due at once.
+#[derive(Default)]
 pub struct RequestSchedule {
     /// In the order of their start.
     open: Vec<OpenRequest>,
@@ -41,11 +42,6 @@
 }
 
 impl RequestSchedule {
-    /// Creates a schedule whose first request is due at once.
-    pub fn new() -> Self {
-        Self { open: Vec::new(), retry_at: f64::NEG_INFINITY, last_id: 0 }
-    }
-
     /// The next action that is due, which counts as carried out.
     pub fn next_action(&mut self, now: f64) -> Option<RequestAction> {
         if now < self.due() {
@@ -88,12 +84,6 @@
     }
 }
 
-impl Default for RequestSchedule {
-    fn default() -> Self {
-        Self::new()
-    }
-}
-
 fn give_up_at(request: &OpenRequest) -> f64 {
     request.silent_since + MAX_SILENT_TIMEOUTS * SILENCE_TIMEOUT_MS
 }
--- a/daemon/tests/changelog_requests.rs
+++ b/daemon/tests/changelog_requests.rs
@@ -48,7 +48,7 @@
     fn new(behaviour: impl Fn(f64, usize) -> Response + 'static) -> Self {
         Self {
             now: 0.0,
-            schedule: RequestSchedule::new(),
+            schedule: RequestSchedule::default(),
             behaviour: Box::new(behaviour),
             open: Vec::new(),
             started: 0,
