Hold an answer until its entries are stored, whatever state the disk is in

Callers saw: ANSWER while the sync that was to cover their call was still running, or after it had failed. A power cut could unsay it. On a slow disk ACK, PONG and full media frames came late too.

Cause: GroupCommit::may_send returned true for everything as soon as the disk counted as slow or failing. It had to: the daemon held whole datagrams, so a frame that waited had used up its sequence number, and all frames of all callers waited behind it, also those that claim nothing of a record.

Change: the border holds the answer itself, before it is a frame. The state of the disk decides only whether new calls are taken. A call that its server ends meanwhile is tried again only if it was cut and may be repeated. A record has no answer that was not passed on.

Why it works: nothing but entries_stored releases an answer, and it takes a position that only successes move.

The test a_call_that_cannot_be_recorded_as_required_is_refused asserted the fault ("Calls accepted before are answered nevertheless"); it now asserts that neither an overdue nor a failed sync confirms anything, in all three modes. The other checks of the two tests are as before, on entry numbers.

--- a/daemon/src/journal.rs
+++ b/daemon/src/journal.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use records::commit::{Admission, GroupCommit};
-use records::entry::{Author, Entry};
+use records::entry::{Author, Entry, NumberedEntry, Stored};
 use records::journal;
 use tokio::sync::mpsc;
 
@@ -26,6 +26,8 @@
     number: u32,
     size: u64,
     pending: Vec<u8>,
+    /// The number of the latest entry.
+    last_entry: u64,
     lost: u64,
     commit: GroupCommit,
     sync_results: mpsc::Sender<io::Result<()>>,
@@ -50,6 +52,7 @@
             number: 0,
             size: 0,
             pending: Vec::new(),
+            last_entry: 0,
             lost: 0,
             commit,
             sync_results,
@@ -85,8 +88,9 @@
     }
 
     /// Writes entries, together with those whose write failed before.
-    pub fn write(&mut self, now: f64, entries: impl Iterator<Item = Entry>) {
-        for entry in entries {
+    pub fn write(&mut self, now: f64, entries: impl Iterator<Item = NumberedEntry>) {
+        for NumberedEntry { number, entry } in entries {
+            self.last_entry = number;
             if self.pending.len() < MAX_PENDING_BYTES {
                 journal::write(&mut self.pending, &entry);
             } else {
@@ -99,7 +103,7 @@
         match self.open_segment().and_then(|file| (&*file).write_all(&self.pending)) {
             Ok(()) => {
                 self.size += self.pending.len() as u64;
-                self.commit.record_write(now, self.pending.len());
+                self.commit.record_write(now, self.last_entry);
                 self.pending.clear();
             }
             Err(error) => {
@@ -138,14 +142,9 @@
         self.commit.due()
     }
 
-    /// Returns the position of all entries written so far, to be passed to [`Journal::may_send`].
-    pub fn position(&self) -> u64 {
-        self.commit.written()
-    }
-
-    /// Whether a datagram that waits for `position` may be sent.
-    pub fn may_send(&self, now: f64, position: u64) -> bool {
-        self.commit.may_send(now, position)
+    /// Returns which entries are stored as the configured durability requires.
+    pub fn stored(&self) -> Stored {
+        self.commit.stored()
     }
 
     /// Whether a conversation that arrives now can be recorded with the configured durability.
@@ -154,7 +153,7 @@
     }
 
     /// Writes and syncs the last entries of this process before it returns.
-    pub fn finish(&mut self, now: f64, entries: impl Iterator<Item = Entry>) {
+    pub fn finish(&mut self, now: f64, entries: impl Iterator<Item = NumberedEntry>) {
         self.write(now, entries);
         if let Some(Err(error)) = self.segment.as_ref().map(|segment| segment.sync_data()) {
             tracing::error!("records.unsynced: {error}");
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -1,7 +1,6 @@
 //! Runs one border proxy on UDP sockets. Inputs are datagrams, the pool list, the clock and signals; output
 //! is datagrams. No decision is made here.
 
-use std::collections::VecDeque;
 use std::fs;
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -15,7 +14,7 @@
 use border::decided::ProcessInfo;
 use border::journal_writer::JournalWriter;
 use border::pool::{PoolList, PoolUpdates};
-use border::{BorderProxy, Decisions, Outbound, Side, Watched};
+use border::{BorderProxy, Decisions, Side, Watched};
 use frostthread::Proxy;
 use frostthread::host::Terms;
 use gossip::{GossipTerms, Node};
@@ -200,8 +199,6 @@
         let (grades, tenants) = settings.names.clone();
         proxy.start_recording(JournalWriter::new(grades, tenants, unix_ms() - clock.now()));
     }
-    // Datagrams to callers that wait for the journal, each with the position that must be durable first.
-    let mut waiting: VecDeque<(u64, Outbound)> = VecDeque::new();
     let peers_address = peers.as_ref().map(|socket| socket.local_addr()).transpose()?;
     let mut sockets =
         Sockets::new(callers, peers, settings.server_source, settings.receive_buffer, arrivals_in);
@@ -332,19 +329,9 @@
         if let Some(journal) = &mut journal {
             journal.write(now, std::iter::from_fn(|| proxy.next_journal_entry()));
             journal.turn(now);
+            proxy.entries_stored(now, journal.stored());
         }
         while let Some(datagram) = proxy.outbound() {
-            match &journal {
-                // Voice frames depend on no journal entry: mini frames are sent at once (RFC 5456, 8.1.2).
-                Some(journal) if datagram.side == Side::Callers && datagram.bytes[0] & 0x80 != 0 => {
-                    waiting.push_back((journal.position(), datagram));
-                }
-                _ => backlog.send(datagram, |datagram| sockets.try_send(datagram)),
-            }
-        }
-        while let Some((_, datagram)) =
-            waiting.pop_front_if(|(position, _)| journal.as_ref().is_none_or(|j| j.may_send(now, *position)))
-        {
             backlog.send(datagram, |datagram| sockets.try_send(datagram));
         }
         while let Some(note) = proxy.note() {
@@ -359,9 +346,6 @@
             if let Some(journal) = &mut journal {
                 journal.finish(now, std::iter::from_fn(|| proxy.next_journal_entry()));
             }
-            for (_, datagram) in waiting {
-                backlog.send(datagram, |datagram| sockets.try_send(datagram));
-            }
             flush_last_datagrams(&mut proxy, &mut sockets, backlog, &mut arrivals, &clock, remaining).await?;
             return Ok(release_agent.replacement);
         }
--- a/lab/src/stand_ins/baseline.rs
+++ b/lab/src/stand_ins/baseline.rs
@@ -188,6 +188,11 @@
         self.attempt_ended(handle);
     }
 
+    // Baselines run without records, so no answer of theirs is ever held.
+    fn answer_held(&mut self, _handle: Handle) {}
+
+    fn answer_sent(&mut self, _handle: Handle) {}
+
     fn attempt_ended(&mut self, handle: Handle, ending: Ending, finished: bool, host: &mut impl Host) {
         self.attempt_ended(handle);
         let Some(calls) = &mut self.calls[handle.0 as usize] else { return };
@@ -310,6 +315,12 @@
     fn established(&mut self, handle: Handle) {
         delegate!(self, established(handle));
     }
+    fn answer_held(&mut self, handle: Handle) {
+        delegate!(self, answer_held(handle));
+    }
+    fn answer_sent(&mut self, handle: Handle) {
+        delegate!(self, answer_sent(handle));
+    }
     fn attempt_ended(&mut self, handle: Handle, ending: Ending, finished: bool, host: &mut impl Host) {
         delegate!(self, attempt_ended(handle, ending, finished, host));
     }
--- a/proxy/src/border/callers.rs
+++ b/proxy/src/border/callers.rs
@@ -9,7 +9,7 @@
 use records::entry::Outcome;
 use siphasher::sip::SipHasher13;
 
-use super::host::Conversation;
+use super::host::{Conversation, Progress};
 use super::{BorderProxy, FORWARDED_ELEMENTS};
 use crate::causes;
 use crate::decisions::Decisions;
@@ -30,7 +30,7 @@
                     let attempt = self
                         .host
                         .conversation(handle)
-                        .filter(|c| c.established)
+                        .filter(|c| c.is_answered())
                         .and_then(|c| c.attempt.as_ref());
                     if let Some(server_leg) = attempt.map(|attempt| attempt.leg) {
                         self.host.servers.media(now, server_leg, &media);
@@ -92,16 +92,16 @@
             self.module.set_within_share(tenant, limits.within_share(now, tenant));
         }
         let journal = self.host.journal.as_mut();
-        let serial = journal.map_or(0, |journal| journal.opened(now, calling, called, grade, call.tenant));
+        let recorded = journal.map(|journal| journal.opened(now, calling, called, grade, call.tenant));
         let handle = self.module.accept(&call);
         let conversation = Conversation {
             caller,
-            serial,
+            recorded: recorded.unwrap_or_default(),
             attempt: None,
             forwarded: elements.only(&FORWARDED_ELEMENTS),
             accept_sent: false,
             ringing_sent: false,
-            established: false,
+            progress: Progress::SettingUp,
             grade,
             accepted_at: now - waited,
         };
@@ -126,25 +126,25 @@
 
     /// Ends the conversation of a caller that hung up or no longer answers.
     pub(super) fn handle_caller_gone(&mut self, handle: Handle) {
-        let established = self.host.conversation(handle).is_some_and(|c| c.established);
+        let established = self.host.conversation(handle).is_some_and(|c| c.is_established());
         self.host.record_outcome(handle, if established { Outcome::Completed } else { Outcome::CallerGone });
         let Some(conversation) = self.host.remove_conversation(handle) else { return };
         let now = self.host.now;
         if let Some(attempt) = &conversation.attempt {
             self.host.servers.end(now, attempt.leg, &Elements::new().with_cause(cause::NORMAL_CLEARING));
-            if !conversation.established {
+            if !conversation.is_answered() {
                 self.host.record_evidence(attempt.server, Evidence::attempt_cancelled);
             }
         }
-        if conversation.established {
+        if established {
             self.host.counters.cleared += 1;
         } else {
             self.host.counters.caller_gone += 1;
         }
         // The conversation ends for the module too; its attempt, if any, was hung up above.
-        let ending = if conversation.established { Ending::Ok } else { Ending::Cancelled };
+        let ending = if established { Ending::Ok } else { Ending::Cancelled };
         let had_attempt = conversation.attempt.is_some();
-        if !conversation.established {
+        if !established {
             self.module.caller_gone(handle);
         }
         if had_attempt {
--- a/proxy/src/border/host.rs
+++ b/proxy/src/border/host.rs
@@ -16,7 +16,7 @@
 use crate::distributed::Distribution;
 use crate::earnings::EarningsPeriod;
 use crate::hints::Hints;
-use crate::journal_writer::JournalWriter;
+use crate::journal_writer::{JournalWriter, RecordedTry};
 use crate::limits::FleetLimits;
 use crate::pool::PoolList;
 use crate::status::Counters;
@@ -28,12 +28,23 @@
     pub(super) server: Server,
 }
 
+/// How far a conversation has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Progress {
+    /// No server has answered.
+    SettingUp,
+    /// A server has answered; the caller is told once this entry of the journal is stored.
+    AnswerHeld { answered_entry: u64 },
+    /// The caller was told.
+    Established,
+}
+
 /// A caller's conversation.
 pub(super) struct Conversation {
     /// The leg to the caller.
     pub(super) caller: Leg,
-    /// Its serial number in the journal; 0 where nothing is recorded.
-    pub(super) serial: u64,
+    /// Its numbers in the journal; zeros where nothing is recorded.
+    pub(super) recorded: RecordedTry,
     /// The current attempt, if any.
     pub(super) attempt: Option<Attempt>,
     /// Elements of the caller's NEW that its attempts forward.
@@ -42,8 +53,7 @@
     pub(super) accept_sent: bool,
     /// Whether RINGING was sent to the caller.
     pub(super) ringing_sent: bool,
-    /// Whether a server answered.
-    pub(super) established: bool,
+    pub(super) progress: Progress,
     /// Index of the service grade.
     pub(super) grade: usize,
     /// When the caller sent its NEW, in milliseconds: earlier than the time of acceptance if the NEW was
@@ -51,6 +61,18 @@
     pub(super) accepted_at: f64,
 }
 
+impl Conversation {
+    /// Whether a server has answered and media passes.
+    pub(super) fn is_answered(&self) -> bool {
+        self.progress != Progress::SettingUp
+    }
+
+    /// Whether the caller was told that the call is established.
+    pub(super) fn is_established(&self) -> bool {
+        self.progress == Progress::Established
+    }
+}
+
 /// Endpoints, conversations and optional parts of a border proxy; the module's [`Host`].
 pub(super) struct HostState {
     /// The endpoint for callers.
@@ -78,6 +100,8 @@
     pub(super) suspected_servers: Vec<Server>,
     /// The journal, if conversations are recorded.
     pub(super) journal: Option<JournalWriter>,
+    /// Conversations whose answers were held, in the order of their entries. Some may have ended since.
+    pub(super) held_answers: VecDeque<(u64, Handle)>,
     /// The fleet's limits, if there are any.
     pub(super) limits: Option<FleetLimits>,
     /// What the fleet has decided, if there is a council.
@@ -131,7 +155,7 @@
 
     /// Records the outcome of a conversation in the journal.
     pub(super) fn record_outcome(&mut self, handle: Handle, outcome: Outcome) {
-        let (now, serial) = (self.now, self.conversation(handle).map(|c| c.serial));
+        let (now, serial) = (self.now, self.conversation(handle).map(|c| c.recorded.serial));
         if let Some((journal, serial)) = self.journal.as_mut().zip(serial) {
             journal.closed(now, serial, outcome);
         }
@@ -159,7 +183,7 @@
         if let Some(limits) = &mut self.limits {
             limits.record_attempt(now, server);
         }
-        let serial = self.conversation(handle).expect("checked above").serial;
+        let serial = self.conversation(handle).expect("checked above").recorded.serial;
         if let Some(journal) = &mut self.journal {
             journal.attempt_sent(now, serial, self.pool.name(server));
         }
--- a/proxy/src/border/mod.rs
+++ b/proxy/src/border/mod.rs
@@ -20,7 +20,7 @@
 use frostthread::host::{Ending, Handle, Server, State, Terms};
 use gossip::Node;
 use iax2::{Endpoint, Limits, cause, element};
-use records::entry::{Entry, Outcome};
+use records::entry::{NumberedEntry, Outcome, Stored};
 use slotmap::SecondaryMap;
 
 use crate::causes;
@@ -131,6 +131,7 @@
                 gossip_changed: false,
                 suspected_servers: Vec::new(),
                 journal: None,
+                held_answers: VecDeque::new(),
                 limits: None,
                 decided: None,
                 distribution: None,
@@ -148,12 +149,22 @@
         self.host.journal = Some(journal);
     }
 
-    /// The next entry for the journal. It must be stored before datagrams from [`BorderProxy::outbound`] to
-    /// callers are sent.
-    pub fn next_journal_entry(&mut self) -> Option<Entry> {
+    /// The next entry for the journal. Write it before datagrams from [`BorderProxy::outbound`] are sent.
+    pub fn next_journal_entry(&mut self) -> Option<NumberedEntry> {
         self.host.journal.as_mut()?.next_entry()
     }
 
+    /// Reports which entries are stored as the durability requires, and sends the answers that were held for them.
+    /// Call it after the entries of a turn were written.
+    pub fn entries_stored(&mut self, now: f64, stored: Stored) {
+        self.advance_clock(now);
+        while let Some((entry, handle)) =
+            self.host.held_answers.pop_front_if(|(entry, _)| *entry <= stored.through)
+        {
+            self.send_held_answer(handle, entry, stored);
+        }
+    }
+
     /// Sets whether new conversations can be recorded as promised. `Some` refuses new callers with this retry
     /// time in milliseconds; `None` accepts them.
     pub fn set_recording_unavailable(&mut self, retry_after: Option<f64>) {
@@ -248,8 +259,8 @@
         self.handle_server_events();
         while let Some(leg) = self.host.timers.next_timed_out(now) {
             let Some(&handle) = self.host.by_attempt.get(leg) else { continue };
-            let established = self.host.conversation(handle).is_none_or(|c| c.established);
-            if !established && self.host.hang_up_attempt(handle, cause::RECOVERY_ON_TIMER) {
+            let answered = self.host.conversation(handle).is_none_or(|c| c.is_answered());
+            if !answered && self.host.hang_up_attempt(handle, cause::RECOVERY_ON_TIMER) {
                 self.finish_attempt(handle, Ending::TimedOut);
             }
         }
@@ -313,7 +324,7 @@
         self.advance_clock(now);
         for index in 0..self.host.conversations.len() as u32 {
             let Some(conversation) = self.host.conversation(Handle(index)) else { continue };
-            let established = conversation.established;
+            let established = conversation.is_established();
             let count =
                 if established { &mut self.host.counters.cut } else { &mut self.host.counters.failed };
             *count += 1;
@@ -331,7 +342,7 @@
     pub fn status(&self) -> Status {
         let mut counts = ConversationCounts::default();
         for conversation in self.host.conversations.iter().flatten() {
-            match (conversation.established, &conversation.attempt) {
+            match (conversation.is_established(), &conversation.attempt) {
                 (true, _) => counts.established += 1,
                 (false, Some(_)) => counts.attempting += 1,
                 (false, None) => counts.waiting += 1,
--- a/proxy/src/border/servers.rs
+++ b/proxy/src/border/servers.rs
@@ -3,9 +3,10 @@
 use frostthread::host::{Ending, Handle, Report, Server};
 use iax2::element::{self, Elements};
 use iax2::{EndReason, Event, cause};
-use records::entry::Outcome;
+use records::entry::{Outcome, Stored};
 
 use super::BorderProxy;
+use super::host::Progress;
 use crate::causes;
 use crate::decisions::Decisions;
 use crate::hints::Hints;
@@ -65,29 +66,61 @@
                 self.host.callers.ringing(now, caller);
             }
             Event::Answered(elements) => {
-                if std::mem::replace(&mut conversation.established, true) {
+                if conversation.is_answered() {
                     return;
                 }
-                let (serial, grade, set_up_ms) =
-                    (conversation.serial, conversation.grade, now - conversation.accepted_at);
                 if !std::mem::replace(&mut conversation.accept_sent, true) {
                     self.host.callers.accept(now, caller, &Elements::new());
                 }
-                self.host.counters.established += 1;
-                self.host.earnings.conversation_established(grade, set_up_ms);
-                if let Some(journal) = &mut self.host.journal {
-                    journal.answered(now, serial);
-                }
-                self.host.callers.answer(now, caller, &Elements::new());
                 self.handle_report(server, Hints::read(&elements).report());
                 self.module.established(handle);
+                self.answer_caller(handle);
+            }
+            Event::Media(media) if conversation.is_answered() => {
+                self.host.callers.media(now, caller, &media);
             }
-            Event::Media(media) if conversation.established => self.host.callers.media(now, caller, &media),
             Event::Ended(end) => self.attempt_ended(handle, server, &end),
             _ => {}
         }
     }
 
+    /// Answers the caller of a conversation that a server has answered, or holds the answer until it is recorded.
+    fn answer_caller(&mut self, handle: Handle) {
+        let now = self.host.now;
+        let Some(conversation) = self.host.conversation(handle) else { return };
+        let serial = conversation.recorded.serial;
+        let Some(journal) = &mut self.host.journal else { return self.send_answer(handle) };
+        let answered_entry = journal.answered(now, serial);
+        self.host.held_answers.push_back((answered_entry, handle));
+        if let Some(conversation) = self.host.conversation(handle) {
+            conversation.progress = Progress::AnswerHeld { answered_entry };
+        }
+        self.module.answer_held(handle);
+    }
+
+    /// Sends an answer whose entry is stored, unless the conversation has ended or lacks an entry. In that case the
+    /// module gives it up in time.
+    pub(super) fn send_held_answer(&mut self, handle: Handle, answered_entry: u64, stored: Stored) {
+        let Some(conversation) = self.host.conversation(handle) else { return };
+        let waits_for_entry = conversation.progress == Progress::AnswerHeld { answered_entry };
+        if waits_for_entry && stored.covers(conversation.recorded.opened_entry, answered_entry) {
+            self.module.answer_sent(handle);
+            self.send_answer(handle);
+        }
+    }
+
+    /// Tells the caller that its call is established.
+    fn send_answer(&mut self, handle: Handle) {
+        let now = self.host.now;
+        let Some(conversation) = self.host.conversation(handle) else { return };
+        conversation.progress = Progress::Established;
+        let (caller, grade, set_up_ms) =
+            (conversation.caller, conversation.grade, now - conversation.accepted_at);
+        self.host.counters.established += 1;
+        self.host.earnings.conversation_established(grade, set_up_ms);
+        self.host.callers.answer(now, caller, &Elements::new());
+    }
+
     /// Handles the end of an attempt's leg: the attempt ends, or the established conversation is over.
     pub(super) fn attempt_ended(&mut self, handle: Handle, server: Server, end: &EndReason) {
         if let EndReason::Peer { elements, .. } = end {
@@ -95,10 +128,18 @@
         }
         let Some(conversation) = self.host.conversation(handle) else { return };
         let attempt = conversation.attempt.take().expect("it ended");
-        let established = conversation.established;
+        let progress = conversation.progress;
+        if let Progress::AnswerHeld { .. } = progress {
+            // The module may send another attempt.
+            conversation.progress = Progress::SettingUp;
+        }
         self.host.by_attempt.remove(attempt.leg);
-        if !established {
-            return self.finish_attempt(handle, causes::attempt_ending(end));
+        match progress {
+            Progress::SettingUp => return self.finish_attempt(handle, causes::attempt_ending(end)),
+            Progress::AnswerHeld { .. } => {
+                return self.finish_attempt(handle, causes::established_ending(end));
+            }
+            Progress::Established => {}
         }
         let ending = causes::established_ending(end);
         let cut = ending != Ending::Ok;
--- a/proxy/src/decisions.rs
+++ b/proxy/src/decisions.rs
@@ -30,6 +30,10 @@
     fn enqueue(&mut self, handle: Handle);
     /// Reports that a server answered the conversation's attempt.
     fn established(&mut self, handle: Handle);
+    /// Reports that the answer to an established conversation's caller is held back until it is recorded.
+    fn answer_held(&mut self, handle: Handle);
+    /// Reports that a held answer was sent.
+    fn answer_sent(&mut self, handle: Handle);
     /// Reports the end of an attempt or of an established conversation; `finished` if the caller needs no
     /// further answer.
     fn attempt_ended(&mut self, handle: Handle, ending: Ending, finished: bool, host: &mut impl Host);
@@ -73,6 +77,12 @@
     fn established(&mut self, handle: Handle) {
         handle.established(self);
     }
+    fn answer_held(&mut self, handle: Handle) {
+        handle.answer_held(self);
+    }
+    fn answer_sent(&mut self, handle: Handle) {
+        handle.answer_sent(self);
+    }
     fn attempt_ended(&mut self, handle: Handle, ending: Ending, finished: bool, host: &mut impl Host) {
         handle.attempt_ended(self, ending, finished, host);
     }
--- a/proxy/src/watch.rs
+++ b/proxy/src/watch.rs
@@ -179,6 +179,12 @@
     fn established(&mut self, handle: Handle) {
         handle.established(&mut self.module);
     }
+    fn answer_held(&mut self, handle: Handle) {
+        handle.answer_held(&mut self.module);
+    }
+    fn answer_sent(&mut self, handle: Handle) {
+        handle.answer_sent(&mut self.module);
+    }
     fn attempt_ended(&mut self, handle: Handle, ending: Ending, finished: bool, host: &mut impl Host) {
         self.decide_twice(host, |module, host| handle.attempt_ended(module, ending, finished, host));
     }
--- a/records/src/commit.rs
+++ b/records/src/commit.rs
@@ -1,23 +1,25 @@
-//! Group commit: decides when the journal is synced, and which answers wait for it. The caller does the I/O. Positions
-//! are bytes since the start of the journal, times are in milliseconds.
+//! Group commit: decides when the journal is synced, and which entries are stored. The caller does the I/O. Entries are
+//! named by their numbers, times are in milliseconds.
 //!
 //! Report each write with [`GroupCommit::record_write`], and hold back answers that depend on it until
-//! [`GroupCommit::may_send`]. One sync covers everything written before it started, and starts at the latest when the
-//! first unsynced entry has waited for `max_delay`.
+//! [`GroupCommit::stored`] covers their entries. One sync covers everything written before it started, and starts at the
+//! latest when the first unsynced entry has waited for `max_delay`.
 
 use serde::{Deserialize, Serialize};
 
-/// What an answer to a caller waits for. This is the setting `promise`.
+use crate::entry::Stored;
+
+/// What the answer that establishes a call waits for. This is the setting `promise`.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Durability {
-    /// The answer to an established call waits until its entry is synced to disk. Entries survive a power cut.
+    /// It waits until its entry is synced to disk. Stored entries survive a power cut.
     #[default]
     Synced,
-    /// The answer waits until the entry is written to the operating system. Entries survive a crash of the process,
-    /// but not a power cut.
+    /// It waits until its entry is written to the operating system. Stored entries survive a crash of the process, but
+    /// not a power cut.
     Written,
-    /// The answer does not wait, and calls are accepted even if the disk fails.
+    /// It does not wait, and calls are accepted even if the disk fails.
     #[serde(rename = "loose")]
     Unconfirmed,
 }
@@ -27,7 +29,7 @@
 pub enum DiskHealth {
     /// Writes and syncs succeed in time.
     Healthy,
-    /// The current sync takes longer than an answer may wait.
+    /// The current sync takes longer than a sync should.
     Slow,
     /// The last write or sync failed, for example on a full or read-only disk.
     WriteFailing,
@@ -61,8 +63,8 @@
 }
 
 impl GroupCommit {
-    /// `max_delay` is how long an entry may wait for others to share a sync, `sync_timeout` how long an answer may wait
-    /// for a sync, both in milliseconds.
+    /// `max_delay` is how long an entry may wait for others to share a sync, `sync_timeout` how long a sync may take
+    /// before new calls are refused, both in milliseconds.
     pub fn new(durability: Durability, max_delay: f64, sync_timeout: f64) -> Self {
         Self {
             durability,
@@ -76,12 +78,13 @@
         }
     }
 
-    /// Records that `bytes` more bytes were written to the operating system. Returns the position after them.
-    pub fn record_write(&mut self, now: f64, bytes: usize) -> u64 {
+    /// Records that all entries up to a number were written to the operating system.
+    pub fn record_write(&mut self, now: f64, through: u64) {
         self.write_failing = false;
-        self.written += bytes as u64;
-        self.first_unsynced_at.get_or_insert(now);
-        self.written
+        if through > self.written {
+            self.written = through;
+            self.first_unsynced_at.get_or_insert(now);
+        }
     }
 
     /// Records that a write or sync failed. Nothing unsynced counts as kept, and the sync in progress is dropped.
@@ -89,22 +92,14 @@
         (self.write_failing, self.sync_in_progress) = (true, None);
     }
 
-    /// The position after everything written so far.
-    pub fn written(&self) -> u64 {
-        self.written
-    }
-
-    /// Whether answers that wait for this position may be sent. A failing disk holds nothing back: an answer in time
-    /// is more important than its record, which stays in memory until it can be written.
-    pub fn may_send(&self, now: f64, position: u64) -> bool {
-        if self.health(now) != DiskHealth::Healthy {
-            return true;
-        }
-        match self.durability {
-            Durability::Synced => position <= self.synced,
-            Durability::Written => position <= self.written,
-            Durability::Unconfirmed => true,
-        }
+    /// The entries that are stored as the durability requires, whatever state the disk is in.
+    pub fn stored(&self) -> Stored {
+        let through = match self.durability {
+            Durability::Synced => self.synced,
+            Durability::Written => self.written,
+            Durability::Unconfirmed => u64::MAX,
+        };
+        Stored { through, lost_through: 0 }
     }
 
     /// When the next sync has to start. There is never more than one at a time.
--- a/records/src/entry.rs
+++ b/records/src/entry.rs
@@ -50,12 +50,38 @@
     Opened { serial: u64, unix_ms: u64, calling: String, called: String, grade: String, tenant: String },
     /// An attempt is sent to a server.
     Attempt { serial: u64, unix_ms: u64, server: String },
-    /// The call is established. Written before the caller is notified.
+    /// The try's server has answered. Stored before the caller is notified; the caller of a try that is closed as
+    /// neither completed nor cut was not notified.
     Answered { serial: u64, unix_ms: u64 },
     /// The try got its final answer, or the established call ended.
     Closed { serial: u64, unix_ms: u64, outcome: Outcome, over_share: bool },
 }
 
+/// An entry with its number: a generation's entries are numbered from 1 in the order in which they are written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NumberedEntry {
+    /// The number.
+    pub number: u64,
+    /// The entry.
+    pub entry: Entry,
+}
+
+/// Which entries are stored as the durability requires.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Stored {
+    /// All entries up to this number are stored, apart from lost ones.
+    pub through: u64,
+    /// Entries up to this number may have been lost; none after it was.
+    pub lost_through: u64,
+}
+
+impl Stored {
+    /// Whether all entries from `first` to `last` are certain to be stored.
+    pub fn covers(self, first: u64, last: u64) -> bool {
+        first > self.lost_through && last <= self.through
+    }
+}
+
 /// The record of one try, built from one journal.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Try {
--- a/records/src/ledger.rs
+++ b/records/src/ledger.rs
@@ -63,14 +63,18 @@
             Entry::Attempt { serial, unix_ms, server } => {
                 self.last_written_at = self.last_written_at.max(unix_ms);
                 match self.open.get_mut(&serial) {
-                    Some(open) => (open.attempts, open.server) = (open.attempts + 1, Some(server)),
+                    Some(open) => {
+                        (open.attempts, open.server) = (open.attempts + 1, Some(server));
+                        // The answer to an earlier attempt was never passed on.
+                        open.answered = None;
+                    }
                     None => self.orphans += 1,
                 }
             }
             Entry::Answered { serial, unix_ms } => {
                 self.last_written_at = self.last_written_at.max(unix_ms);
                 match self.open.get_mut(&serial) {
-                    Some(open) => open.answered = open.answered.or(Some(unix_ms)),
+                    Some(open) => open.answered = Some(unix_ms),
                     None => self.orphans += 1,
                 }
             }
@@ -87,6 +91,10 @@
                 let consistent = outcome != Outcome::Completed || ended.answered.is_some();
                 (ended.outcome, ended.over_share) =
                     (if consistent { outcome } else { Outcome::Lost }, over_share);
+                // A server's answer that did not reach the caller establishes nothing.
+                if !matches!(ended.outcome, Outcome::Completed | Outcome::Cut) {
+                    ended.answered = None;
+                }
                 self.closed.insert(ended.id.clone(), ended);
             }
         }
--- a/records/tests/records.rs
+++ b/records/tests/records.rs
@@ -163,6 +163,41 @@
     assert_eq!(all[0].outcome, Outcome::Lost);
 }
 
+#[rstest]
+#[case::caller_told(Outcome::Completed, Some(150))]
+#[case::cut_later(Outcome::Cut, Some(150))]
+#[case::not_stored_in_time(Outcome::Refused, None)]
+#[case::ended_by_its_server_before(Outcome::Failed, None)]
+#[case::caller_left_before(Outcome::CallerGone, None)]
+fn an_answer_that_was_never_passed_on_is_not_in_the_record(
+    #[case] outcome: Outcome,
+    #[case] answered: Option<u64>,
+) {
+    let all = tries([
+        Entry::GenerationStarted(author(1)),
+        opened(1, 100),
+        Entry::Attempt { serial: 1, unix_ms: 101, server: "a".to_owned() },
+        Entry::Answered { serial: 1, unix_ms: 150 },
+        closed(1, 3_000, outcome),
+    ]);
+    assert_eq!((all[0].answered, all[0].outcome), (answered, outcome));
+}
+
+#[test]
+fn the_answer_to_the_last_attempt_counts() {
+    let attempt = |at| Entry::Attempt { serial: 1, unix_ms: at, server: "a".to_owned() };
+    let all = tries([
+        Entry::GenerationStarted(author(1)),
+        opened(1, 100),
+        attempt(101),
+        Entry::Answered { serial: 1, unix_ms: 150 },
+        attempt(500),
+        Entry::Answered { serial: 1, unix_ms: 550 },
+        closed(1, 3_000, Outcome::Completed),
+    ]);
+    assert_eq!((all[0].answered, all[0].attempts), (Some(550), 2));
+}
+
 fn record(proxy: &str, opened: u64, answered: Option<u64>, closed: u64, outcome: Outcome) -> Try {
     Try {
         id: TryId { author: Author { proxy: proxy.to_owned(), generation: 1 }, serial: opened },
@@ -322,38 +357,40 @@
 #[test]
 fn one_sync_covers_everything_written_before_it_started() {
     let mut commit = GroupCommit::new(Durability::Synced, 5.0, 200.0);
-    let first = commit.record_write(0.0, 100);
-    let second = commit.record_write(3.0, 100);
+    commit.record_write(0.0, 1);
+    commit.record_write(3.0, 2);
     assert_eq!(commit.due(), 5.0);
     commit.sync_started(5.0);
-    let third = commit.record_write(6.0, 100);
-    assert!(!commit.may_send(6.0, first) && commit.due() == f64::INFINITY);
+    commit.record_write(6.0, 3);
+    assert_eq!((commit.stored().through, commit.due()), (0, f64::INFINITY));
     commit.sync_finished();
-    assert!(commit.may_send(7.0, first) && commit.may_send(7.0, second) && !commit.may_send(7.0, third));
+    assert_eq!(commit.stored().through, 2);
     assert_eq!(commit.due(), 11.0);
 }
 
 const REFUSE: Admission = Admission::Refuse { retry_after: 200.0 };
 
 #[rstest]
-#[case(Durability::Synced, REFUSE, REFUSE)]
-#[case(Durability::Written, Admission::Accept, REFUSE)]
-#[case(Durability::Unconfirmed, Admission::Accept, Admission::Accept)]
+#[case(Durability::Synced, REFUSE, REFUSE, 0)]
+#[case(Durability::Written, Admission::Accept, REFUSE, 1)]
+#[case(Durability::Unconfirmed, Admission::Accept, Admission::Accept, u64::MAX)]
 fn a_call_that_cannot_be_recorded_as_required_is_refused(
     #[case] durability: Durability,
     #[case] slow: Admission,
     #[case] full: Admission,
+    #[case] stored: u64,
 ) {
     let mut commit = GroupCommit::new(durability, 5.0, 200.0);
     assert_eq!(commit.admit(0.0), Admission::Accept);
-    commit.record_write(0.0, 10);
+    commit.record_write(0.0, 1);
     commit.sync_started(5.0);
     assert_eq!((commit.health(300.0), commit.admit(300.0)), (DiskHealth::Slow, slow));
-    // Calls accepted before are answered nevertheless.
-    assert!(commit.may_send(300.0, 10));
+    // Neither an overdue nor a failed sync confirms what it was to cover.
+    assert_eq!(commit.stored().through, stored);
     commit.disk_failed();
     assert_eq!((commit.health(301.0), commit.admit(301.0)), (DiskHealth::WriteFailing, full));
+    assert_eq!(commit.stored().through, stored);
     // The disk accepts writes again.
-    commit.record_write(400.0, 10);
+    commit.record_write(400.0, 2);
     assert_eq!(commit.admit(400.0), Admission::Accept);
 }
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -4,13 +4,15 @@
 //! Create one [`Proxy`] for each border proxy and pass it the server list with [`Proxy::update_server_list`].
 //! [`Proxy::accept`] returns a [`Handle`] for a conversation, and later events are methods of that handle:
 //! [`Handle::enqueue`] once, then [`Handle::established`], [`Handle::attempt_ended`] and
-//! [`Handle::caller_gone`]. Call [`Proxy::advance_clock`] before the events of one point in time and
+//! [`Handle::caller_gone`]. A host that holds answers back until they are recorded says so with
+//! [`Handle::answer_held`] and [`Handle::answer_sent`]. Call [`Proxy::advance_clock`] before the events of one point in time and
 //! [`Proxy::run_pending`] after them. The decisions request actions through the trait [`Host`] in `host.rs`.
 //! `docs/design.md` gives the reason for each step.
 
 mod called_number;
 mod central;
 mod cold;
+mod held_answers;
 mod histogram;
 mod intake;
 mod outcome;
@@ -26,6 +28,7 @@
 
 use called_number::CalledNumbers;
 use central::{Central, EstablishedAttempt, InFlight};
+use held_answers::HeldAnswers;
 use histogram::BIN_COUNT;
 pub use histogram::{Histogram, quantile_after};
 
@@ -127,6 +130,8 @@
     centrals: Vec<Option<Central>>,
     conversations: Slab<Conversation>,
     held: Vec<Handle>,
+    /// Established conversations whose callers have not been told yet.
+    held_answers: HeldAnswers,
     /// Time of the next requested turn; infinity for none.
     wake_at: f64,
     /// Moving average of the share of attempts that were superseded by the answer to a later one.
@@ -189,6 +194,7 @@
             centrals: Vec::new(),
             conversations: Slab::new(),
             held: Vec::new(),
+            held_answers: HeldAnswers::default(),
             wake_at: f64::INFINITY,
             lost_answer_share: 0.0,
             stall: (0.0, now),
--- a/src/choice/outcome.rs
+++ b/src/choice/outcome.rs
@@ -121,7 +121,7 @@
     }
 
     /// The attempt, or the conversation that it established, has ended. With `finished` no final answer to
-    /// the caller is due.
+    /// the caller is due; a conversation whose answer is held is not finished by the end of its call.
     pub fn attempt_ended(self, proxy: &mut Proxy, ending: Ending, finished: bool, host: &mut impl Host) {
         let now = proxy.now;
         let Some(conversation) = proxy.conversations.get_mut(self.key()) else { return };
@@ -132,6 +132,10 @@
         let time_limit = proxy.grades[conversation.grade].limit;
         let number = conversation.number;
         let (established, closed) = (conversation.established, conversation.closed || finished);
+        let answer_was_held = proxy.held_answers.remove(conversation.caller_deadline, self);
+        if answer_was_held {
+            conversation.established = false;
+        }
         if matches!(ending, Ending::TimedOut | Ending::Reset | Ending::Cancelled) {
             conversation.release_until = now + proxy.terms.release + 1.0;
         }
@@ -144,8 +148,11 @@
         if ending == Ending::Error {
             conversation.fault_server = if call_is_faulty { None } else { attempt_server };
         }
+        // A call that both sides have completed is not repeated for a caller who was not told in time.
+        let was_completed = answer_was_held && ending == Ending::Ok;
         let may_retry = !closed
             && !call_is_faulty
+            && !was_completed
             && conversation.attempts < proxy.terms.max_attempts
             && conversation.caller_deadline > now
             && (!may_have_run || proxy.grades[conversation.grade].repeatable);
--- a/src/choice/pending.rs
+++ b/src/choice/pending.rs
@@ -16,6 +16,7 @@
             central.forget_before(window_start);
         }
         self.cancel_lost_attempts(host);
+        self.give_up_held_answers(host);
         self.probe(host);
         self.called_numbers.expire(self.now);
         let priority = |c: &Conversation| (-c.expected_earnings, c.accepted_at);
@@ -48,10 +49,11 @@
         }
         if !self.held.is_empty() || self.centrals.iter().flatten().any(|c| !c.in_flight.is_empty()) {
             wake_at = wake_at.min(self.now + TURN_INTERVAL_IN_TARGET_DELAYS * self.target_delay);
-            if wake_at < self.wake_at {
-                self.wake_at = wake_at;
-                host.wake(wake_at);
-            }
+        }
+        wake_at = wake_at.min(self.held_answers.next_deadline());
+        if wake_at < self.wake_at {
+            self.wake_at = wake_at;
+            host.wake(wake_at);
         }
     }
 
@@ -90,8 +92,8 @@
         2 + (recent_attempts as f64 * 0.5 * self.min_quoted_time / self.window) as usize
     }
 
-    /// Ends a conversation that has no attempt in flight: refuses it, or fails it if it may have been carried
-    /// out and must not be repeated.
+    /// Ends a conversation that has no attempt in flight, or whose answer is held: refuses it, or fails it if it may
+    /// have been carried out and must not be repeated.
     pub(super) fn give_up(&mut self, handle: Handle, host: &mut impl Host) {
         let conversation = self.conversations.remove(handle.key());
         self.record_fault(conversation.fault_server);
@@ -106,6 +108,8 @@
         let running = self.centrals.iter().flatten().filter(|c| c.state == State::Running);
         let shortest_wait = running.map(|c| self.remaining_retry_after(c)).fold(f64::INFINITY, f64::min);
         let shortest_wait = if shortest_wait.is_finite() { shortest_wait } else { 0.0 };
+        // The caller does not return before its last attempt is released.
+        let shortest_wait = shortest_wait.max(conversation.release_until - self.now);
         let jitter = 0.5 + 0.5 * self.rng.random::<f64>();
         let retry_after = self
             .terms
