--- a/records/tests/records.rs
+++ b/records/tests/records.rs
@@ -198,6 +198,44 @@
     assert_eq!((all[0].answered, all[0].attempts), (Some(550), 2));
 }
 
+proptest! {
+    /// Guards against attempts that were counted twice, and entries taken for orphans, where a journal holds entries
+    /// twice after a failed write.
+    #[test]
+    fn entries_written_again_after_a_failure_change_no_record(
+        outcomes in prop::collection::vec((0..4u64, 0..5usize), 1..12),
+        cuts in prop::collection::vec(0..200usize, 1..4),
+    ) {
+        let mut entries = Vec::new();
+        for (serial, &(attempts, outcome)) in outcomes.iter().enumerate() {
+            let (serial, at) = (serial as u64 + 1, serial as u64 * 100);
+            entries.push(opened(serial, at));
+            for attempt in 0..attempts {
+                let server = format!("s{}", attempt % 2);
+                entries.push(Entry::Attempt { serial, unix_ms: at + 10 * attempt, server });
+                entries.push(Entry::Answered { serial, unix_ms: at + 10 * attempt + 5 });
+            }
+            if let Some(&outcome) = [Outcome::Completed, Outcome::Cut, Outcome::Refused, Outcome::Failed].get(outcome) {
+                entries.push(closed(serial, at + 90, outcome));
+            }
+        }
+        let generation = Entry::GenerationStarted(author(1));
+        let once = std::iter::once(generation.clone()).chain(entries.iter().cloned());
+        // Each failure has everything from some entry on written again to a new segment.
+        let mut journal: Vec<Entry> = once.clone().collect();
+        for cut in cuts {
+            journal.push(generation.clone());
+            journal.extend(entries[cut % entries.len()..].iter().cloned());
+        }
+        let build = |entries: Vec<Entry>| {
+            let mut ledger = Ledger::default();
+            entries.into_iter().for_each(|entry| ledger.apply(entry));
+            ledger.tries()
+        };
+        prop_assert_eq!(build(journal), build(once.collect()));
+    }
+}
+
 fn record(proxy: &str, opened: u64, answered: Option<u64>, closed: u64, outcome: Outcome) -> Try {
     Try {
         id: TryId { author: Author { proxy: proxy.to_owned(), generation: 1 }, serial: opened },
