Credit a sync only with the entries that it covered

Cause: a position counted all bytes ever written, whatever segment they were in. Bytes of a failed sync stayed in the abandoned segment and were never written again; the next segment's sync raised the position past them. The result of a sync that a failed write had overtaken was taken for that of the next. Entries in memory had no position of their own, so their answers waited for an older one; dropped entries had none.

One job at a time goes to the disk, so a result belongs to its job.

Why it works: the number up to which entries are stored moves only when a job succeeds, to the number that was written when that job started, and a failure puts everything after it back into memory.

The two tests of GroupCommit are rewritten for the new interface; they check what they did, and in addition that health returns with a successful rewrite, not with the next write that the system buffers.

--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -250,7 +250,7 @@
             Some(received) = requests.recv() => request = Some(received),
             Some(result) = synced.recv() => {
                 if let Some(journal) = &mut journal {
-                    journal.sync_completed(result);
+                    journal.sync_completed(clock.now(), result);
                 }
             }
             Some(result) = council_writes.recv() => {
--- a/daemon/src/settings/mod.rs
+++ b/daemon/src/settings/mod.rs
@@ -13,7 +13,7 @@
 use std::path::PathBuf;
 
 use ::distribution::Scope;
-use ::records::commit::Durability;
+use ::records::store::StoreTerms;
 use border::ProxyTerms;
 use border::decided::AvailabilityTerms;
 use border::limits::LimitTerms;
@@ -94,14 +94,8 @@
 pub struct RecordsSettings {
     /// The folder of the journal.
     pub folder: PathBuf,
-    /// What an answer to a caller waits for.
-    pub durability: Durability,
-    /// How long an entry waits for others to share a sync, in milliseconds.
-    pub max_sync_delay: f64,
-    /// A sync that takes longer counts as a failure of the disk, in milliseconds.
-    pub max_sync_time: f64,
-    /// The size at which the next segment is started, in bytes.
-    pub segment_bytes: u64,
+    /// How entries are stored.
+    pub store: StoreTerms,
 }
 
 /// How a border proxy takes part in gossip.
--- a/daemon/src/settings/records.rs
+++ b/daemon/src/settings/records.rs
@@ -3,6 +3,7 @@
 use std::path::PathBuf;
 
 use records::commit::Durability;
+use records::store::StoreTerms;
 
 use super::RecordsSettings;
 use super::reader::{Reader, Section};
@@ -29,10 +30,12 @@
         let folder = folder.filter(|folder| !folder.is_empty());
         Some(RecordsSettings {
             folder: folder.map_or_else(|| PathBuf::from(state).join("records"), PathBuf::from),
-            durability: durability?,
-            max_sync_delay: max_sync_delay?,
-            max_sync_time: max_sync_time?,
-            segment_bytes: u64::from(segment_bytes?),
+            store: StoreTerms {
+                durability: durability?,
+                max_sync_delay: max_sync_delay?,
+                max_sync_time: max_sync_time?,
+                max_segment_bytes: u64::from(segment_bytes?),
+            },
         })
     }
 }
--- a/records/src/commit.rs
+++ b/records/src/commit.rs
@@ -1,9 +1,11 @@
-//! Group commit: decides when the journal is synced, and which entries are stored. The caller does the I/O. Entries are
-//! named by their numbers, times are in milliseconds.
+//! Group commit: decides when the journal is synced, when a segment is started, and which entries are stored. The caller
+//! does the I/O. Entries are named by their numbers, times are in milliseconds.
 //!
-//! Report each write with [`GroupCommit::record_write`], and hold back answers that depend on it until
-//! [`GroupCommit::stored`] covers their entries. One sync covers everything written before it started, and starts at the
-//! latest when the first unsynced entry has waited for `max_delay`.
+//! Report each write with [`GroupCommit::record_write`] or [`GroupCommit::write_failed`]. Do each job of
+//! [`GroupCommit::next_job`], of which there is never more than one at a time, and report its result with
+//! [`GroupCommit::job_finished`]. A sync covers everything written before it started, and starts at the latest when the
+//! first unsynced entry has waited for `max_delay`. After a failed write or sync nothing more goes to that segment: what no
+//! successful sync covers is written again to another one.
 
 use serde::{Deserialize, Serialize};
 
@@ -47,88 +49,189 @@
     },
 }
 
+/// A slow operation on the journal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Job {
+    /// Sync all segments with entries that are written and not synced.
+    Sync,
+    /// Start the next segment, as the current one is full.
+    NextSegment,
+    /// Start a segment with all entries that no sync covers, as the current one has failed.
+    Rewrite,
+}
+
+/// The job in progress.
+#[derive(Clone, Copy)]
+struct RunningJob {
+    job: Job,
+    since: f64,
+    /// The entries that are stored once it has succeeded.
+    through: u64,
+}
+
+/// The segment that entries are written to.
+#[derive(Clone, Copy, PartialEq)]
+enum Segment {
+    Usable,
+    /// It has reached its size; entries are still written to it until the next one is started.
+    Full {
+        start_next_at: f64,
+    },
+    /// A write or sync has failed; nothing more is written to it.
+    Failed {
+        rewrite_at: f64,
+    },
+}
+
 /// The state of the journal's writes and syncs.
 pub struct GroupCommit {
     durability: Durability,
     max_delay: f64,
-    /// How long a sync may take before the disk counts as slow.
+    /// How long a job may take before the disk counts as slow.
     sync_timeout: f64,
+    segment: Segment,
+    /// All entries up to this number were written to segments that have not failed.
     written: u64,
     synced: u64,
-    /// The sync in progress: the position that it covers, and since when.
-    sync_in_progress: Option<(u64, f64)>,
+    /// Entries up to this number may have been lost.
+    lost_through: u64,
+    running: Option<RunningJob>,
     /// When the first entry was written that no sync covers yet.
     first_unsynced_at: Option<f64>,
-    write_failing: bool,
 }
 
 impl GroupCommit {
-    /// `max_delay` is how long an entry may wait for others to share a sync, `sync_timeout` how long a sync may take
-    /// before new calls are refused, both in milliseconds.
+    /// `max_delay` is how long an entry may wait for others to share a sync, `sync_timeout` how long a job may take before
+    /// new calls are refused, both in milliseconds. The first segment is not started yet.
     pub fn new(durability: Durability, max_delay: f64, sync_timeout: f64) -> Self {
         Self {
             durability,
             max_delay,
             sync_timeout,
+            segment: Segment::Failed { rewrite_at: f64::NEG_INFINITY },
             written: 0,
             synced: 0,
-            sync_in_progress: None,
+            lost_through: 0,
+            running: None,
             first_unsynced_at: None,
-            write_failing: false,
         }
     }
 
-    /// Records that all entries up to a number were written to the operating system.
+    /// Whether entries can be written to the current segment.
+    pub fn is_writable(&self) -> bool {
+        !matches!(self.segment, Segment::Failed { .. })
+    }
+
+    /// Records that all entries up to a number were written to the current segment.
     pub fn record_write(&mut self, now: f64, through: u64) {
-        self.write_failing = false;
-        if through > self.written {
-            self.written = through;
-            self.first_unsynced_at.get_or_insert(now);
-        }
+        self.written = through;
+        self.first_unsynced_at.get_or_insert(now);
     }
 
-    /// Records that a write or sync failed. Nothing unsynced counts as kept, and the sync in progress is dropped.
-    pub fn disk_failed(&mut self) {
-        (self.write_failing, self.sync_in_progress) = (true, None);
+    /// Records that a write has failed. What no sync covers must be written again; a sync in progress still counts for
+    /// what was written before it started.
+    pub fn write_failed(&mut self, now: f64) {
+        self.abandon_segment(now);
+    }
+
+    /// Records that entries up to a number were lost: they are neither written nor kept in memory.
+    pub fn entries_lost(&mut self, through: u64) {
+        self.lost_through = self.lost_through.max(through);
+    }
+
+    /// Records that the current segment has reached its size.
+    pub fn segment_full(&mut self, now: f64) {
+        if self.segment == Segment::Usable {
+            self.segment = Segment::Full { start_next_at: now };
+        }
     }
 
     /// The entries that are stored as the durability requires, whatever state the disk is in.
     pub fn stored(&self) -> Stored {
-        let through = match self.durability {
-            Durability::Synced => self.synced,
-            Durability::Written => self.written,
-            Durability::Unconfirmed => u64::MAX,
+        let (through, lost_through) = match self.durability {
+            Durability::Synced => (self.synced, self.lost_through),
+            Durability::Written => (self.written, self.lost_through),
+            Durability::Unconfirmed => (u64::MAX, 0),
+        };
+        Stored { through, lost_through }
+    }
+
+    /// All entries up to this number were synced, apart from lost ones.
+    pub fn synced(&self) -> u64 {
+        self.synced
+    }
+
+    /// The job that starts now, if one is due; `last_entry` is the number of the latest entry.
+    pub fn next_job(&mut self, now: f64, last_entry: u64) -> Option<Job> {
+        if self.due() > now {
+            return None;
+        }
+        let (job, through) = match self.segment {
+            Segment::Failed { .. } => (Job::Rewrite, last_entry),
+            Segment::Full { start_next_at } if start_next_at <= now => (Job::NextSegment, 0),
+            Segment::Full { .. } | Segment::Usable => (Job::Sync, self.written),
         };
-        Stored { through, lost_through: 0 }
+        if job == Job::Sync {
+            self.first_unsynced_at = None;
+        }
+        self.running = Some(RunningJob { job, since: now, through });
+        Some(job)
     }
 
-    /// When the next sync has to start. There is never more than one at a time.
+    /// When [`GroupCommit::next_job`] has a job.
     pub fn due(&self) -> f64 {
-        if self.sync_in_progress.is_some() {
+        if self.running.is_some() {
             return f64::INFINITY;
         }
-        self.first_unsynced_at.map_or(f64::INFINITY, |first_unsynced_at| first_unsynced_at + self.max_delay)
+        let sync_at = self.first_unsynced_at.map_or(f64::INFINITY, |since| since + self.max_delay);
+        match self.segment {
+            Segment::Failed { rewrite_at } => rewrite_at,
+            Segment::Full { start_next_at } => sync_at.min(start_next_at),
+            Segment::Usable => sync_at,
+        }
     }
 
-    /// Records that a sync starts now, covering everything written so far.
-    pub fn sync_started(&mut self, now: f64) {
-        self.sync_in_progress = Some((self.written, now));
-        self.first_unsynced_at = None;
+    /// Records the result of the job in progress; returns the job, or none if there was none.
+    pub fn job_finished(&mut self, now: f64, succeeded: bool) -> Option<Job> {
+        let RunningJob { job, through, .. } = self.running.take()?;
+        let retry_at = now + self.sync_timeout;
+        match (job, succeeded) {
+            (Job::Sync, true) => {
+                self.synced = through;
+                self.written = self.written.max(through);
+            }
+            (Job::Sync, false) => self.abandon_segment(now),
+            (Job::Rewrite, true) => {
+                self.segment = Segment::Usable;
+                (self.written, self.synced) = (through, through);
+            }
+            (Job::Rewrite, false) => self.segment = Segment::Failed { rewrite_at: retry_at },
+            // A write may have failed meanwhile; then the new segment is replaced too.
+            (Job::NextSegment, true) if self.is_writable() => self.segment = Segment::Usable,
+            (Job::NextSegment, false) if self.is_writable() => {
+                self.segment = Segment::Full { start_next_at: retry_at };
+            }
+            (Job::NextSegment, _) => {}
+        }
+        Some(job)
     }
 
-    /// Records that the sync has succeeded.
-    pub fn sync_finished(&mut self) {
-        if let Some((end, _)) = self.sync_in_progress.take() {
-            self.synced = self.synced.max(end);
+    /// Nothing of the segment counts as written any more except what a sync covers.
+    fn abandon_segment(&mut self, now: f64) {
+        if self.is_writable() {
+            self.segment = Segment::Failed { rewrite_at: now };
         }
+        self.first_unsynced_at = None;
+        self.written = self.synced;
     }
 
     /// The state of the disk at `now`.
     pub fn health(&self, now: f64) -> DiskHealth {
-        let slow = self.sync_in_progress.is_some_and(|(_, since)| now - since > self.sync_timeout);
-        match (self.write_failing, slow) {
-            (true, _) => DiskHealth::WriteFailing,
-            (false, true) => DiskHealth::Slow,
+        if !self.is_writable() {
+            return DiskHealth::WriteFailing;
+        }
+        match self.running {
+            Some(running) if now - running.since > self.sync_timeout => DiskHealth::Slow,
             _ => DiskHealth::Healthy,
         }
     }
--- a/records/tests/records.rs
+++ b/records/tests/records.rs
@@ -1,7 +1,7 @@
-//! Tests of records: crashes at every byte, damage, redials through two proxies, changes of plans, and slow disks.
+//! Tests of records: crashes at every byte, damage, redials through two proxies, changes of plans, and the commit of writes.
 
 use proptest::prelude::*;
-use records::commit::{Admission, DiskHealth, Durability, GroupCommit};
+use records::commit::{Admission, DiskHealth, Durability, GroupCommit, Job};
 use records::entry::{Author, Entry, Outcome, Try, TryId};
 use records::join::{Conversation, join};
 use records::journal::{self, MAX_TEXT_BYTES};
@@ -392,16 +392,24 @@
     assert!(error.contains(expected), "{error}");
 }
 
+/// A journal whose first segment was started.
+fn group_commit(durability: Durability) -> GroupCommit {
+    let mut commit = GroupCommit::new(durability, 5.0, 200.0);
+    assert_eq!(commit.next_job(0.0, 0), Some(Job::Rewrite));
+    commit.job_finished(0.0, true);
+    commit
+}
+
 #[test]
 fn one_sync_covers_everything_written_before_it_started() {
-    let mut commit = GroupCommit::new(Durability::Synced, 5.0, 200.0);
+    let mut commit = group_commit(Durability::Synced);
     commit.record_write(0.0, 1);
     commit.record_write(3.0, 2);
     assert_eq!(commit.due(), 5.0);
-    commit.sync_started(5.0);
+    assert_eq!((commit.next_job(4.9, 2), commit.next_job(5.0, 2)), (None, Some(Job::Sync)));
     commit.record_write(6.0, 3);
     assert_eq!((commit.stored().through, commit.due()), (0, f64::INFINITY));
-    commit.sync_finished();
+    commit.job_finished(7.0, true);
     assert_eq!(commit.stored().through, 2);
     assert_eq!(commit.due(), 11.0);
 }
@@ -409,26 +417,29 @@
 const REFUSE: Admission = Admission::Refuse { retry_after: 200.0 };
 
 #[rstest]
-#[case(Durability::Synced, REFUSE, REFUSE, 0)]
-#[case(Durability::Written, Admission::Accept, REFUSE, 1)]
-#[case(Durability::Unconfirmed, Admission::Accept, Admission::Accept, u64::MAX)]
+#[case(Durability::Synced, REFUSE, REFUSE, [0, 0])]
+#[case(Durability::Written, Admission::Accept, REFUSE, [1, 0])]
+#[case(Durability::Unconfirmed, Admission::Accept, Admission::Accept, [u64::MAX, u64::MAX])]
 fn a_call_that_cannot_be_recorded_as_required_is_refused(
     #[case] durability: Durability,
     #[case] slow: Admission,
     #[case] full: Admission,
-    #[case] stored: u64,
+    #[case] stored: [u64; 2],
 ) {
-    let mut commit = GroupCommit::new(durability, 5.0, 200.0);
+    let mut commit = group_commit(durability);
     assert_eq!(commit.admit(0.0), Admission::Accept);
     commit.record_write(0.0, 1);
-    commit.sync_started(5.0);
+    assert_eq!(commit.next_job(5.0, 1), Some(Job::Sync));
     assert_eq!((commit.health(300.0), commit.admit(300.0)), (DiskHealth::Slow, slow));
     // Neither an overdue nor a failed sync confirms what it was to cover.
-    assert_eq!(commit.stored().through, stored);
-    commit.disk_failed();
+    assert_eq!(commit.stored().through, stored[0]);
+    commit.job_finished(301.0, false);
     assert_eq!((commit.health(301.0), commit.admit(301.0)), (DiskHealth::WriteFailing, full));
-    assert_eq!(commit.stored().through, stored);
-    // The disk accepts writes again.
-    commit.record_write(400.0, 2);
-    assert_eq!(commit.admit(400.0), Admission::Accept);
+    assert_eq!(commit.stored().through, stored[1]);
+    // The disk works again.
+    assert_eq!(commit.next_job(400.0, 2), Some(Job::Rewrite));
+    assert_eq!(commit.admit(400.0), full);
+    commit.job_finished(401.0, true);
+    assert_eq!(commit.admit(401.0), Admission::Accept);
+    assert_eq!(commit.stored().through, 2.max(stored[1]));
 }
