--- a/daemon/src/journal.rs
+++ b/daemon/src/journal.rs
@@ -3,69 +3,64 @@
 //! is synced, and what is written again after a failure.
 
 use std::collections::BTreeMap;
-use std::fs::{self, File, OpenOptions};
-use std::io::{self, Write};
+use std::fs;
+use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
 use records::commit::Admission;
 use records::entry::{Author, Entry, NumberedEntry, Stored};
 use records::journal;
-use records::store::{DiskJob, EntryStore, SegmentNumber};
+use records::store::{DiskJob, EntryStore, SegmentNumber, StoreTerms};
 use tokio::sync::mpsc;
 
+use crate::journal_disk::{DiskThread, JobResult, JournalFolder, Segment, SegmentFolder};
 use crate::settings::RecordsSettings;
 
 /// The journal of one process.
 pub struct Journal {
-    folder: PathBuf,
-    generation: u64,
     store: EntryStore,
-    segments: BTreeMap<SegmentNumber, Arc<File>>,
-    sync_results: mpsc::Sender<io::Result<()>>,
+    segments: BTreeMap<SegmentNumber, Arc<dyn Segment>>,
+    disk: DiskThread,
 }
 
 impl Journal {
-    /// Opens this process's journal. Results sent to `sync_results` must be passed to
-    /// [`Journal::sync_completed`].
+    /// Opens this process's journal in the folder of its settings. Results sent to `results` must be passed to
+    /// [`Journal::job_finished`].
     pub fn open(
         settings: &RecordsSettings,
         author: Author,
         now: f64,
-        sync_results: mpsc::Sender<io::Result<()>>,
+        results: mpsc::Sender<JobResult>,
     ) -> io::Result<Self> {
         fs::create_dir_all(&settings.folder)?;
-        let mut journal = Self {
-            folder: settings.folder.clone(),
-            generation: author.generation,
-            store: EntryStore::new(author, settings.store),
-            segments: BTreeMap::new(),
-            sync_results,
-        };
-        // A disk that fails from the start is reported before any call is accepted.
-        journal.turn(now);
-        if journal.segments.is_empty() {
-            return Err(io::Error::other("the first segment can't be written"));
-        }
-        Ok(journal)
+        let folder = JournalFolder { path: settings.folder.clone(), generation: author.generation };
+        Self::start(folder, author, settings.store, now, results)
     }
 
-    /// Creates a segment and syncs it.
-    fn create_segment(&self, number: SegmentNumber, contents: &[u8]) -> io::Result<File> {
-        let name = format!("{:016x}-{number:06}.journal", self.generation);
-        let file = OpenOptions::new().create_new(true).append(true).open(self.folder.join(name))?;
-        (&file).write_all(contents)?;
-        file.sync_all()?;
-        // The folder is synced too: otherwise a power loss could remove the whole segment.
-        File::open(&self.folder)?.sync_all()?;
-        Ok(file)
+    /// Starts the first segment, and waits for it: a disk that fails from the start is reported before any call
+    /// is accepted.
+    pub fn start(
+        folder: impl SegmentFolder,
+        author: Author,
+        terms: StoreTerms,
+        now: f64,
+        results: mpsc::Sender<JobResult>,
+    ) -> io::Result<Self> {
+        let mut store = EntryStore::new(author, terms);
+        let mut segments = BTreeMap::new();
+        if let Some(DiskJob::StartSegment { number, contents }) = store.next_job(now) {
+            segments.insert(number, folder.create(number, &contents)?);
+            store.job_finished(now, true);
+        }
+        Ok(Self { store, segments, disk: DiskThread::start(folder, results)? })
     }
 
     /// Writes entries, together with those that are still to be written.
     pub fn write(&mut self, now: f64, entries: impl Iterator<Item = NumberedEntry>) {
         entries.for_each(|entry| self.store.push(&entry));
         let Some((number, bytes)) = self.store.unwritten() else { return };
-        let result = (&*self.segments[&number]).write_all(bytes);
+        let result = self.segments[&number].append(bytes);
         self.store.write_finished(now, result.is_ok());
         self.log_failure("records.unwritten", &result);
     }
@@ -75,31 +70,24 @@
         match self.store.next_job(now) {
             None => {}
             Some(DiskJob::Sync { segments }) => {
-                let files: Vec<_> = segments.iter().map(|number| self.segments[number].clone()).collect();
-                let sync_results = self.sync_results.clone();
-                tokio::task::spawn_blocking(move || {
-                    let result = files.iter().try_for_each(|file| file.sync_data());
-                    let _ = sync_results.blocking_send(result);
-                });
-            }
-            Some(DiskJob::StartSegment { number, contents }) => {
-                let result = self.create_segment(number, &contents).map(|file| {
-                    self.segments.insert(number, Arc::new(file));
-                });
-                self.store.job_finished(now, result.is_ok());
-                self.segments.retain(|&number, _| self.store.uses_segment(number));
-                self.log_failure("records.unwritten", &result);
-                // What came while the former segment had failed.
-                self.write(now, std::iter::empty());
+                self.disk.sync(segments.iter().map(|number| self.segments[number].clone()).collect());
             }
+            Some(DiskJob::StartSegment { number, contents }) => self.disk.start_segment(number, contents),
         }
     }
 
-    /// Records the result of a sync.
-    pub fn sync_completed(&mut self, now: f64, result: io::Result<()>) {
+    /// Records the result of a job.
+    pub fn job_finished(&mut self, now: f64, result: JobResult) {
+        let (event, result) = match result {
+            JobResult::Synced(result) => ("records.unsynced", result),
+            JobResult::Started(number, result) => {
+                let result = result.map(|segment| drop(self.segments.insert(number, segment)));
+                ("records.unwritten", result)
+            }
+        };
         self.store.job_finished(now, result.is_ok());
         self.segments.retain(|&number, _| self.store.uses_segment(number));
-        self.log_failure("records.unsynced", &result);
+        self.log_failure(event, &result);
     }
 
     fn log_failure(&self, event: &str, result: &io::Result<()>) {
@@ -126,7 +114,7 @@
     /// Writes and syncs the last entries of this process before it returns.
     pub fn finish(&mut self, now: f64, entries: impl Iterator<Item = NumberedEntry>) {
         self.write(now, entries);
-        let result = self.segments.values().try_for_each(|segment| segment.sync_data());
+        let result = self.segments.values().try_for_each(|segment| segment.sync());
         self.log_failure("records.unsynced", &result);
     }
 }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -16,6 +16,7 @@
 mod distribution;
 pub mod feed;
 pub mod journal;
+pub mod journal_disk;
 pub mod keys;
 pub mod outbox;
 mod pending_commands;
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -187,13 +187,13 @@
         peers = Some(socket);
     }
     let mut state_file = distribution::start(&mut proxy, &settings, seed, clock.now(), unix_ms())?;
-    let (synced_in, mut synced) = mpsc::channel(4);
+    let (journal_results_in, mut journal_results) = mpsc::channel(4);
     let mut journal = None;
     if let Some(records) = &settings.records {
         // Grows with each start; the random part keeps two processes with one name apart.
         let generation_number = ((unix_ms() as u64) << 20) | rand::rng().random_range(0..1 << 20);
         let author = Author { proxy: settings.name.clone(), generation: generation_number };
-        let opened_journal = Journal::open(records, author, clock.now(), synced_in.clone());
+        let opened_journal = Journal::open(records, author, clock.now(), journal_results_in.clone());
         journal =
             Some(opened_journal.with_context(|| format!("records.folder {}", records.folder.display()))?);
         let (grades, tenants) = settings.names.clone();
@@ -248,9 +248,9 @@
                 }
             }
             Some(received) = requests.recv() => request = Some(received),
-            Some(result) = synced.recv() => {
+            Some(result) = journal_results.recv() => {
                 if let Some(journal) = &mut journal {
-                    journal.sync_completed(clock.now(), result);
+                    journal.job_finished(clock.now(), result);
                 }
             }
             Some(result) = council_writes.recv() => {
