A stop syncs the last entries after the last answers, and not for ever

Callers saw: with a slow disk the last answers of a proxy that stops came after the last sync, however long that took. Operators saw: a process that did not end, and after a failed write entries that the stop left in memory.

Writes of a council's file that hang kept the runtime, and so the process, as well.

A process that ends does not wait for writes that hang; one that is replaced does, since the next run reads the files.

The test a_stop_syncs_the_last_entries_and_waits_for_no_longer_than_allowed needs the new interface; the old one had no limit to test.

Why it is safe: an answer that is held when the stop ends is failed at its caller and released at its server (proxy/tests/held_answers.rs), so nothing that is lost then was confirmed.

--- a/daemon/src/journal.rs
+++ b/daemon/src/journal.rs
@@ -7,13 +7,16 @@
 use std::io;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
 
 use records::commit::Admission;
 use records::entry::{Author, Entry, NumberedEntry, Stored};
 use records::journal;
 use records::store::{DiskJob, EntryStore, SegmentNumber, StoreTerms};
+use thiserror::Error;
 use tokio::sync::mpsc;
 
+use crate::clock::Clock;
 use crate::journal_disk::{DiskThread, JobResult, JournalFolder, Segment, SegmentFolder};
 use crate::settings::RecordsSettings;
 
@@ -111,14 +114,40 @@
         self.store.admit(now)
     }
 
-    /// Writes and syncs the last entries of this process before it returns.
-    pub fn finish(&mut self, now: f64, entries: impl Iterator<Item = NumberedEntry>) {
-        self.write(now, entries);
-        let result = self.segments.values().try_for_each(|segment| segment.sync());
-        self.log_failure("records.unsynced", &result);
+    /// Syncs all entries of this process that are not synced yet, and retries while the disk fails.
+    ///
+    /// # Errors
+    ///
+    /// Fails when that takes longer than `timeout`.
+    pub async fn finish(
+        &mut self,
+        clock: &Clock,
+        results: &mut mpsc::Receiver<JobResult>,
+        timeout: Duration,
+    ) -> Result<(), LastSyncTimeout> {
+        let deadline = clock.now() + timeout.as_secs_f64() * 1000.0;
+        while !self.store.is_synced() {
+            let now = clock.now();
+            if now >= deadline {
+                return Err(LastSyncTimeout(timeout));
+            }
+            self.write(now, std::iter::empty());
+            self.turn(now);
+            let wait = Duration::from_secs_f64((self.due().min(deadline) - now).max(0.0) / 1000.0);
+            tokio::select! {
+                Some(result) = results.recv() => self.job_finished(clock.now(), result),
+                () = tokio::time::sleep(wait) => {}
+            }
+        }
+        Ok(())
     }
 }
 
+/// The last entries of a process may not be on disk.
+#[derive(Debug, Error)]
+#[error("the last entries were not synced within {0:?}")]
+pub struct LastSyncTimeout(Duration);
+
 /// Lists all segments in some folders, each folder's in the order in which they were written.
 pub fn segments(folders: &[PathBuf]) -> io::Result<Vec<PathBuf>> {
     let mut paths = Vec::new();
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -9,7 +9,7 @@
 mod changelog_client;
 pub mod changelog_requests;
 mod changelog_stream;
-mod clock;
+pub mod clock;
 mod connections;
 pub mod control;
 pub mod council;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -413,7 +413,14 @@
                 proxy_settings.running_release = running_release;
             }
         }
-        let Some(replacement) = runtime()?.block_on(run::run(proxy_settings.clone()))? else { return Ok(()) };
+        let runtime = runtime()?;
+        let Some(replacement) = runtime.block_on(run::run(proxy_settings.clone()))? else {
+            // A write that a disk does not finish must not keep the process: nothing depends on it any more.
+            runtime.shutdown_background();
+            return Ok(());
+        };
+        // Waits for such writes: the next run must find the files as this one leaves them.
+        drop(runtime);
         match release::install(&proxy_settings.state_dir, &proxy_settings.config_file, &replacement) {
             Ok(next) => target = Some(next),
             Err(error) => {
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -45,6 +45,8 @@
 const MAX_BACKLOG_DATAGRAMS: usize = 4096;
 /// The loop reads the clock at least this often, so that it notices its own stalls.
 const MAX_TURN_INTERVAL: Duration = Duration::from_millis(50);
+/// How long, after the last datagrams, a stop waits for the last entries of the journal.
+const LAST_SYNC_WAIT: Duration = Duration::from_secs(5);
 /// How long, after a stop, the last datagrams and their resends may take.
 const LAST_DATAGRAMS_WAIT: Duration = Duration::from_millis(1500);
 
@@ -344,9 +346,15 @@
             proxy.leave(now);
             state_file.iter_mut().for_each(StateFile::finish);
             if let Some(journal) = &mut journal {
-                journal.finish(now, std::iter::from_fn(|| proxy.next_journal_entry()));
+                journal.write(now, std::iter::from_fn(|| proxy.next_journal_entry()));
+                journal.turn(now);
             }
             flush_last_datagrams(&mut proxy, &mut sockets, backlog, &mut arrivals, &clock, remaining).await?;
+            if let Some(journal) = &mut journal
+                && let Err(error) = journal.finish(&clock, &mut journal_results, LAST_SYNC_WAIT).await
+            {
+                tracing::error!("records.unsynced: {error}");
+            }
             return Ok(release_agent.replacement);
         }
     }
--- a/daemon/tests/journal.rs
+++ b/daemon/tests/journal.rs
@@ -4,6 +4,7 @@
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
+use daemon::clock::Clock;
 use daemon::journal::Journal;
 use daemon::journal_disk::{JobResult, Segment, SegmentFolder};
 use records::commit::{Admission, Durability};
@@ -139,3 +140,32 @@
     }
     assert!(fixture.is_stored(fixture.entries));
 }
+
+/// Guards against a stop that never ends on a disk that hangs, and one that leaves entries behind on one that works.
+#[test]
+fn a_stop_syncs_the_last_entries_and_waits_for_no_longer_than_allowed() {
+    const TIMEOUT: Duration = Duration::from_millis(200);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("built");
+    let clock = Clock(Instant::now());
+    let mut fixture = Fixture::new();
+    let finish = |fixture: &mut Fixture, timeout| {
+        let started = Instant::now();
+        let result = runtime.block_on(fixture.journal.finish(&clock, &mut fixture.results, timeout));
+        (result, started.elapsed())
+    };
+    fixture.step(0.0);
+    finish(&mut fixture, MAX_STEP).0.expect("synced");
+    assert!(fixture.is_stored(1));
+
+    fixture.gate.set_closed(true);
+    open_later(&fixture.gate);
+    fixture.step(clock.now());
+    let (result, waited) = finish(&mut fixture, TIMEOUT);
+    assert!(result.is_err() && !fixture.is_stored(2));
+    assert!((TIMEOUT..MAX_STEP).contains(&waited), "{waited:?}");
+
+    // A disk that works again in time.
+    fixture.gate.set_closed(false);
+    finish(&mut fixture, MAX_STEP).0.expect("synced");
+    assert!(fixture.is_stored(2));
+}
