Sync the folders of new files, and of new folders

Cause: a file's entry is in its folder, and a folder's entry in the one above.

Change: durable_files creates folders, replaces and removes files, and syncs what names them; four copies of "write beside, sync, rename" become one.

A power cut itself was not played.

Sound as they were: the council's appends and replacements (synced, and the folder with them, before the answer that rests on them; a failed one has the whole file written again), its `damaged` copy (found again after a cut).

--- a/daemon/src/council.rs
+++ b/daemon/src/council.rs
@@ -11,6 +11,8 @@
 use anyhow::{Context, Result, bail};
 use tokio::sync::mpsc;
 
+use crate::durable_files;
+
 /// The state file, locked by this process.
 pub struct CouncilFile {
     path: PathBuf,
@@ -26,7 +28,7 @@
         results: mpsc::Sender<io::Result<()>>,
     ) -> Result<(Self, Result<PersistedState, RecoveryError>)> {
         let folder = path.parent().context("the path has no parent directory")?;
-        fs::create_dir_all(folder)?;
+        durable_files::create_dir_all(folder)?;
         let lock =
             OpenOptions::new().create(true).truncate(false).write(true).open(path.with_extension("lock"))?;
         if lock.try_lock().is_err() {
@@ -53,7 +55,7 @@
         tokio::task::spawn_blocking(move || {
             let mut file = file.lock().expect("no writer panics");
             let result = if write.replaces_file {
-                replace_file(&path, &write.bytes).map(|replace_file| *file = Some(replace_file))
+                durable_files::replace(&path, &write.bytes).map(|replaced| *file = Some(replaced))
             } else {
                 append(&file, &write.bytes)
             };
@@ -62,17 +64,6 @@
     }
 }
 
-/// Replaces the file atomically: after a crash either the new file or the old one is there.
-fn replace_file(path: &Path, bytes: &[u8]) -> io::Result<File> {
-    let folder = path.parent().unwrap_or(Path::new("."));
-    let mut temporary = tempfile::NamedTempFile::new_in(folder)?;
-    temporary.write_all(bytes)?;
-    temporary.as_file().sync_all()?;
-    let file = temporary.persist(path)?;
-    File::open(folder)?.sync_all()?;
-    Ok(file)
-}
-
 /// Appends to the file and syncs it.
 fn append(file: &Option<File>, bytes: &[u8]) -> io::Result<()> {
     let mut file = file.as_ref().ok_or_else(|| io::Error::other("the file was not written yet"))?;
--- a/daemon/src/journal.rs
+++ b/daemon/src/journal.rs
@@ -17,6 +17,7 @@
 use tokio::sync::mpsc;
 
 use crate::clock::Clock;
+use crate::durable_files;
 use crate::journal_disk::{DiskThread, JobResult, JournalFolder, Segment, SegmentFolder};
 use crate::settings::RecordsSettings;
 
@@ -36,7 +37,7 @@
         now: f64,
         results: mpsc::Sender<JobResult>,
     ) -> io::Result<Self> {
-        fs::create_dir_all(&settings.folder)?;
+        durable_files::create_dir_all(&settings.folder)?;
         let folder = JournalFolder { path: settings.folder.clone(), generation: author.generation };
         Self::start(folder, author, settings.store, now, results)
     }
--- a/daemon/src/journal_disk.rs
+++ b/daemon/src/journal_disk.rs
@@ -10,6 +10,8 @@
 use records::store::SegmentNumber;
 use tokio::sync::mpsc;
 
+use crate::durable_files;
+
 /// A segment of the journal.
 pub trait Segment: Send + Sync {
     /// Writes bytes to its end, as a whole or with an error.
@@ -50,7 +52,7 @@
         file.append(contents)?;
         file.sync_all()?;
         // The folder is synced too: otherwise a power loss could remove the whole segment.
-        File::open(&self.path)?.sync_all()?;
+        durable_files::sync_folder(&self.path)?;
         Ok(Arc::new(file))
     }
 }
--- a/daemon/src/keys.rs
+++ b/daemon/src/keys.rs
@@ -11,6 +11,7 @@
 use anyhow::{Context, Result, bail, ensure};
 use gossip::keys::{Roster, Secrets};
 
+use crate::durable_files;
 use crate::settings::{GossipSettings, SubscriberSettings};
 
 /// The bits of a file's mode that give access to others than its owner.
@@ -33,6 +34,7 @@
         .with_context(|| file.display().to_string())?;
     writeln!(output, "{}", hex::encode(key))?;
     output.sync_all()?;
+    durable_files::sync_entry(file)?;
     public(file)
 }
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod control;
 pub mod council;
 mod distribution;
+pub mod durable_files;
 pub mod feed;
 pub mod journal;
 pub mod journal_disk;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -15,7 +15,7 @@
 use daemon::records::{self, RecordsCommand};
 use daemon::release::{self, Start};
 use daemon::settings::{self, ProxySettings};
-use daemon::{control, keys, run, serve};
+use daemon::{control, durable_files, keys, run, serve};
 use outs::Kind;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -396,7 +396,7 @@
 
 /// Runs a proxy, and replaces it by releases; continues with the current program where a release can't run.
 fn run_with_releases(mut proxy_settings: ProxySettings, config: PathBuf) -> Result<()> {
-    fs::create_dir_all(&proxy_settings.state_dir)
+    durable_files::create_dir_all(&proxy_settings.state_dir)
         .with_context(|| format!("state directory {}", proxy_settings.state_dir.display()))?;
     let mut target = None;
     match release::start(&proxy_settings.state_dir)? {
--- a/daemon/src/release.rs
+++ b/daemon/src/release.rs
@@ -7,7 +7,7 @@
 
 use std::ffi::OsString;
 use std::fs;
-use std::io::{self, ErrorKind, Write};
+use std::io::{self, ErrorKind};
 use std::os::unix::fs::PermissionsExt;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
@@ -19,6 +19,7 @@
 use serde::{Deserialize, Serialize};
 use toml_edit::DocumentMut;
 
+use crate::durable_files;
 use crate::running_release::RunningRelease;
 use crate::settings;
 
@@ -76,13 +77,9 @@
 
 fn write_installed(state: &Path, installed: Option<&Installed>) -> Result<()> {
     let Some(installed) = installed else {
-        fs::remove_file(installed_file(state))?;
-        return Ok(());
+        return Ok(durable_files::remove(&installed_file(state))?);
     };
-    let mut temporary = tempfile::NamedTempFile::new_in(state)?;
-    temporary.write_all(serde_json::to_string(installed)?.as_bytes())?;
-    temporary.as_file().sync_all()?;
-    temporary.persist(installed_file(state))?;
+    durable_files::replace(&installed_file(state), serde_json::to_string(installed)?.as_bytes())?;
     Ok(())
 }
 
@@ -210,7 +207,7 @@
     }
     let merged = merged.to_string();
     settings::read(&merged).map_err(|faults| faults[0].to_string())?;
-    fs::write(output, merged).map_err(|error| error.to_string())
+    durable_files::replace(output, merged.as_bytes()).map(drop).map_err(|error| error.to_string())
 }
 
 /// Checks that a staged program accepts this proxy's settings.
@@ -233,10 +230,7 @@
     let bytes = fs::read(path).with_context(|| path.display().to_string())?;
     let sum = *blake3::hash(&bytes).as_bytes();
     let target = staged_path(state, &sum);
-    fs::create_dir_all(target.parent().context("no parent directory")?)?;
-    let mut temporary = tempfile::NamedTempFile::new_in(state)?;
-    temporary.write_all(&bytes)?;
-    temporary.as_file().sync_all()?;
-    temporary.persist(target)?;
+    durable_files::create_dir_all(target.parent().context("no parent directory")?)?;
+    durable_files::replace(&target, &bytes)?;
     Ok(sum)
 }
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -31,6 +31,7 @@
 use crate::control::{self, Request};
 use crate::council::CouncilFile;
 use crate::distribution::{self, StateFile};
+use crate::durable_files;
 use crate::feed;
 use crate::journal::Journal;
 use crate::keys::Keyring;
@@ -126,7 +127,7 @@
     settings: ProxySettings,
     decide: impl FnOnce(Terms, u64, f64) -> D,
 ) -> Result<Option<Replacement>> {
-    fs::create_dir_all(&settings.state_dir)
+    durable_files::create_dir_all(&settings.state_dir)
         .with_context(|| format!("state directory {}", settings.state_dir.display()))?;
     let seed: u64 = rand::rng().random();
     let clock = Clock(Instant::now());
