Write the pool list and a subscriber's state off the loop, and sync them

Callers saw the loop wait for these writes on a slow disk.

Cause: write_atomically renamed a file over the former one without syncing it; a system may keep the rename and lose the bytes. It ran on the proxy's loop, for each change of the list and once a second for a subscriber.

Change: saved_file replaces the file on a blocking thread, newest contents first, and syncs it; a stop waits for it, for up to 5 s. The note that a release is healthy (synced already) is written off the loop too.

Evidence: found by reading; a power cut was not played. Test: a_saved_file_ends_with_the_newest_contents (new interface). Process tests with pool lists, subscribers and releases pass.

Why the rest is sound: nothing that leaves the process rests on these files. An acknowledgement to a control machine says what is in force, not what is on disk (docs/distribution.md), the feed is told the version in memory, and both files are verified when read.

--- a/daemon/src/distribution.rs
+++ b/daemon/src/distribution.rs
@@ -4,6 +4,7 @@
 use std::fs;
 use std::io::ErrorKind;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use agree::Id;
 use agree::certificate::FleetKeys;
@@ -17,13 +18,14 @@
 use gossip::keys::Roster;
 
 use crate::keys::{self, Keyring};
+use crate::saved_file::SavedFile;
 use crate::settings::{
     DistributionRole, DistributionSettings, ProxySettings, ServiceSettings, SubscriberSettings,
 };
 
 /// The file of a subscriber's state.
 pub struct StateFile {
-    path: PathBuf,
+    file: SavedFile,
     /// State that is still to be written.
     unwritten: Option<Vec<u8>>,
     write_at: f64,
@@ -31,16 +33,16 @@
 
 impl StateFile {
     fn new(path: PathBuf) -> Self {
-        Self { path, unwritten: None, write_at: 0.0 }
+        Self { file: SavedFile::new(path, "distribution.unwritten"), unwritten: None, write_at: 0.0 }
     }
 
     /// Reads the saved state; none if there is no readable file.
     fn read(&self) -> Option<Vec<u8>> {
-        match fs::read(&self.path) {
+        match fs::read(self.file.path()) {
             Ok(bytes) => Some(bytes),
             Err(error) if error.kind() == ErrorKind::NotFound => None,
             Err(error) => {
-                tracing::warn!(file = %self.path.display(), "distribution.unread: {error}");
+                tracing::warn!(file = %self.file.path().display(), "distribution.unread: {error}");
                 None
             }
         }
@@ -55,27 +57,22 @@
             && let Some(bytes) = self.unwritten.take()
         {
             self.write_at = now + STATE_WRITE_INTERVAL;
-            self.write(&bytes);
+            self.file.save(bytes);
         }
     }
 
-    /// Writes pending state when the proxy stops.
-    pub fn finish(&mut self) {
+    /// Writes pending state when the proxy stops, for at most `timeout`.
+    pub async fn finish(&mut self, timeout: Duration) {
         if let Some(bytes) = self.unwritten.take() {
-            self.write(&bytes);
+            self.file.save(bytes);
         }
+        self.file.finish(timeout).await;
     }
 
     /// Returns when [`StateFile::turn`] has something to write, in milliseconds.
     pub fn due(&self) -> f64 {
         if self.unwritten.is_some() { self.write_at } else { f64::INFINITY }
     }
-
-    fn write(&self, bytes: &[u8]) {
-        if let Err(error) = crate::run::write_atomically(&self.path, bytes) {
-            tracing::warn!(file = %self.path.display(), "distribution.unwritten: {error:#}");
-        }
-    }
 }
 
 /// Returns a subscriber's settings; none if this proxy is not a subscriber.
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -26,6 +26,7 @@
 mod release_agent;
 pub mod run;
 pub mod running_release;
+pub mod saved_file;
 pub mod serve;
 mod served_proxy;
 pub mod settings;
--- a/daemon/src/release_agent.rs
+++ b/daemon/src/release_agent.rs
@@ -68,9 +68,12 @@
             }
             if self.release > 0 && !self.noted_healthy && decided.is_healthy() {
                 self.noted_healthy = true;
-                if let Err(error) = release::mark_healthy(&self.state) {
-                    tracing::warn!("release.unnoted: {error:#}");
-                }
+                let state = self.state.clone();
+                tokio::task::spawn_blocking(move || {
+                    if let Err(error) = release::mark_healthy(&state) {
+                        tracing::warn!("release.unnoted: {error:#}");
+                    }
+                });
             }
         }
         match decided.next_replacement() {
--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -2,9 +2,8 @@
 //! is datagrams. No decision is made here.
 
 use std::fs;
-use std::io::{self, Write};
+use std::io;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -37,6 +36,7 @@
 use crate::keys::Keyring;
 use crate::pending_commands::PendingCommands;
 use crate::release_agent::ReleaseAgent;
+use crate::saved_file::SavedFile;
 use crate::settings::{CouncilSettings, GossipSettings, ProxySettings};
 use crate::sockets::{Arrival, Sockets, listen};
 
@@ -46,20 +46,11 @@
 const MAX_BACKLOG_DATAGRAMS: usize = 4096;
 /// The loop reads the clock at least this often, so that it notices its own stalls.
 const MAX_TURN_INTERVAL: Duration = Duration::from_millis(50);
-/// How long, after the last datagrams, a stop waits for the last entries of the journal.
+/// How long, after the last datagrams, a stop waits for the last write of the journal, and of other state.
 const LAST_SYNC_WAIT: Duration = Duration::from_secs(5);
 /// How long, after a stop, the last datagrams and their resends may take.
 const LAST_DATAGRAMS_WAIT: Duration = Duration::from_millis(1500);
 
-/// Replaces a file atomically.
-pub(crate) fn write_atomically(path: &Path, bytes: &[u8]) -> Result<()> {
-    let folder = path.parent().context("no folder")?;
-    let mut file = tempfile::NamedTempFile::new_in(folder)?;
-    file.write_all(bytes)?;
-    file.persist(path)?;
-    Ok(())
-}
-
 /// The terms of this proxy's gossip, whose socket is bound to `bound`.
 fn gossip_terms(settings: &GossipSettings, bound: SocketAddr, resend: f64) -> GossipTerms {
     GossipTerms {
@@ -219,7 +210,8 @@
 
     let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     let ready = serde_json::json!({ "callers": address, "peers": peers_address, "pid": std::process::id() });
-    write_atomically(&settings.ready_file(), format!("{ready}\n").as_bytes())?;
+    durable_files::replace(&settings.ready_file(), format!("{ready}\n").as_bytes())?;
+    let mut pool_cache = SavedFile::new(settings.pool_cache(), "pool.cache_unwritten");
     tracing::info!(name = settings.name, callers = %address, "proxy.ready");
 
     let mut stop_at = None;
@@ -240,9 +232,7 @@
                     Ok(()) => {
                         tracing::info!(version = update.version, whole = update.whole, "pool.changed");
                         let _ = known_version.send(proxy.pool().version());
-                        if let Err(error) = write_atomically(&settings.pool_cache(), proxy.pool().to_cache().as_bytes()) {
-                            tracing::warn!("pool.cache_unwritten: {error:#}");
-                        }
+                        pool_cache.save(proxy.pool().to_cache().into_bytes());
                     }
                     Err(error) => {
                         tracing::warn!("pool.unfit: {error}");
@@ -345,7 +335,6 @@
             let remaining = proxy.conversations();
             proxy.close_all(now);
             proxy.leave(now);
-            state_file.iter_mut().for_each(StateFile::finish);
             if let Some(journal) = &mut journal {
                 journal.write(now, std::iter::from_fn(|| proxy.next_journal_entry()));
                 journal.turn(now);
@@ -356,6 +345,10 @@
             {
                 tracing::error!("records.unsynced: {error}");
             }
+            if let Some(file) = &mut state_file {
+                file.finish(LAST_SYNC_WAIT).await;
+            }
+            pool_cache.finish(LAST_SYNC_WAIT).await;
             return Ok(release_agent.replacement);
         }
     }
--- a/daemon/tests/durable_files.rs
+++ b/daemon/tests/durable_files.rs
@@ -2,8 +2,12 @@
 
 use std::fs;
 use std::io::Write as _;
+use std::time::Duration;
 
 use daemon::durable_files;
+use daemon::saved_file::SavedFile;
+
+const MAX_WAIT: Duration = Duration::from_secs(20);
 
 #[test]
 fn a_replaced_file_has_the_new_contents_and_is_appended_to() {
@@ -38,3 +42,23 @@
     fs::write(folder.path().join("file"), b"").expect("written");
     assert!(durable_files::create_dir_all(&folder.path().join("file/below")).is_err());
 }
+
+/// Guards against a loop that waits for the disk, and a stop that leaves an older state.
+#[test]
+fn a_saved_file_ends_with_the_newest_contents() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("state");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().build().expect("built");
+    runtime.block_on(async {
+        let mut file = SavedFile::new(path.clone(), "state.unwritten");
+        assert!(file.finish(MAX_WAIT).await, "nothing to write");
+        for round in 0..3 {
+            for version in 0..200 {
+                file.save(format!("{round}.{version}").into_bytes());
+            }
+            assert!(file.finish(MAX_WAIT).await);
+            assert_eq!(fs::read_to_string(&path).expect("read"), format!("{round}.199"));
+        }
+    });
+    assert_eq!(fs::read_dir(folder.path()).expect("listed").count(), 1, "no other file is left");
+}
