Report the callers' delays above two seconds as what they are

Operators saw: `frostthread-lab caller` told "set-up p50 2 ms, p99 2011 ms" where most answers had taken over two seconds.

Cause: a histogram without bounds holds values up to 2,047, and recording by saturation takes larger ones for its present maximum, 2.

Change: one function makes the histogram of delays, with the bounds that the drills' summary had.

--- a/lab/src/drills/standalone.rs
+++ b/lab/src/drills/standalone.rs
@@ -11,7 +11,6 @@
 use anyhow::{Context, Result, ensure};
 use border::pool::{PoolEntry, PoolUpdates, Readiness};
 use bytes::{Bytes, BytesMut};
-use hdrhistogram::Histogram;
 use iax2::Datagram;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -22,6 +21,7 @@
 
 use crate::drill::{Drill, LinkFaults};
 use crate::drills::sockets::{MAX_DATAGRAM_BYTES, bind};
+use crate::reports::summary::delay_histogram;
 use crate::stand_ins::callers::Callers;
 use crate::stand_ins::central::Central;
 use crate::stand_ins::feed::Feed;
@@ -237,7 +237,7 @@
     }
     checker.close(stopwatch.now());
     let Verdict { checked, broken, examples } = &checker.verdicts[0];
-    let mut delays = Histogram::<u64>::new(3)?;
+    let mut delays = delay_histogram();
     let answered = callers.people.iter().filter_map(|person| Some(person.answered_at? - person.first_at));
     answered.for_each(|delay| delays.saturating_record(delay.max(1.0) as u64));
     let (worth, earned) = callers.people.iter().fold((0.0, 0.0), |sum, person| {
--- a/lab/src/reports/summary.rs
+++ b/lab/src/reports/summary.rs
@@ -139,6 +139,14 @@
     }
 }
 
+/// The longest delay that reports distinguish from longer ones, in milliseconds.
+const MAX_DELAY_MS: u64 = 600_000;
+
+/// An empty histogram of set-up delays in milliseconds.
+pub fn delay_histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MAX_DELAY_MS, 3).expect("fixed bounds")
+}
+
 impl Summary {
     pub fn of(cluster: &TestCluster, routing: &str, virtual_clock: bool) -> Self {
         let drill = &cluster.drill;
@@ -148,7 +156,7 @@
         let mut tenants = vec![(0.0, 0.0); drill.tenants.len()];
         let mut demand: Vec<Vec<f64>> = vec![Vec::new(); by_second.len()];
         let (mut offered, mut served, mut earned) = (0.0, 0.0, 0.0);
-        let mut delays = Histogram::<u64>::new_with_bounds(1, 600_000, 3).expect("fixed bounds");
+        let mut delays = delay_histogram();
         let mut cut = 0;
         for person in &cluster.callers.people {
             let (worth, got) = cluster.callers.earned(drill, person);
