Remove a segment that could not be started

Cause: a segment whose first write or sync fails was left behind, and the contents go to another one, as they are still in memory.

Change: the failed file is removed, unless it was there before.

Evidence: by reading; a full disk can't be made in a test without root. The test a_segment_that_exists_is_neither_written_to_nor_removed guards the other side of the change.

--- a/daemon/src/journal_disk.rs
+++ b/daemon/src/journal_disk.rs
@@ -1,7 +1,7 @@
 //! Files of the records' journal, and the thread that does the slow work on them. So a disk that is slow or hangs
 //! delays neither the proxy's loop nor the end of its process.
 
-use std::fs::{File, OpenOptions};
+use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::PathBuf;
 use std::sync::{Arc, mpsc as thread_mpsc};
@@ -47,12 +47,18 @@
 
 impl SegmentFolder for JournalFolder {
     fn create(&self, number: SegmentNumber, contents: &[u8]) -> io::Result<Arc<dyn Segment>> {
-        let name = format!("{:016x}-{number:06}.journal", self.generation);
-        let file = OpenOptions::new().create_new(true).append(true).open(self.path.join(name))?;
-        file.append(contents)?;
-        file.sync_all()?;
+        let path = self.path.join(format!("{:016x}-{number:06}.journal", self.generation));
+        let file = OpenOptions::new().create_new(true).append(true).open(&path)?;
         // The folder is synced too: otherwise a power loss could remove the whole segment.
-        durable_files::sync_folder(&self.path)?;
+        let result = file
+            .append(contents)
+            .and_then(|()| file.sync_all())
+            .and_then(|()| durable_files::sync_folder(&self.path));
+        if let Err(error) = result {
+            // The contents go to another segment; a full disk must not fill up with attempts.
+            let _ = fs::remove_file(&path);
+            return Err(error);
+        }
         Ok(Arc::new(file))
     }
 }
--- a/daemon/tests/journal.rs
+++ b/daemon/tests/journal.rs
@@ -1,12 +1,13 @@
 //! The journal on a disk that hangs: the proxy's loop goes on.
 
+use std::fs;
 use std::io;
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use daemon::clock::Clock;
 use daemon::journal::Journal;
-use daemon::journal_disk::{JobResult, Segment, SegmentFolder};
+use daemon::journal_disk::{JobResult, JournalFolder, Segment, SegmentFolder};
 use records::commit::{Admission, Durability};
 use records::entry::{Author, Entry, NumberedEntry};
 use records::store::{SegmentNumber, StoreTerms};
@@ -169,3 +170,16 @@
     finish(&mut fixture, MAX_STEP).0.expect("synced");
     assert!(fixture.is_stored(2));
 }
+
+#[test]
+fn a_segment_that_exists_is_neither_written_to_nor_removed() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let segments = JournalFolder { path: folder.path().to_owned(), generation: 7 };
+    let first = segments.create(1, b"first").expect("created");
+    assert!(segments.create(1, b"second").is_err());
+    first.append(b", more").expect("written");
+    first.sync().expect("synced");
+    let path = folder.path().join("0000000000000007-000001.journal");
+    assert_eq!(fs::read(path).expect("read"), b"first, more");
+    assert_eq!(fs::read_dir(folder.path()).expect("listed").count(), 1);
+}
