Start no job before all entries are written

Cause: a sync releases from memory what was there when it started. The store took it for granted that all of that had been written; the daemon's order of calls holds to it, the interface did not. Found by reading, not met.

Change: EntryStore::next_job starts nothing while entries wait to be written.

--- a/records/src/store.rs
+++ b/records/src/store.rs
@@ -147,8 +147,12 @@
         }
     }
 
-    /// The job that starts now, if one is due. There is never more than one at a time.
+    /// The job that starts now, if one is due: none before [`EntryStore::unwritten`] is written, and never more than one
+    /// at a time.
     pub fn next_job(&mut self, now: f64) -> Option<DiskJob> {
+        if !self.unwritten.is_empty() {
+            return None;
+        }
         let job = self.commit.next_job(now, self.last_entry)?;
         self.covered_by_job = if job == Job::NextSegment { 0 } else { self.kept.len() };
         if job == Job::Sync {
--- a/records/tests/store.rs
+++ b/records/tests/store.rs
@@ -338,6 +338,25 @@
     (0..seeds()).for_each(|seed| play(seed, Durability::Written));
 }
 
+/// Guards against a sync whose success would release entries from memory that were not written before it.
+#[test]
+fn no_job_starts_before_all_entries_are_written() {
+    let mut store = store(Durability::Synced, 1 << 20);
+    let mut tries = Tries::default();
+    store.next_job(0.0).expect("the first segment");
+    store.job_finished(1.0, true);
+    store.push(&tries.opened(1, "155"));
+    store.write_finished(1.0, true);
+    store.push(&tries.opened(2, "155"));
+    assert!(store.next_job(100.0).is_none());
+    store.write_finished(100.0, true);
+    assert_eq!(store.next_job(100.0), Some(DiskJob::Sync { segments: vec![1] }));
+    store.push(&tries.opened(101, "155"));
+    store.job_finished(102.0, true);
+    assert_eq!(store.stored().through, 2);
+    assert!(!store.is_synced());
+}
+
 #[test]
 fn the_first_job_starts_a_segment_with_its_generation() {
     let mut store = store(Durability::Synced, 1 << 20);
