--- a/daemon/src/run.rs
+++ b/daemon/src/run.rs
@@ -21,7 +21,7 @@
 use rand::Rng;
 use records::commit::Admission;
 use records::entry::Author;
-use tokio::net::UnixListener;
+use tokio::net::{UdpSocket, UnixListener};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
@@ -33,6 +33,7 @@
 use crate::durable_files;
 use crate::feed;
 use crate::journal::Journal;
+use crate::journal_disk::JobResult;
 use crate::keys::Keyring;
 use crate::pending_commands::PendingCommands;
 use crate::release_agent::ReleaseAgent;
@@ -75,6 +76,46 @@
     }
 }
 
+/// Applies an update of the pool list and saves the list; returns the version that the feed continues from.
+fn update_pool(
+    proxy: &mut BorderProxy<impl Decisions>,
+    update: &PoolUpdates,
+    now: f64,
+    cache: &mut SavedFile,
+) -> Option<u64> {
+    if let Err(error) = proxy.update_server_list(now, unix_ms(), update) {
+        tracing::warn!("pool.unfit: {error}");
+        return None;
+    }
+    tracing::info!(version = update.version, whole = update.whole, "pool.changed");
+    cache.save(proxy.pool().to_cache().into_bytes());
+    proxy.pool().version()
+}
+
+/// Binds a socket to the address that the settings name under `key`.
+fn bind(key: &str, address: SocketAddr, settings: &ProxySettings) -> Result<Arc<UdpSocket>> {
+    let socket = Sockets::bind(address, settings.receive_buffer);
+    Ok(Arc::new(socket.with_context(|| format!("{key} {address}"))?))
+}
+
+/// Opens the journal and has the proxy record its conversations, if its settings say so.
+fn start_recording(
+    proxy: &mut BorderProxy<impl Decisions>,
+    settings: &ProxySettings,
+    now: f64,
+    results: mpsc::Sender<JobResult>,
+) -> Result<Option<Journal>> {
+    let Some(records) = &settings.records else { return Ok(None) };
+    // Grows with each start; the random part keeps two processes with one name apart.
+    let generation = ((unix_ms() as u64) << 20) | rand::rng().random_range(0..1 << 20);
+    let author = Author { proxy: settings.name.clone(), generation };
+    let journal = Journal::open(records, author, now, results)
+        .with_context(|| format!("records.folder {}", records.folder.display()))?;
+    let (grades, tenants) = settings.names.clone();
+    proxy.start_recording(JournalWriter::new(grades, tenants, unix_ms() - now));
+    Ok(Some(journal))
+}
+
 /// Lets the proxy take part in the council's decisions.
 #[allow(clippy::too_many_arguments)] // all inputs of the council
 fn enable_council(
@@ -130,8 +171,7 @@
     }
 
     let (arrivals_in, mut arrivals) = mpsc::channel(MAX_QUEUED_ARRIVALS);
-    let callers = Sockets::bind(settings.callers_address, settings.receive_buffer);
-    let callers = Arc::new(callers.with_context(|| format!("listen.callers {}", settings.callers_address))?);
+    let callers = bind("listen.callers", settings.callers_address, &settings)?;
     let address = callers.local_addr()?;
     tokio::spawn(listen(callers.clone(), Side::Callers, None, arrivals_in.clone()));
     let mut peers = None;
@@ -141,8 +181,7 @@
     let mut release_agent = ReleaseAgent::new(&settings);
     if let Some(gossip) = &settings.gossip {
         let Keyring { secrets, roster } = Keyring::read(gossip, &settings.name).context("gossip")?;
-        let socket = Sockets::bind(gossip.listen, settings.receive_buffer);
-        let socket = Arc::new(socket.with_context(|| format!("gossip.listen {}", gossip.listen))?);
+        let socket = bind("gossip.listen", gossip.listen, &settings)?;
         tokio::spawn(listen(socket.clone(), Side::Peers, None, arrivals_in.clone()));
         let terms = gossip_terms(gossip, socket.local_addr()?, settings.terms.servers.resend_delay);
         proxy.join(Node::new(terms, secrets, roster, seed, clock.now(), unix_ms()));
@@ -175,24 +214,13 @@
         }
         peers = Some(socket);
     } else if let Some(subscriber) = distribution::subscriber_settings(&settings) {
-        let socket = Sockets::bind(subscriber.listen, settings.receive_buffer);
-        let socket = Arc::new(socket.with_context(|| format!("distribution.listen {}", subscriber.listen))?);
+        let socket = bind("distribution.listen", subscriber.listen, &settings)?;
         tokio::spawn(listen(socket.clone(), Side::Peers, None, arrivals_in.clone()));
         peers = Some(socket);
     }
     let mut state_file = distribution::start(&mut proxy, &settings, seed, clock.now(), unix_ms())?;
     let (journal_results_in, mut journal_results) = mpsc::channel(4);
-    let mut journal = None;
-    if let Some(records) = &settings.records {
-        // Grows with each start; the random part keeps two processes with one name apart.
-        let generation_number = ((unix_ms() as u64) << 20) | rand::rng().random_range(0..1 << 20);
-        let author = Author { proxy: settings.name.clone(), generation: generation_number };
-        let opened_journal = Journal::open(records, author, clock.now(), journal_results_in.clone());
-        journal =
-            Some(opened_journal.with_context(|| format!("records.folder {}", records.folder.display()))?);
-        let (grades, tenants) = settings.names.clone();
-        proxy.start_recording(JournalWriter::new(grades, tenants, unix_ms() - clock.now()));
-    }
+    let mut journal = start_recording(&mut proxy, &settings, clock.now(), journal_results_in)?;
     let peers_address = peers.as_ref().map(|socket| socket.local_addr()).transpose()?;
     let mut sockets =
         Sockets::new(callers, peers, settings.server_source, settings.receive_buffer, arrivals_in);
@@ -227,18 +255,8 @@
         tokio::select! {
             arrival = arrivals.recv() => first = arrival,
             Some(update) = updates.recv() => {
-                let now = clock.now();
-                match proxy.update_server_list(now, unix_ms(), &update) {
-                    Ok(()) => {
-                        tracing::info!(version = update.version, whole = update.whole, "pool.changed");
-                        let _ = known_version.send(proxy.pool().version());
-                        pool_cache.save(proxy.pool().to_cache().into_bytes());
-                    }
-                    Err(error) => {
-                        tracing::warn!("pool.unfit: {error}");
-                        let _ = known_version.send(None);
-                    }
-                }
+                let version = update_pool(&mut proxy, &update, clock.now(), &mut pool_cache);
+                let _ = known_version.send(version);
             }
             Some(received) = requests.recv() => request = Some(received),
             Some(result) = journal_results.recv() => {
