--- a/proxy/src/status.rs
+++ b/proxy/src/status.rs
@@ -56,7 +56,7 @@
     /// Without an attempt in flight.
     #[serde(rename = "held")]
     pub waiting: usize,
-    /// With an attempt in flight.
+    /// With an attempt in flight, or an answer that is held until it is recorded.
     #[serde(rename = "shot")]
     pub attempting: usize,
     /// Answered.
